--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,8 @@
 type command struct {
 	Entry           *daemonCommand   `arg:"subcommand:entry" help:"take jobs from callers and forward them"`
 	Agent           *daemonCommand   `arg:"subcommand:agent" help:"own submissions and guard the worker beside"`
+	PlatformEntry   *daemonCommand   `arg:"subcommand:platform-entry" help:"take jobs on the users' platform and place their tasks"`
+	PlatformAgent   *daemonCommand   `arg:"subcommand:platform-agent" help:"run tasks on the worker beside, on the users' platform"`
 	PlatformStandin *daemonCommand   `arg:"subcommand:platform-standin" help:"take the platform's place in trials"`
 	BackendStandin  *daemonCommand   `arg:"subcommand:backend-standin" help:"take a backend server's place in trials"`
 	Demo            *demoCommand     `arg:"subcommand:demo" help:"run a whole small system in this process"`
@@ -94,6 +96,10 @@
 		return runDaemon(s, c.Entry.Settings, settings.RoleEntry)
 	case c.Agent != nil:
 		return runDaemon(s, c.Agent.Settings, settings.RoleAgent)
+	case c.PlatformEntry != nil:
+		return runPlatform(s, c.PlatformEntry.Settings, settings.RolePlatformEntry)
+	case c.PlatformAgent != nil:
+		return runPlatform(s, c.PlatformAgent.Settings, settings.RolePlatformAgent)
 	case c.PlatformStandin != nil:
 		return runDaemon(s, c.PlatformStandin.Settings, settings.RolePlatformStandin)
 	case c.BackendStandin != nil:
--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,152 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package cli
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"sailhead/internal/frontend"
+	"sailhead/internal/logging"
+	"sailhead/internal/metric"
+	"sailhead/internal/runner"
+	"sailhead/internal/settings"
+	"sailhead/internal/sidecar"
+	"sailhead/platform"
+)
+
+// runPlatform runs an entry or an agent on the users' platform until it is told to stop. SIGHUP reads the
+// settings file again and says whether it is good; a restart takes it into use.
+func runPlatform(s streams, path string, role settings.Role) error {
+	loaded, err := settings.LoadFor(path, role)
+	if err != nil {
+		return err
+	}
+	ring, flush := logging.NewRing(s.out)
+	defer flush()
+	logger := logging.New(ring, logging.Level(loaded.LogLevel), loaded.Name)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	metrics := metric.NewSet()
+	metrics.Publish("sailhead")
+	stop, err := startOnPlatform(loaded, logger, metrics)
+	if err != nil {
+		_ = level.Error(logger).Log("msg", "unable to start", "err", err)
+		return err
+	}
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			_ = level.Info(logger).Log("msg", "stopping", "signal", received)
+			break
+		}
+		_, err := settings.LoadFor(path, role)
+		_ = level.Info(logger).Log("msg", "settings read again", "err", err)
+	}
+	return stop()
+}
+
+func startOnPlatform(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
+	if s.Role == settings.RolePlatformEntry {
+		return startPlatformEntry(s, logger, metrics)
+	}
+	return startPlatformAgent(s, logger, metrics)
+}
+
+// listen opens all listeners, or none.
+func listen(addresses ...settings.Address) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", string(address))
+		if err != nil {
+			for _, each := range listeners {
+				_ = each.Close()
+			}
+			return nil, errors.Wrapf(err, "cli: unable to listen at %s", address)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func seedsOf(s settings.Settings) []string {
+	seeds := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		seeds = append(seeds, string(seed))
+	}
+	return seeds
+}
+
+const (
+	// idleCloseDelay is how long after the start of a planned stop idle connections of callers are closed:
+	// by then the balancer sends no new ones.
+	idleCloseDelay = 2500 * time.Millisecond
+	// listenDelay is how long new connections are still taken.
+	listenDelay = 4300 * time.Millisecond
+	pollPause   = 20 * time.Millisecond
+)
+
+func startPlatformEntry(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
+	listeners, err := listen(s.CallerAddress, s.ReadyAddress, s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	store, closeStore := platform.NewStore(string(s.PlatformAddress))
+	configurations := &platform.Configurations{}
+	entry, closeEntry := frontend.New(frontend.Settings{
+		Name: s.Name, Zone: s.Zone, Peers: listeners[2], Seeds: seedsOf(s), StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs,
+	}, configurations, platform.NewNews(store), logger, metrics)
+	closeReady := platform.NewReadiness(listeners[1], entry)
+	ingress := platform.NewIngress(listeners[0], configurations.Current, entry)
+	return func() error {
+		err := stopEntry(entry, ingress)
+		closeReady()
+		closeEntry()
+		closeStore()
+		return err
+	}, nil
+}
+
+// stopEntry stops an entry as planned: every request that arrives is answered.
+func stopEntry(entry *frontend.Frontend, ingress *platform.Ingress) error {
+	began := time.Now()
+	until := entry.Leave()
+	time.Sleep(min(idleCloseDelay, time.Until(until)))
+	ingress.CloseIdle()
+	for time.Since(began) < listenDelay && time.Now().Before(until) {
+		time.Sleep(pollPause)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until.Add(200*time.Millisecond))
+	defer cancel()
+	return ingress.Shutdown(ctx)
+}
+
+func startPlatformAgent(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
+	listeners, err := listen(s.HeartbeatAddress, s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	store, closeStore := platform.NewStore(string(s.PlatformAddress))
+	worker, closeWorker := platform.NewWorker(string(s.BackendAddress))
+	agent, closeAgent := sidecar.New(sidecar.Settings{
+		Name: s.Name, Zone: s.Zone, Sessions: listeners[1], Seeds: seedsOf(s),
+		Limits: runner.DefaultLimits(s.HoldTime, s.StopTime), StopTimeout: s.StopTimeout, Ring: s.Ring,
+	}, worker, platform.NewNews(store), logger, metrics)
+	closeHeartbeats := platform.NewHeartbeats(listeners[0], agent)
+	return func() error {
+		err := closeAgent()
+		closeHeartbeats()
+		closeWorker()
+		closeStore()
+		return err
+	}, nil
+}
--- /dev/null
+++ b/internal/cluster/directory.go
@@ -0,0 +1,163 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+// Package cluster keeps what a process knows of the other processes and of the operators' configuration, and
+// exchanges it between entries, so that news travels while the platform's store does not answer.
+package cluster
+
+import (
+	"encoding/json"
+	"sort"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"sailhead/internal/cluster/clusterpb"
+)
+
+// Role says what a member does.
+type Role string
+
+// The roles of members.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Member is a process of sailhead as the others know it.
+type Member struct {
+	Name    string `json:"name"`
+	Role    Role   `json:"role"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	// Incarnation rises with each start of a process of the name.
+	Incarnation int64 `json:"incarnation"`
+}
+
+// ParseMember reads a member as it lies in the platform's store.
+func ParseMember(data []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(data, &m); err != nil {
+		return Member{}, errors.Wrap(err, "cluster: unable to read a member")
+	}
+	if m.Name == "" || m.Address == "" {
+		return Member{}, errors.New("cluster: a member has no name or no address")
+	}
+	return m, nil
+}
+
+// Encode returns the member as it lies in the platform's store.
+func (m Member) Encode() []byte {
+	data, _ := json.Marshal(m)
+	return data
+}
+
+// Directory holds the newest record of each member and the newest configuration.
+type Directory struct {
+	mu       sync.Mutex
+	members  map[string]Member
+	version  uint64
+	document []byte
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{members: make(map[string]Member), changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (d *Directory) notify() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// AddMember takes in a member's record unless a newer one is known, and reports whether it was news.
+func (d *Directory) AddMember(m Member) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.members[m.Name]
+	if ok && known.Incarnation >= m.Incarnation {
+		return false
+	}
+	d.members[m.Name] = m
+	d.notify()
+	return true
+}
+
+// RemoveMember forgets a member's record if it is still the one given.
+func (d *Directory) RemoveMember(m Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.members[m.Name] == m {
+		delete(d.members, m.Name)
+		d.notify()
+	}
+}
+
+// Members returns the members of a role by name.
+func (d *Directory) Members(role Role) []Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var members []Member
+	for _, m := range d.members {
+		if m.Role == role {
+			members = append(members, m)
+		}
+	}
+	sort.Slice(members, func(i, k int) bool { return members[i].Name < members[k].Name })
+	return members
+}
+
+// SetDocument takes in a configuration unless a newer one is known, and reports whether it was news.
+func (d *Directory) SetDocument(version uint64, document []byte) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if version <= d.version {
+		return false
+	}
+	d.version = version
+	d.document = document
+	d.notify()
+	return true
+}
+
+// Document returns the newest configuration and its version; 0 is none.
+func (d *Directory) Document() (version uint64, document []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version, d.document
+}
+
+// view returns the directory for another process; the document goes along if the other has an older one.
+func (d *Directory) view(otherVersion uint64, withDocument bool) *clusterpb.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view := &clusterpb.View{Version: d.version}
+	for _, m := range d.members {
+		view.Members = append(view.Members, &clusterpb.Member{
+			Name: m.Name, Role: string(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation,
+		})
+	}
+	if withDocument && d.version > otherVersion {
+		view.Document = d.document
+	}
+	return view
+}
+
+// addMembers takes in the members of another's view.
+func (d *Directory) addMembers(view *clusterpb.View) {
+	for _, m := range view.Members {
+		if m.GetName() == "" || m.GetAddress() == "" {
+			continue
+		}
+		d.AddMember(Member{Name: m.Name, Role: Role(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/agent.go
@@ -0,0 +1,79 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// agent is what the dispatcher knows of an agent and its worker.
+type agent struct {
+	id     AgentID
+	zone   string
+	record worker.Record
+	load   runner.Load
+	silent bool
+	// number is the number of the last start.
+	number uint64
+	// sent are the starts that the load does not count yet.
+	sent []sentStart
+}
+
+// sentStart is a start on its way to an agent.
+type sentStart struct {
+	number uint64
+	needs  worker.Room
+}
+
+// room is what is free at the worker, as far as is known here.
+func (a *agent) room() worker.Room {
+	room := a.record.Capacity.Minus(a.load.Used)
+	for _, each := range a.sent {
+		room = room.Minus(each.needs)
+	}
+	return room
+}
+
+// seeLoad takes in a load and forgets the starts that it counts.
+func (a *agent) seeLoad(handled uint64, load runner.Load) {
+	a.load = load
+	kept := a.sent[:0]
+	for _, each := range a.sent {
+		if each.number > handled {
+			kept = append(kept, each)
+		}
+	}
+	a.sent = kept
+}
+
+// sends counts a start towards the worker's room and returns its number.
+func (a *agent) sends(needs worker.Room) uint64 {
+	a.number++
+	a.sent = append(a.sent, sentStart{number: a.number, needs: needs})
+	return a.number
+}
+
+// accepts reports whether tasks of a service may be placed on the worker.
+func (a *agent) accepts(service string) bool {
+	return !a.silent && a.load.Accepts && !a.load.Leaving && a.record.Service == service
+}
+
+const (
+	// slowLimit is the slowness from which a worker is used only if no other has room.
+	slowLimit = 2.5
+	// failureLimit is the failure rate from which it is.
+	failureLimit = 0.25
+)
+
+// isSound reports whether the worker's latest runs went well.
+func (a *agent) isSound() bool {
+	return a.load.Slowness < slowLimit && a.load.FailureRate < failureLimit
+}
+
+// settleTime is how long after the loss of its session an agent's runs have surely ended: a living agent
+// stops them at the latest when the session's lease runs out, a dead one holds them no longer.
+const settleTime = 1150 * time.Millisecond
--- /dev/null
+++ b/internal/dispatch/event.go
@@ -0,0 +1,232 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+// Package dispatch owns the jobs that an entry has taken: it admits them, places their tasks on workers,
+// runs again what failed or was lost, and answers.
+//
+// It is a state machine without I/O: events go in with a time, effects come out. No task is placed again
+// before its last run has surely ended.
+package dispatch
+
+import (
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// AgentID names an agent.
+type AgentID string
+
+// Waiter names a request of a caller that waits for a job's answer.
+type Waiter uint64
+
+// Job is a caller's job.
+type Job struct {
+	ID   string
+	Kind Kind
+	// Payload is what every task is told.
+	Payload string
+	Steps   []Step
+}
+
+// Kind is what the operators have set for jobs of one kind.
+type Kind struct {
+	Name    string
+	Service string
+	// Priority is 0 for the most urgent jobs.
+	Priority int
+	// Attempts is how many runs of a task may fail.
+	Attempts int
+	// Stretch times the longest chain of work, and Target more, is the objective of a job's time.
+	Stretch float64
+	Target  time.Duration
+	// Timeout is the longest time of a job; nothing leaves it to the objective.
+	Timeout time.Duration
+}
+
+// Step is a number of equal tasks of a job.
+type Step struct {
+	Count    int
+	Needs    worker.Room
+	Expected time.Duration
+	// After are the earlier steps that must be done first.
+	After []int
+	// Label is a label that the worker must have, and Rack one that it should have.
+	Label string
+	Rack  string
+	// PerWorker bounds the tasks of the step on one worker; 0 is any number.
+	PerWorker int
+}
+
+// Event is what happens to a dispatcher; the types below are all there are.
+type Event interface{ isEvent() }
+
+// Submitted is a job of a caller.
+type Submitted struct {
+	Job    Job
+	Waiter Waiter
+}
+
+// CallerLeft says that a request waits no longer.
+type CallerLeft struct {
+	Job    string
+	Waiter Waiter
+}
+
+// Cancelled is a caller's wish that a job ends.
+type Cancelled struct {
+	Job  string
+	Done func(known bool)
+}
+
+// StateAsked asks for the state of a job.
+type StateAsked struct {
+	Job  string
+	Done func(JobState)
+}
+
+// JobState says how far a job is.
+type JobState int
+
+// The states of a job.
+const (
+	JobUnknown JobState = iota
+	JobWaiting
+	JobBegun
+)
+
+// AgentUp opens a session with an agent.
+type AgentUp struct {
+	Agent AgentID
+	Zone  string
+}
+
+// AgentSilent says that nothing was heard from an agent for some time.
+type AgentSilent struct{ Agent AgentID }
+
+// AgentHeard says that a silent agent was heard again.
+type AgentHeard struct{ Agent AgentID }
+
+// AgentDown ends the session with an agent.
+type AgentDown struct{ Agent AgentID }
+
+// WorkerSeen describes the worker of an agent.
+type WorkerSeen struct {
+	Agent  AgentID
+	Record worker.Record
+}
+
+// LoadSeen is the load of a worker, in which starts up to Handled are counted.
+type LoadSeen struct {
+	Agent   AgentID
+	Handled uint64
+	Load    runner.Load
+}
+
+// RunUpdated is what became of a run.
+type RunUpdated struct {
+	Agent  AgentID
+	Update runner.Update
+}
+
+// LeaveAsked makes the dispatcher take only jobs that end before a time.
+type LeaveAsked struct{ Until time.Time }
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+func (Submitted) isEvent()   {}
+func (CallerLeft) isEvent()  {}
+func (Cancelled) isEvent()   {}
+func (StateAsked) isEvent()  {}
+func (AgentUp) isEvent()     {}
+func (AgentSilent) isEvent() {}
+func (AgentHeard) isEvent()  {}
+func (AgentDown) isEvent()   {}
+func (WorkerSeen) isEvent()  {}
+func (LoadSeen) isEvent()    {}
+func (RunUpdated) isEvent()  {}
+func (LeaveAsked) isEvent()  {}
+func (Ticked) isEvent()      {}
+
+// Effect is what a dispatcher wants done; the types below are all there are.
+type Effect interface{ isEffect() }
+
+// Reply answers requests.
+type Reply struct {
+	Waiters []Waiter
+	Answer  Answer
+}
+
+// StartTask asks an agent to run a task; Number counts the starts of the session.
+type StartTask struct {
+	Agent  AgentID
+	Number uint64
+	Task   runner.Task
+}
+
+// StopTask asks an agent to end a task.
+type StopTask struct {
+	Agent AgentID
+	Name  string
+}
+
+// Note tells a decision for the log.
+type Note struct {
+	Decision Decision
+	Job      string
+	Task     string
+	Run      uint32
+	Agent    AgentID
+	Kind     string
+	// Age is the time since the job came.
+	Age    time.Duration
+	Detail string
+}
+
+func (Reply) isEffect()     {}
+func (StartTask) isEffect() {}
+func (StopTask) isEffect()  {}
+func (Note) isEffect()      {}
+
+// Decision names a decision in the log.
+type Decision string
+
+// The decisions that are logged.
+const (
+	DecisionTaken     Decision = "taken"
+	DecisionJoined    Decision = "joined"
+	DecisionPlaced    Decision = "placed"
+	DecisionEnded     Decision = "ended"
+	DecisionAnswered  Decision = "answered"
+	DecisionLeft      Decision = "caller_left"
+	DecisionAgentUp   Decision = "agent_up"
+	DecisionSilent    Decision = "agent_silent"
+	DecisionAgentDown Decision = "agent_down"
+	DecisionWorker    Decision = "worker"
+	DecisionAccepts   Decision = "accepts"
+)
+
+// Answer is the final answer to a job: Completed, Failed, NotRun or Interrupted.
+type Answer interface{ isAnswer() }
+
+// Completed says that every task has ended well.
+type Completed struct{}
+
+// Failed says that a task has failed as often as it may.
+type Failed struct{}
+
+// NotRun says that no task has run or will run, and when to come back.
+type NotRun struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Interrupted says that a task may have run and that the job was given up.
+type Interrupted struct{ Reason string }
+
+func (Completed) isAnswer()   {}
+func (Failed) isAnswer()      {}
+func (NotRun) isAnswer()      {}
+func (Interrupted) isAnswer() {}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,181 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// place sends the tasks of the waiting jobs to workers with room. A job begins only if all its first tasks
+// find room; one that does not lets none of lower priority pass.
+func (d *Dispatcher) place(now time.Time) {
+	if len(d.agents) == 0 {
+		return
+	}
+	for _, j := range slices.Clone(d.waiting) {
+		tasks := j.placeable(now)
+		if len(tasks) == 0 {
+			if j.offered {
+				d.dequeueUnlessSettling(now, j)
+			}
+			continue
+		}
+		plan := d.plan(j, tasks)
+		if len(plan) < len(tasks) && !j.offered {
+			return
+		}
+		for _, p := range plan {
+			d.send(now, j, p.task, p.agent)
+		}
+		d.dequeueUnlessSettling(now, j)
+	}
+}
+
+// dequeueUnlessSettling takes a job off the waiting ones unless a task of it still has to be placed.
+func (d *Dispatcher) dequeueUnlessSettling(now time.Time, j *job) {
+	for _, t := range j.tasks {
+		if t.state == taskPending && (j.isReady(t.step) || now.Before(t.settled)) {
+			return
+		}
+	}
+	d.dequeue(j)
+}
+
+// placement is a task and the agent that is to run it.
+type placement struct {
+	task  *task
+	agent *agent
+}
+
+// candidate is an agent with the room that a plan has left there.
+type candidate struct {
+	agent *agent
+	room  worker.Room
+}
+
+// plan finds room for as many of the tasks as there is, on as few workers as possible: a job suffers from
+// each worker that fails, so fewer jobs suffer the fewer workers each of them has.
+func (d *Dispatcher) plan(j *job, tasks []*task) []placement {
+	candidates := d.candidates(j)
+	var plan []placement
+	for len(tasks) > 0 {
+		group := sameStep(tasks)
+		step := j.Steps[group[0].step]
+		placed := d.planGroup(j, step, group, candidates)
+		plan = append(plan, placed...)
+		tasks = tasks[len(group):]
+	}
+	return plan
+}
+
+// sameStep returns the first tasks that are of one step.
+func sameStep(tasks []*task) []*task {
+	for i, t := range tasks {
+		if t.step != tasks[0].step {
+			return tasks[:i]
+		}
+	}
+	return tasks
+}
+
+// candidates returns the agents whose workers serve the job, in random order.
+func (d *Dispatcher) candidates(j *job) []*candidate {
+	var candidates []*candidate
+	for _, a := range d.agents {
+		if a.accepts(j.Kind.Service) {
+			candidates = append(candidates, &candidate{agent: a, room: a.room()})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *candidate) int {
+		if a.agent.id < b.agent.id {
+			return -1
+		}
+		return 1
+	})
+	d.random.Shuffle(len(candidates), func(i, k int) { candidates[i], candidates[k] = candidates[k], candidates[i] })
+	return candidates
+}
+
+// planGroup places equal tasks of one step.
+func (d *Dispatcher) planGroup(j *job, step Step, group []*task, candidates []*candidate) []placement {
+	var plan []placement
+	for len(group) > 0 {
+		best, count := d.best(j, step, group, candidates)
+		if count == 0 {
+			return plan
+		}
+		for _, t := range group[:count] {
+			plan = append(plan, placement{task: t, agent: best.agent})
+		}
+		best.room = best.room.Minus(step.Needs.Times(count))
+		group = group[count:]
+	}
+	return plan
+}
+
+// best returns the worker that takes most of the tasks, sound ones and the step's rack first.
+func (d *Dispatcher) best(j *job, step Step, group []*task, candidates []*candidate) (best *candidate, count int) {
+	var bestRank int
+	for _, c := range candidates {
+		if step.Label != "" && !c.agent.record.HasLabel(step.Label) {
+			continue
+		}
+		fits := step.Needs.Count(c.room, len(group))
+		if step.PerWorker > 0 {
+			fits = min(fits, step.PerWorker-j.countAt(c.agent.id, group[0].step))
+		}
+		if fits <= 0 {
+			continue
+		}
+		rank := rankOf(c.agent, step, group[0])
+		if best == nil || rank > bestRank || rank == bestRank && fits > count {
+			best, count, bestRank = c, fits, rank
+		}
+	}
+	return best, count
+}
+
+// countAt counts the tasks of a step at an agent.
+func (j *job) countAt(id AgentID, step int) int {
+	count := 0
+	for _, t := range j.tasks {
+		if t.step == step && t.state == taskSent && t.agent == id {
+			count++
+		}
+	}
+	return count
+}
+
+// rankOf orders workers for a task: those where it has not failed, sound ones, those of its rack.
+func rankOf(a *agent, step Step, t *task) int {
+	rank := 0
+	if !slices.Contains(t.avoid, a.id) {
+		rank += 4
+	}
+	if a.isSound() {
+		rank += 2
+	}
+	if step.Rack != "" && a.record.HasLabel(step.Rack) {
+		rank++
+	}
+	return rank
+}
+
+func (d *Dispatcher) send(now time.Time, j *job, t *task, a *agent) {
+	step := j.Steps[t.step]
+	t.state = taskSent
+	t.agent = a.id
+	t.run++
+	j.offered = true
+	number := a.sends(step.Needs)
+	d.emit(StartTask{Agent: a.id, Number: number, Task: runner.Task{
+		Name: t.name, Run: t.run, Payload: j.Payload, Needs: step.Needs, Checkpoint: t.checkpoint,
+		Expected: step.Expected, Priority: j.Kind.Priority,
+	}})
+	d.emit(Note{Decision: DecisionPlaced, Job: j.ID, Task: t.name, Run: t.run, Agent: a.id, Kind: j.Kind.Name, Age: now.Sub(j.arrived)})
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,191 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+// Package frontend runs an entry: it gives the dispatcher its goroutines and connects it with callers, agents,
+// other entries and the platform's store.
+package frontend
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"sailhead/internal/cluster"
+	"sailhead/internal/dispatch"
+	"sailhead/internal/logging"
+	"sailhead/internal/metric"
+	"sailhead/internal/session"
+)
+
+// Settings are what an entry needs to know.
+type Settings struct {
+	Name string
+	Zone string
+	// Peers takes the exchanges of other entries and the announcements of agents.
+	Peers net.Listener
+	// Seeds are entries to learn from while the store does not answer.
+	Seeds []string
+	// StopTimeout is the longest time of a planned stop.
+	StopTimeout time.Duration
+	// Ring is how many events may wait.
+	Ring int
+	// Jobs is the largest number of jobs under way.
+	Jobs int
+}
+
+// Configurations checks the operators' configuration.
+type Configurations interface {
+	// Accept reads a document, and takes it into use if it is newer than the one in use.
+	Accept(document []byte) (version uint64, err error)
+}
+
+const (
+	tickInterval = 10 * time.Millisecond
+	// stopMargin is kept of the time to stop for the end of the process.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Frontend is a running entry.
+type Frontend struct {
+	settings       Settings
+	self           cluster.Member
+	directory      *cluster.Directory
+	exchanger      *cluster.Exchanger
+	configurations Configurations
+	store          Store
+	dispatcher     *dispatch.Dispatcher
+	logger         log.Logger
+	metrics        *metric.Set
+	events         chan dispatch.Event
+	context        context.Context
+	cancel         context.CancelFunc
+	duties         sync.WaitGroup
+	leaving        atomic.Bool
+	nextWaiter     atomic.Uint64
+
+	mu       sync.Mutex
+	waiters  map[dispatch.Waiter]chan dispatch.Answer
+	sessions map[dispatch.AgentID]*agentSession
+	agents   int
+	jobs     int
+}
+
+// New starts an entry. The clean-up ends it at once; Leave comes before.
+func New(settings Settings, configurations Configurations, store Store, logger log.Logger, metrics *metric.Set) (*Frontend, func()) {
+	f := &Frontend{
+		settings: settings, configurations: configurations, store: store, metrics: metrics,
+		logger: logging.Part(logger, "entry"),
+		self: cluster.Member{
+			Name: settings.Name, Role: cluster.RoleEntry, Zone: settings.Zone,
+			Address: settings.Peers.Addr().String(), Incarnation: time.Now().UnixNano(),
+		},
+		directory:  cluster.NewDirectory(),
+		dispatcher: dispatch.New(dispatch.Limits{Jobs: settings.Jobs}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		events:     make(chan dispatch.Event, settings.Ring),
+		waiters:    make(map[dispatch.Waiter]chan dispatch.Answer),
+		sessions:   make(map[dispatch.AgentID]*agentSession),
+	}
+	f.context, f.cancel = context.WithCancel(context.Background())
+	exchanger, closeExchanger := cluster.NewExchanger(f.directory, configurations.Accept)
+	f.exchanger = exchanger
+	closePeers := servePeers(settings.Peers, exchanger)
+	f.directory.AddMember(f.self)
+	for _, duty := range []func(){f.run, f.connect, f.watchSilence, f.followStore, f.register, f.exchange} {
+		f.duties.Go(duty)
+	}
+	_ = level.Info(f.logger).Log("msg", "serving peers", "address", f.self.Address)
+	return f, func() {
+		f.cancel()
+		closePeers()
+		closeExchanger()
+		f.duties.Wait()
+	}
+}
+
+// run is the duty that decides.
+func (f *Frontend) run() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var event dispatch.Event
+		select {
+		case <-f.context.Done():
+			return
+		case event = <-f.events:
+		case <-ticker.C:
+			event = dispatch.Ticked{}
+		}
+		for _, effect := range f.dispatcher.Handle(time.Now(), event) {
+			f.carry(effect)
+		}
+		f.publish()
+	}
+}
+
+// publish lets other goroutines see the dispatcher's counts.
+func (f *Frontend) publish() {
+	jobs, _, agents := f.dispatcher.Counts()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs = jobs
+	f.agents = agents
+}
+
+// carry does what the dispatcher wants done.
+func (f *Frontend) carry(effect dispatch.Effect) {
+	switch e := effect.(type) {
+	case dispatch.Reply:
+		f.reply(e)
+	case dispatch.StartTask:
+		if s := f.session(e.Agent); s != nil {
+			s.Start(e.Number, e.Task)
+		}
+	case dispatch.StopTask:
+		if s := f.session(e.Agent); s != nil {
+			s.Stop(e.Name)
+		}
+	case dispatch.Note:
+		f.log(e)
+	}
+}
+
+func (f *Frontend) session(id dispatch.AgentID) *session.ToAgent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.sessions[id]; ok {
+		return s.toAgent
+	}
+	return nil
+}
+
+func (f *Frontend) post(event dispatch.Event) {
+	select {
+	case f.events <- event:
+	case <-f.context.Done():
+	}
+}
+
+// log logs a decision. Placements and plain successes are for debugging only.
+func (f *Frontend) log(n dispatch.Note) {
+	logger := level.Info(f.logger)
+	if n.Decision == dispatch.DecisionPlaced || n.Decision == dispatch.DecisionTaken || n.Decision == dispatch.DecisionEnded && n.Detail == "done " {
+		logger = level.Debug(f.logger)
+	}
+	fields := []any{"msg", string(n.Decision)}
+	if n.Job != "" {
+		fields = append(fields, "job", n.Job, "kind", n.Kind, "age", n.Age.Round(time.Millisecond/10))
+	}
+	if n.Task != "" {
+		fields = append(fields, "task", n.Task, "run", n.Run)
+	}
+	if n.Agent != "" {
+		fields = append(fields, "agent", string(n.Agent))
+	}
+	_ = logger.Log(append(fields, "detail", n.Detail)...)
+}
--- /dev/null
+++ b/internal/frontend/news.go
@@ -0,0 +1,147 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package frontend
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"sailhead/internal/cluster"
+)
+
+// Store is the platform's store as an entry sees it.
+type Store interface {
+	// Read returns the configuration, nothing if there is none, and the members.
+	Read() (document []byte, members []cluster.Member, err error)
+	// Watch waits for changes since the last reading and returns what is new; ok is false if the
+	// store has forgotten them, so that it must be read anew.
+	Watch() (document []byte, members []cluster.Member, ok bool, err error)
+	// PutMember writes a member's record.
+	PutMember(cluster.Member) error
+}
+
+const (
+	// storePause lies between two calls to a store that does not answer.
+	storePause = 200 * time.Millisecond
+	// exchangeInterval is the time between two exchanges with other entries.
+	exchangeInterval = 450 * time.Millisecond
+	headerTimeout    = 5 * time.Second
+)
+
+func servePeers(listener net.Listener, exchanger *cluster.Exchanger) func() {
+	server := &http.Server{Handler: exchanger.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }
+}
+
+// pause waits and reports whether the process goes on.
+func (f *Frontend) pause(d time.Duration) bool {
+	select {
+	case <-f.context.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// followStore reads the store and takes in its changes as they come.
+func (f *Frontend) followStore() {
+	current := false
+	for f.context.Err() == nil {
+		document, members, err := f.nextNews(&current)
+		if err != nil {
+			_ = level.Warn(f.logger).Log("msg", "no news from the store", "err", err)
+			if !f.pause(storePause) {
+				return
+			}
+			continue
+		}
+		f.takeNews(document, members)
+	}
+}
+
+// nextNews reads the store if its history is not known, and waits for changes otherwise.
+func (f *Frontend) nextNews(current *bool) ([]byte, []cluster.Member, error) {
+	if !*current {
+		document, members, err := f.store.Read()
+		*current = err == nil
+		return document, members, err
+	}
+	document, members, ok, err := f.store.Watch()
+	if err == nil {
+		*current = ok
+	}
+	return document, members, err
+}
+
+func (f *Frontend) takeNews(document []byte, members []cluster.Member) {
+	for _, m := range members {
+		if f.directory.AddMember(m) {
+			_ = level.Info(f.logger).Log("msg", "member", "name", m.Name, "role", m.Role, "address", m.Address)
+		}
+	}
+	if len(document) == 0 {
+		return
+	}
+	version, err := f.configurations.Accept(document)
+	if err != nil {
+		_ = level.Error(f.logger).Log("msg", "unable to use the configuration", "err", err)
+		return
+	}
+	if f.directory.SetDocument(version, document) {
+		_ = level.Info(f.logger).Log("msg", "configuration", "version", version, "from", "store")
+	}
+}
+
+// register writes this entry's record to the store, and tries until that is done.
+func (f *Frontend) register() {
+	for f.context.Err() == nil {
+		if err := f.store.PutMember(f.self); err == nil {
+			return
+		}
+		if !f.pause(storePause + rand.N(storePause)) {
+			return
+		}
+	}
+}
+
+// exchange exchanges with another entry at a time, so that news travels while the store does not answer.
+func (f *Frontend) exchange() {
+	for f.pause(exchangeInterval/2 + rand.N(exchangeInterval)) {
+		address, ok := f.anyPeer()
+		if !ok {
+			continue
+		}
+		before, _ := f.directory.Document()
+		if err := f.exchanger.ExchangeWith(f.context, address); err != nil {
+			_ = level.Debug(f.logger).Log("msg", "no exchange", "peer", address, "err", err)
+		}
+		if after, _ := f.directory.Document(); after > before {
+			_ = level.Info(f.logger).Log("msg", "configuration", "version", after, "from", address)
+		}
+	}
+}
+
+// anyPeer returns the address of another entry, or of a seed.
+func (f *Frontend) anyPeer() (string, bool) {
+	var addresses []string
+	for _, m := range f.directory.Members(cluster.RoleEntry) {
+		addresses = append(addresses, m.Address)
+	}
+	addresses = append(addresses, f.settings.Seeds...)
+	var others []string
+	for _, address := range addresses {
+		if address != f.self.Address {
+			others = append(others, address)
+		}
+	}
+	if len(others) == 0 {
+		return "", false
+	}
+	return others[rand.IntN(len(others))], true
+}
--- /dev/null
+++ b/internal/runner/task.go
@@ -0,0 +1,299 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"sailhead/internal/worker"
+)
+
+// state is where a task stands.
+type state int
+
+const (
+	// stateQueued waits for room or for an earlier run of the same task to end.
+	stateQueued state = iota
+	// stateStarting has a start under way.
+	stateStarting
+	// stateChecking has a start without an answer; a listing will tell.
+	stateChecking
+	// stateRunning is known to run.
+	stateRunning
+	// stateStopping is being stopped; its end or a listing will tell.
+	stateStopping
+)
+
+// task is a task that waits or may be at the worker.
+type task struct {
+	Task
+	session SessionID
+	state   state
+	arrived time.Time
+	// began is when the start was sent, for the present run.
+	began time.Time
+	// stopping is when the last stop was sent, and stopAnswered when the worker took one.
+	stopping     time.Time
+	stopAnswered time.Time
+	// checkAfter makes only listings that were asked for later tell about the run.
+	checkAfter time.Time
+	// again is set while the task is to run once more after the present run is settled.
+	again bool
+	// successor is the same task of a newer session, which waits for this one to end.
+	successor *task
+	// progress is the run's last known progress, and progressed when it last grew.
+	progress   int
+	progressed time.Time
+}
+
+// askStart takes a task in or says that it is not started.
+func (r *Runner) askStart(now time.Time, e StartAsked) {
+	s, ok := r.sessions[e.Session]
+	if !ok {
+		return
+	}
+	s.handled = max(s.handled, e.Number)
+	s.loadDue = true
+	if !r.isValid(now, e.Session) {
+		return
+	}
+	if earlier, exists := r.tasks[e.Task.Name]; exists && earlier.session == e.Session {
+		return
+	}
+	reason := r.refusal(now)
+	if reason == "" && len(r.queue) >= r.limits.Queue {
+		reason = "the queue is full"
+	}
+	if reason != "" {
+		r.send(e.Session, Update{Name: e.Task.Name, Run: e.Task.Run, Outcome: OutcomeNotStarted, Reason: reason})
+		return
+	}
+	t := &task{Task: e.Task, session: e.Session, arrived: now}
+	if earlier, exists := r.tasks[e.Task.Name]; exists {
+		r.replace(now, earlier, t)
+		return
+	}
+	r.tasks[t.Name] = t
+	r.queue = append(r.queue, t)
+}
+
+// successionWait is how long a task may wait for an earlier run of it to end.
+const successionWait = 500 * time.Millisecond
+
+// replace ends a task that another session owned; the newer one waits for that end.
+func (r *Runner) replace(now time.Time, earlier, t *task) {
+	t.again = true
+	t.MaxWait = max(t.MaxWait, successionWait)
+	t.Run = max(t.Run, earlier.Run+1)
+	earlier.successor = t
+	r.stop(now, earlier)
+}
+
+func (r *Runner) askStop(now time.Time, e StopAsked) {
+	t, ok := r.tasks[e.Name]
+	if ok && t.session == e.Session {
+		r.stop(now, t)
+	}
+}
+
+// stopTasksOf stops the tasks of a session that has ended.
+func (r *Runner) stopTasksOf(now time.Time, id SessionID) {
+	for _, t := range r.tasks {
+		if t.session == id {
+			r.stop(now, t)
+		}
+	}
+}
+
+// stop ends a task wherever it stands.
+func (r *Runner) stop(now time.Time, t *task) {
+	t.again = false
+	switch t.state {
+	case stateQueued:
+		r.unqueue(t)
+		r.forget(t, OutcomeNotStarted, "the task was stopped before its start")
+	case stateStopping:
+	default:
+		r.beginStop(now, t)
+	}
+}
+
+// active returns the tasks that may be at the worker.
+func (r *Runner) active() []*task {
+	var active []*task
+	for _, t := range r.tasks {
+		if t.state != stateQueued {
+			active = append(active, t)
+		}
+	}
+	return active
+}
+
+func (r *Runner) unqueue(t *task) {
+	if at := slices.Index(r.queue, t); at >= 0 {
+		r.queue = slices.Delete(r.queue, at, at+1)
+	}
+}
+
+// forget drops a task and tells its owner the outcome.
+func (r *Runner) forget(t *task, outcome Outcome, reason string) {
+	delete(r.tasks, t.Name)
+	if t.state != stateQueued && r.life != nil {
+		r.life.used = r.life.used.Minus(t.Needs)
+	}
+	r.markLoad()
+	r.send(t.session, Update{Name: t.Name, Run: t.Run, Outcome: outcome, Reason: reason, Checkpoint: t.Checkpoint})
+	if t.successor != nil {
+		r.tasks[t.Name] = t.successor
+		r.queue = append(r.queue, t.successor)
+	}
+}
+
+func (r *Runner) send(id SessionID, update Update) {
+	if _, ok := r.sessions[id]; ok {
+		r.emit(SendUpdate{Session: id, Update: update})
+	}
+}
+
+// dropWaiting refuses the tasks that have waited for too long.
+func (r *Runner) dropWaiting(now time.Time) {
+	for _, t := range slices.Clone(r.queue) {
+		if now.Sub(t.arrived) > t.MaxWait {
+			r.unqueue(t)
+			r.forget(t, OutcomeNotStarted, "no room in time")
+		}
+	}
+}
+
+// fill starts waiting tasks while there is room, the most urgent first.
+func (r *Runner) fill(now time.Time) {
+	if len(r.queue) == 0 || r.refusal(now) != "" || now.Before(r.life.fullUntil) {
+		r.bounce()
+		return
+	}
+	slices.SortStableFunc(r.queue, func(a, b *task) int { return a.Priority - b.Priority })
+	for _, t := range slices.Clone(r.queue) {
+		if !t.Needs.Fits(r.life.record.Capacity.Minus(r.life.used)) {
+			continue
+		}
+		r.unqueue(t)
+		if !r.isValid(now, t.session) {
+			r.forget(t, OutcomeNotStarted, "the session has ended")
+			continue
+		}
+		r.start(now, t)
+	}
+	r.bounce()
+}
+
+// bounce refuses at once the tasks that found no room and must not wait.
+func (r *Runner) bounce() {
+	for _, t := range slices.Clone(r.queue) {
+		if t.MaxWait == 0 && !t.again {
+			r.unqueue(t)
+			r.forget(t, OutcomeNotStarted, "no room")
+		}
+	}
+}
+
+func (r *Runner) start(now time.Time, t *task) {
+	t.state = stateStarting
+	t.again = false
+	t.began = now
+	t.progress = 0
+	t.progressed = now
+	r.life.used = r.life.used.Plus(t.Needs)
+	r.life.granted = now
+	r.markLoad()
+	r.emit(CallStart{
+		Life:   r.life.record.ID,
+		Before: r.sessions[t.session].valid,
+		Start: worker.Start{
+			Name: t.Name, Run: t.Run, Payload: t.Payload, Checkpoint: t.Checkpoint,
+			Until: r.until(now), Fence: r.fence,
+		},
+	})
+}
+
+// requeue lets a task run again, first in the queue.
+func (r *Runner) requeue(t *task) {
+	t.state = stateQueued
+	t.again = true
+	r.life.used = r.life.used.Minus(t.Needs)
+	r.queue = append([]*task{t}, r.queue...)
+	r.markLoad()
+}
+
+// current returns the task of an answer if it is about the present run at the present life.
+func (r *Runner) current(lifeID, name string, run uint32) (*task, bool) {
+	if r.life == nil || r.life.record.ID != lifeID {
+		return nil, false
+	}
+	t, ok := r.tasks[name]
+	if !ok || t.Run != run || t.state == stateQueued {
+		return nil, false
+	}
+	return t, true
+}
+
+func (r *Runner) startAnswered(now time.Time, e StartAnswered) {
+	t, ok := r.current(e.Life, e.Name, e.Run)
+	if !ok || t.state != stateStarting {
+		// A stop is under way: it settles the run, whatever became of the start.
+		r.heed(now, e.Life, e.Result)
+		return
+	}
+	switch result := e.Result.(type) {
+	case worker.Accepted:
+		r.readClock(result.Clock, result.Received)
+		t.state = stateRunning
+		r.send(t.session, Update{Name: t.Name, Run: t.Run, Outcome: OutcomeStarted})
+	case worker.Outdated:
+		r.requeue(t)
+		t.Run += runStep
+	case worker.Fenced:
+		r.raiseFence()
+		r.requeue(t)
+	case worker.TooLate:
+		r.readClock(result.Clock, result.Received)
+		r.requeue(t)
+	case worker.NoRoom:
+		r.life.fullUntil = now.Add(holdPause)
+		r.forget(t, OutcomeNotStarted, "the worker has no room")
+	case worker.Unhealthy:
+		r.heed(now, e.Life, e.Result)
+		r.forget(t, OutcomeNotStarted, "the worker is unhealthy")
+	case worker.Invalid:
+		r.forget(t, OutcomeNotStarted, "the worker does not understand the start: "+result.Reason)
+	case worker.Unanswered:
+		t.state = stateChecking
+		t.checkAfter = now
+		r.list(now)
+	default:
+		r.heed(now, e.Life, e.Result)
+	}
+}
+
+// raiseFence takes a fencing token above one that the worker has seen.
+func (r *Runner) raiseFence() {
+	r.fence += fenceStep
+}
+
+// heed takes in what any answer says of the worker itself.
+func (r *Runner) heed(now time.Time, lifeID string, result any) {
+	if r.life == nil || r.life.record.ID != lifeID {
+		return
+	}
+	switch result.(type) {
+	case worker.NotReached:
+		r.endLife("the worker is not there")
+	case worker.OtherLife:
+		r.addPast(lifeID)
+		r.endLife("another life of the worker answers")
+	case worker.Unhealthy:
+		r.life.unhealthyUntil = now.Add(unhealthyTime)
+		r.markLoad()
+	}
+}
--- a/internal/settings/option.go
+++ b/internal/settings/option.go
@@ -32,17 +32,24 @@
 }
 
 var (
-	daemons = []Role{RoleEntry, RoleAgent}
-	entries = []Role{RoleEntry}
-	agents  = []Role{RoleAgent}
-	clients = []Role{RoleEntry, RoleAgent, RoleOperator}
-	servers = []Role{RolePlatformStandin, RoleBackendStandin}
-	backend = []Role{RoleBackendStandin}
+	daemons         = []Role{RoleEntry, RoleAgent}
+	entries         = []Role{RoleEntry}
+	agents          = []Role{RoleAgent}
+	onPlatform      = []Role{RolePlatformEntry, RolePlatformAgent}
+	platformEntries = []Role{RolePlatformEntry}
+	allDaemons      = slices.Concat(daemons, onPlatform)
+	allEntries      = slices.Concat(entries, platformEntries)
+	allAgents       = slices.Concat(agents, platformAgents)
+	platformClients = slices.Concat(clients, onPlatform)
+	platformAgents  = []Role{RolePlatformAgent}
+	clients         = []Role{RoleEntry, RoleAgent, RoleOperator}
+	servers         = []Role{RolePlatformStandin, RoleBackendStandin}
+	backend         = []Role{RoleBackendStandin}
 )
 
 // Options lists every option in the order in which they are dumped.
 func Options() []Option {
-	return slices.Concat(commonOptions(), entryOptions(), agentOptions(), standinOptions())
+	return slices.Concat(commonOptions(), entryOptions(), agentOptions(), platformOptions(), standinOptions())
 }
 
 func commonOptions() []Option {
@@ -51,31 +58,31 @@
 			value: func(s *Settings) any { return &s.Name }},
 		{Name: "region", Help: "Region, whose processes share a roster.", Roles: clients, Default: "region-1",
 			value: func(s *Settings) any { return &s.Region }},
-		{Name: "zone", Help: "Availability zone.", Roles: daemons, Default: "zone-1",
+		{Name: "zone", Help: "Availability zone.", Roles: allDaemons, Default: "zone-1",
 			value: func(s *Settings) any { return &s.Zone }},
 		{Name: "log_level", Help: "Least severity that is logged.", Default: string(logging.LevelInfo),
 			Choices: []string{string(logging.LevelDebug), string(logging.LevelInfo), string(logging.LevelWarn), string(logging.LevelError)},
 			value:   func(s *Settings) any { return &s.LogLevel }},
-		{Name: "platform_address", Help: "Address of the platform's service.", Roles: clients, Default: Address(defaultPlatform),
+		{Name: "platform_address", Help: "Address of the platform's service.", Roles: platformClients, Default: Address(defaultPlatform),
 			value: func(s *Settings) any { return &s.PlatformAddress }},
 		{Name: "platform_timeout", Help: "Longest time of a call to the platform.", Roles: clients,
 			Default: 2 * time.Second, Min: 10 * time.Millisecond, Max: time.Minute,
 			value: func(s *Settings) any { return &s.PlatformTimeout }},
-		{Name: "peer_address", Help: "Address at which other processes reach this one.", Roles: daemons, IsRequired: true, Default: Address(""),
+		{Name: "peer_address", Help: "Address at which other processes reach this one.", Roles: allDaemons, IsRequired: true, Default: Address(""),
 			value: func(s *Settings) any { return &s.PeerAddress }},
-		{Name: "seeds", Help: "Peer addresses to learn from while the platform does not answer.", Roles: clients, Default: []Address(nil),
+		{Name: "seeds", Help: "Peer addresses to learn from while the platform does not answer.", Roles: platformClients, Default: []Address(nil),
 			value: func(s *Settings) any { return &s.Seeds }},
 		{Name: "gossip_interval", Help: "Time between two exchanges with peers.", Roles: daemons,
 			Default: time.Second, Min: 20 * time.Millisecond, Max: time.Minute,
 			value: func(s *Settings) any { return &s.GossipInterval }},
 		{Name: "gossip_fanout", Help: "Number of peers in one exchange.", Roles: daemons, Default: 1, Min: 1, Max: 16,
 			value: func(s *Settings) any { return &s.GossipFanout }},
-		{Name: "stop_timeout", Help: "Longest time of a planned stop.", Roles: daemons,
+		{Name: "stop_timeout", Help: "Longest time of a planned stop.", Roles: allDaemons,
 			Default: 30 * time.Second, Min: time.Duration(0), Max: 10 * time.Minute,
 			value: func(s *Settings) any { return &s.StopTimeout }},
 		{Name: "timeline_events", Help: "Number of events that the time line keeps.", Roles: daemons, Default: 4096, Min: 16, Max: 1_000_000,
 			value: func(s *Settings) any { return &s.TimelineEvents }},
-		{Name: "ring", Help: "Number of events that may wait for a duty of the process.", Roles: daemons, Default: 1024, Min: 16, Max: 1_000_000,
+		{Name: "ring", Help: "Number of events that may wait for a duty of the process.", Roles: allDaemons, Default: 1024, Min: 16, Max: 1_000_000,
 			value: func(s *Settings) any { return &s.Ring }},
 		{Name: "window", Help: "How long after its issue a submission key is accepted and remembered.", Roles: daemons,
 			Default: 2 * time.Minute, Min: time.Second, Max: time.Hour,
@@ -88,7 +95,7 @@
 
 func entryOptions() []Option {
 	return []Option{
-		{Name: "caller_address", Help: "Address at which callers reach the entry.", Roles: entries, Default: Address("127.0.0.1:7500"),
+		{Name: "caller_address", Help: "Address at which callers reach the entry.", Roles: allEntries, Default: Address("127.0.0.1:7500"),
 			value: func(s *Settings) any { return &s.CallerAddress }},
 		{Name: "max_body", Help: "Largest body of a caller's request.", Roles: entries, Default: Size(8 << 20), Min: Size(1 << 10), Max: Size(64 << 20),
 			value: func(s *Settings) any { return &s.MaxBody }},
@@ -110,7 +117,7 @@
 
 func agentOptions() []Option {
 	return []Option{
-		{Name: "backend_address", Help: "Address of the backend server.", Roles: agents, IsRequired: true, Default: Address(""),
+		{Name: "backend_address", Help: "Address of the backend server.", Roles: allAgents, IsRequired: true, Default: Address(""),
 			value: func(s *Settings) any { return &s.BackendAddress }},
 		{Name: "backend_timeout", Help: "Longest time that a task holds its slot.", Roles: agents,
 			Default: 10 * time.Second, Min: 10 * time.Millisecond, Max: 10 * time.Minute,
@@ -137,6 +144,25 @@
 	}
 }
 
+func platformOptions() []Option {
+	return []Option{
+		{Name: "ready_address", Help: "Address at which the balancer asks whether the entry takes jobs.", Roles: platformEntries, IsRequired: true, Default: Address(""),
+			value: func(s *Settings) any { return &s.ReadyAddress }},
+		{Name: "jobs", Help: "Largest number of jobs under way at an entry.", Roles: platformEntries, Default: 4096, Min: 1, Max: 1_000_000,
+			value: func(s *Settings) any { return &s.Jobs }},
+		{Name: "heartbeat_address", Help: "Address at which the worker beside the agent reports.", Roles: platformAgents, IsRequired: true, Default: Address(""),
+			value: func(s *Settings) any { return &s.HeartbeatAddress }},
+		{Name: "hold_time", Help: "Longest lease that the worker grants.", Roles: platformAgents,
+			Default: time.Second, Min: 200 * time.Millisecond, Max: time.Hour,
+			value: func(s *Settings) any { return &s.HoldTime }},
+		{Name: "stop_time", Help: "Longest time that the worker takes to stop a run.", Roles: platformAgents,
+			Default: 50 * time.Millisecond, Min: time.Millisecond, Max: time.Minute,
+			value: func(s *Settings) any { return &s.StopTime }},
+		{Name: "metrics_port", Help: "Port at which the process shows its counters; 0 is none.", Roles: onPlatform, Default: 0, Min: 0, Max: 65_535,
+			value: func(s *Settings) any { return &s.MetricsPort }},
+	}
+}
+
 func standinOptions() []Option {
 	return []Option{
 		{Name: "listen_address", Help: "Address at which the stand-in listens.", Roles: servers, IsRequired: true, Default: Address(""),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,8 @@
 const (
 	RoleEntry           Role = "entry"
 	RoleAgent           Role = "agent"
+	RolePlatformEntry   Role = "platform-entry"
+	RolePlatformAgent   Role = "platform-agent"
 	RoleOperator        Role = "operator"
 	RolePlatformStandin Role = "platform-standin"
 	RoleBackendStandin  Role = "backend-standin"
@@ -24,7 +26,7 @@
 
 // Roles lists all roles.
 func Roles() []Role {
-	return []Role{RoleEntry, RoleAgent, RoleOperator, RolePlatformStandin, RoleBackendStandin}
+	return []Role{RoleEntry, RoleAgent, RolePlatformEntry, RolePlatformAgent, RoleOperator, RolePlatformStandin, RoleBackendStandin}
 }
 
 // Address is an IP address with a port.
@@ -73,6 +75,13 @@
 	Bounces        int
 	BounceWait     time.Duration
 
+	ReadyAddress     Address
+	HeartbeatAddress Address
+	MetricsPort      int
+	Jobs             int
+	HoldTime         time.Duration
+	StopTime         time.Duration
+
 	ListenAddress  Address
 	ServiceTimeMin time.Duration
 	ServiceTimeMax time.Duration
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,7 +35,7 @@
 		{"fewer connections than slots", goodAgent + `"connections": 4}`, `settings: f.json:7: option connections: 4 are fewer than the 8 slots`},
 		{"missing option", "{\n\"role\": \"entry\",\n\"name\": \"e\"}", `settings: f.json:3: option peer_address: is missing`},
 		{"missing role", `{"name": "e"}`, `settings: f.json:1: option role: is missing`},
-		{"unknown role", `{"role": "king"}`, `settings: f.json:1: option role: king is none of [entry agent operator platform-standin backend-standin]`},
+		{"unknown role", `{"role": "king"}`, `settings: f.json:1: option role: king is none of [entry agent platform-entry platform-agent operator platform-standin backend-standin]`},
 		{"no object", `[]`, `settings: f.json:1: needs an object of options`},
 		{"size without unit", `{"role": "entry", "name": "e", "peer_address": "127.0.0.1:1", "max_body": 5}`, `settings: f.json:1: option max_body: needs a size with a unit, such as "8MiB"`},
 		{"bounds crossed", `{"role": "backend-standin", "name": "b", "listen_address": "127.0.0.1:1", "service_time_min": "1s"}`, `settings: f.json:1: option service_time_min: 1s is more than service_time_max 500ms`},
--- /dev/null
+++ b/internal/sidecar/describe.go
@@ -0,0 +1,32 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package sidecar
+
+import "sailhead/internal/worker"
+
+// describe returns a worker's answer as it is logged.
+func describe(result any) string {
+	switch r := result.(type) {
+	case worker.Fenced:
+		return "fenced"
+	case worker.Outdated:
+		return "outdated"
+	case worker.TooLate:
+		return "too_late"
+	case worker.NoRoom:
+		return "no_room"
+	case worker.Unhealthy:
+		return "unhealthy"
+	case worker.OtherLife:
+		return "other_life"
+	case worker.Invalid:
+		return "invalid: " + r.Reason
+	case worker.NotReached:
+		return "not_reached: " + r.Reason
+	case worker.Unanswered:
+		return "unanswered: " + r.Reason
+	default:
+		return "accepted"
+	}
+}
