Give a job what room there is, instead of waiting for room for all its tasks

Cause: jobs of many tasks were refused after a quarter of their objective while workers had room for a part of them, and those behind them were held up too ('worth refused with servers free'). Ruled out: full clusters (rooms come free every 2 ms at this load, far within a job's slack). A refusal now logs the agents, room and queue that it rests on.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -325,7 +325,7 @@
 func (d *Dispatcher) expire(now time.Time) {
 	for _, j := range slices.Clone(d.waiting) {
 		if !j.mayHaveBegun() && now.After(j.refuseAt()) {
-			d.giveUp(now, j, "no worker has room in time")
+			d.giveUp(now, j, "no worker has room in time: "+d.describeRoom(j))
 		}
 	}
 	for _, j := range d.jobsInOrder() {
@@ -349,6 +349,19 @@
 	})
 }
 
+// describeRoom tells what a refusal rests on.
+func (d *Dispatcher) describeRoom(j *job) string {
+	var accepting, free int
+	for _, a := range d.agents {
+		if a.accepts(j.Kind.Service) {
+			accepting++
+			free += max(a.room().CPU, 0)
+		}
+	}
+	return fmt.Sprintf("tasks=%d needs_cpu=%d agents=%d accepting=%d free_cpu=%d waiting=%d",
+		len(j.tasks), j.Steps[0].Needs.CPU, len(d.agents), accepting, free, len(d.waiting))
+}
+
 // describe returns an answer as it is logged.
 func describe(answer Answer) string {
 	switch a := answer.(type) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -11,8 +11,8 @@
 	"sailhead/internal/worker"
 )
 
-// place sends the tasks of the waiting jobs to workers with room. A job begins only if all its first tasks
-// find room; one that does not lets none of lower priority pass.
+// place sends the tasks of the waiting jobs to workers with room. A job whose tasks do not all find room
+// gets what comes free next: it lets no other pass.
 func (d *Dispatcher) place(now time.Time) {
 	if len(d.agents) == 0 {
 		return
@@ -26,12 +26,12 @@
 			continue
 		}
 		plan := d.plan(j, tasks)
-		if len(plan) < len(tasks) && !j.offered {
-			return
-		}
 		for _, p := range plan {
 			d.send(now, j, p.task, p.agent)
 		}
+		if len(plan) < len(tasks) {
+			return
+		}
 		d.dequeueUnlessSettling(now, j)
 	}
 }
