Recover faster after everything stopped

Change: an agent's record in the store holds its worker, so its next process asks that life at once; a record of a newer incarnation is dialed at once; a caller whose patience is far below its kind's usual has come back, and its job waits for spare room if it is past three objectives. Ruled out: refusing such jobs at once (a late answer is better than none while there is room).

--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"sailhead/internal/cluster/clusterpb"
+	"sailhead/internal/worker"
 )
 
 // Role says what a member does.
@@ -32,6 +33,8 @@
 	Address string `json:"address"`
 	// Incarnation rises with each start of a process of the name.
 	Incarnation int64 `json:"incarnation"`
+	// Worker is the worker beside an agent, for the agent's next process.
+	Worker *worker.Record `json:"worker,omitempty"`
 }
 
 // ParseMember reads a member as it lies in the platform's store.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,6 +26,8 @@
 	// waiting are the jobs with tasks to place, in the order of their placement.
 	waiting []*job
 	agents  map[AgentID]*agent
+	// patience tells the callers that have come back.
+	patience patience
 	// leaving is when the process ends; nothing if it does not.
 	leaving time.Time
 	effects []Effect
@@ -36,7 +38,7 @@
 	return &Dispatcher{
 		limits: limits, random: random,
 		jobs:   make(map[string]*job),
-		agents: make(map[AgentID]*agent),
+		agents: make(map[AgentID]*agent), patience: make(patience),
 	}
 }
 
@@ -128,6 +130,7 @@
 		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.comeBack(time.Second)})
 		return
 	}
+	j.overdue = d.patience.isOverdue(j)
 	d.jobs[j.ID] = j
 	d.enqueue(j)
 	d.note(now, j, DecisionTaken, fmt.Sprintf("tasks=%d objective=%s", len(j.tasks), j.objective.Round(time.Millisecond)))
@@ -165,6 +168,10 @@
 		return -1
 	case a.offered != b.offered:
 		return 1
+	case a.overdue != b.overdue && b.overdue:
+		return -1
+	case a.overdue != b.overdue:
+		return 1
 	case a.Kind.Priority != b.Kind.Priority:
 		return a.Kind.Priority - b.Kind.Priority
 	default:
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -25,6 +25,8 @@
 type Job struct {
 	ID   string
 	Kind Kind
+	// Patience is how long the caller still waits; nothing is unknown.
+	Patience time.Duration
 	// Payload is what every task is told.
 	Payload string
 	Steps   []Step
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -43,6 +43,8 @@
 	objective time.Duration
 	tasks     []*task
 	open      []int
+	// overdue is set if the caller seems to have come back so late that the job is worth nothing any more.
+	overdue bool
 	// begun is set once a task may have run.
 	begun bool
 	// offered is set once a task was sent to an agent.
--- /dev/null
+++ b/internal/dispatch/patience.go
@@ -0,0 +1,36 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import "time"
+
+const (
+	// patienceWeight is the weight of the latest caller in the usual patience of a kind.
+	patienceWeight = 0.05
+	// returnedShare is the part of its kind's usual patience below which a caller has come back.
+	returnedShare = 0.6
+)
+
+// patience holds how long the callers of each kind usually wait. A caller that comes back after a broken
+// connection has less time left than others, which tells how long ago it came first.
+type patience map[string]time.Duration
+
+// isOverdue reports whether a job's caller has come back so late that its job is worth nothing any more. The
+// usual patience is learned from the callers that have not come back.
+func (p patience) isOverdue(j *job) bool {
+	left := j.Patience
+	if left <= 0 {
+		return false
+	}
+	usual, known := p[j.Kind.Name]
+	if !known {
+		p[j.Kind.Name] = left
+		return false
+	}
+	if float64(left) < returnedShare*float64(usual) {
+		return usual-left > finalFactor*j.objective-j.chain()
+	}
+	p[j.Kind.Name] = usual + time.Duration(patienceWeight*float64(left-usual))
+	return false
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,6 +18,9 @@
 		return
 	}
 	for _, j := range slices.Clone(d.waiting) {
+		if j.overdue && !j.offered && d.freeShare(j.Kind.Service) < overdueShare {
+			continue
+		}
 		tasks := j.placeable(now)
 		if len(tasks) == 0 {
 			if j.offered {
@@ -36,6 +39,24 @@
 	}
 }
 
+// overdueShare is the part of the workers' room that must be free for jobs that come too late to be of worth.
+const overdueShare = 0.25
+
+// freeShare is the part of the service's room that is free.
+func (d *Dispatcher) freeShare(service string) float64 {
+	var free, capacity int
+	for _, a := range d.agents {
+		if a.accepts(service) {
+			free += max(a.room().CPU, 0)
+			capacity += a.record.Capacity.CPU
+		}
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return float64(free) / float64(capacity)
+}
+
 // dequeueUnlessSettling takes a job off the waiting ones unless a task of it still has to be placed.
 func (d *Dispatcher) dequeueUnlessSettling(now time.Time, j *job) {
 	for _, t := range j.tasks {
--- a/internal/frontend/agents.go
+++ b/internal/frontend/agents.go
@@ -68,6 +68,7 @@
 		member cluster.Member
 		stop   context.CancelFunc
 	}
+	// A newer incarnation is dialed at once: its predecessor's session is over.
 	dials := make(map[string]dial)
 	for {
 		changed := f.directory.Changed()
@@ -76,7 +77,7 @@
 			current[m.Name] = m
 		}
 		for name, d := range dials {
-			if current[name].Address != d.member.Address {
+			if current[name].Address != d.member.Address || current[name].Incarnation != d.member.Incarnation {
 				d.stop()
 				delete(dials, name)
 			}
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -64,6 +64,9 @@
 // WorkerSeen is a heartbeat of the worker.
 type WorkerSeen struct{ Record worker.Record }
 
+// WorkerRecalled is the worker as an earlier process of the agent knew it. It may have another life by now.
+type WorkerRecalled struct{ Record worker.Record }
+
 // WorkerLeft says that a life of the worker has ended.
 type WorkerLeft struct{ ID string }
 
@@ -97,18 +100,19 @@
 // Ticked lets time pass.
 type Ticked struct{}
 
-func (SessionOpened) isEvent() {}
-func (SessionClosed) isEvent() {}
-func (PongHeard) isEvent()     {}
-func (StartAsked) isEvent()    {}
-func (StopAsked) isEvent()     {}
-func (WorkerSeen) isEvent()    {}
-func (WorkerLeft) isEvent()    {}
-func (StartAnswered) isEvent() {}
-func (StopAnswered) isEvent()  {}
-func (HoldAnswered) isEvent()  {}
-func (LeaveAsked) isEvent()    {}
-func (Ticked) isEvent()        {}
+func (SessionOpened) isEvent()  {}
+func (SessionClosed) isEvent()  {}
+func (PongHeard) isEvent()      {}
+func (StartAsked) isEvent()     {}
+func (StopAsked) isEvent()      {}
+func (WorkerSeen) isEvent()     {}
+func (WorkerRecalled) isEvent() {}
+func (WorkerLeft) isEvent()     {}
+func (StartAnswered) isEvent()  {}
+func (StopAnswered) isEvent()   {}
+func (HoldAnswered) isEvent()   {}
+func (LeaveAsked) isEvent()     {}
+func (Ticked) isEvent()         {}
 
 // Effect is what a runner wants done; the types below are all there are.
 type Effect interface{ isEffect() }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -121,6 +121,8 @@
 		r.askStop(now, e)
 	case WorkerSeen:
 		r.seeWorker(now, e.Record)
+	case WorkerRecalled:
+		r.recall(now, e.Record)
 	case WorkerLeft:
 		r.seeLeft(e.ID)
 	case StartAnswered:
@@ -205,6 +207,14 @@
 	r.hold(now)
 }
 
+// recall takes up the worker of an earlier process unless a heartbeat has told of one. Its clock is unknown
+// until it answers, so that it gets no task before it is known to live.
+func (r *Runner) recall(now time.Time, record worker.Record) {
+	if r.life == nil && !r.isPast(record.ID) {
+		r.seeWorker(now, record)
+	}
+}
+
 // update takes in a later heartbeat of the same life.
 func (r *Runner) update(now time.Time, record worker.Record) {
 	changed := record.Draining != r.life.record.Draining || record.Capacity != r.life.record.Capacity
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -16,7 +16,7 @@
 )
 
 // dialTimeout bounds the opening of a connection.
-const dialTimeout = 400 * time.Millisecond
+const dialTimeout = 250 * time.Millisecond
 
 // AgentHandler hears what an agent says on a session.
 type AgentHandler interface {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,6 +34,8 @@
 // Store keeps the agent's record where entries find it.
 type Store interface {
 	PutMember(member cluster.Member) error
+	// Member returns a member's record; ok is false if there is none.
+	Member(name string) (m cluster.Member, ok bool, err error)
 }
 
 // Settings are what an agent needs to know.
@@ -54,8 +56,6 @@
 	tickInterval = 20 * time.Millisecond
 	// announceInterval is the time between two announcements while no entry has a session.
 	announceInterval = 400 * time.Millisecond
-	// putPause lies between two tries to write the record to the store.
-	putPause = 500 * time.Millisecond
 	// stopMargin is kept of the time to stop for the end of the process.
 	stopMargin = 700 * time.Millisecond
 )
@@ -78,6 +78,9 @@
 	mu        sync.Mutex
 	idle      bool
 	entries   int
+	// recorded is the worker as the store is to know it, and changed tells that it is another.
+	recorded *worker.Record
+	changed  chan struct{}
 }
 
 // New starts an agent. Its clean-up stops it as planned: no new tasks, and time for those that run.
@@ -90,8 +93,9 @@
 			Name: settings.Name, Role: cluster.RoleAgent, Zone: settings.Zone,
 			Address: settings.Sessions.Addr().String(), Incarnation: now.UnixNano(),
 		},
-		runner: runner.New(settings.Limits, uint64(now.Unix())),
-		events: make(chan runner.Event, settings.Ring),
+		runner:  runner.New(settings.Limits, uint64(now.Unix())),
+		events:  make(chan runner.Event, settings.Ring),
+		changed: make(chan struct{}, 1),
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
 	exchanger, closeExchanger := cluster.NewExchanger(cluster.NewDirectory(), refuseDocument)
@@ -162,6 +166,7 @@
 	defer s.mu.Unlock()
 	s.idle = s.runner.IsIdle()
 	s.entries = sessions
+	s.noteWorker()
 }
 
 func (s *Sidecar) counts() (idle bool, entries int) {
@@ -221,23 +226,6 @@
 	}
 }
 
-// register writes this agent's record to the store, and tries until that is done.
-func (s *Sidecar) register() {
-	for {
-		err := s.store.PutMember(s.self)
-		if err == nil {
-			_ = level.Info(s.logger).Log("msg", "registered in the store")
-			return
-		}
-		_ = level.Warn(s.logger).Log("msg", "unable to register in the store", "err", err)
-		select {
-		case <-s.context.Done():
-			return
-		case <-time.After(putPause + rand.N(putPause)):
-		}
-	}
-}
-
 // stop takes no new tasks and waits for those that run, as long as the time to stop allows.
 func (s *Sidecar) stop() error {
 	s.post(runner.LeaveAsked{})
