Play runner and dispatcher under random schedules

Found and mended, each shown by a schedule that failed first: a start that came in the moment in which a session's lease had run out, but was renewed by an echo after it, got no outcome (runner seed 8); a job that came again at the same entry right after it was dropped could be placed while runs of it were still ending (dispatch). Open: runner seed 1328, a task without an outcome, being traced.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,6 +26,9 @@
 	// waiting are the jobs with tasks to place, in the order of their placement.
 	waiting []*job
 	agents  map[AgentID]*agent
+	// ending are the tasks of jobs that were dropped, until their runs have surely ended: the same job may come
+	// again before that.
+	ending map[string]ending
 	// patience tells the callers that have come back.
 	patience patience
 	// leaving is when the process ends; nothing if it does not.
@@ -38,7 +41,7 @@
 	return &Dispatcher{
 		limits: limits, random: random,
 		jobs:   make(map[string]*job),
-		agents: make(map[AgentID]*agent), patience: make(patience),
+		agents: make(map[AgentID]*agent), patience: make(patience), ending: make(map[string]ending),
 	}
 }
 
@@ -81,6 +84,7 @@
 		d.leaving = e.Until
 	case Ticked:
 		d.expire(now)
+		d.forgetEnded(now)
 	}
 	d.place(now)
 	return d.effects
@@ -195,7 +199,7 @@
 		return
 	}
 	d.note(now, j, DecisionLeft, "")
-	d.drop(j)
+	d.drop(now, j)
 }
 
 func (d *Dispatcher) cancel(now time.Time, e Cancelled) {
@@ -207,12 +211,16 @@
 }
 
 // drop forgets a job and stops its tasks.
-func (d *Dispatcher) drop(j *job) {
+func (d *Dispatcher) drop(now time.Time, j *job) {
 	delete(d.jobs, j.ID)
 	d.dequeue(j)
 	for _, t := range j.tasks {
-		if t.state == taskSent {
+		switch {
+		case t.state == taskSent:
+			d.ending[t.name] = ending{agent: t.agent}
 			d.emit(StopTask{Agent: t.agent, Name: t.name})
+		case t.state == taskPending && now.Before(t.settled):
+			d.ending[t.name] = ending{agent: t.agent, settled: t.settled}
 		}
 	}
 }
@@ -221,7 +229,7 @@
 func (d *Dispatcher) finish(now time.Time, j *job, answer Answer) {
 	d.emit(Reply{Waiters: j.waiters, Answer: answer})
 	d.note(now, j, DecisionAnswered, describe(answer))
-	d.drop(j)
+	d.drop(now, j)
 }
 
 // giveUp answers a job that will not be done.
@@ -239,6 +247,11 @@
 	}
 	delete(d.agents, id)
 	d.emit(Note{Decision: DecisionAgentDown, Agent: id})
+	for name, last := range d.ending {
+		if last.agent == id && last.settled.IsZero() {
+			d.ending[name] = ending{agent: id, settled: now.Add(settleTime)}
+		}
+	}
 	for _, j := range d.jobsInOrder() {
 		for _, t := range j.tasks {
 			if t.state == taskSent && t.agent == id {
@@ -249,6 +262,22 @@
 	}
 }
 
+// ending is a run of a dropped job that may go on.
+type ending struct {
+	agent AgentID
+	// settled is when the run has surely ended; nothing while its agent is to tell.
+	settled time.Time
+}
+
+// forgetEnded forgets the runs of dropped jobs that have surely ended.
+func (d *Dispatcher) forgetEnded(now time.Time) {
+	for name, last := range d.ending {
+		if !last.settled.IsZero() && !now.Before(last.settled) {
+			delete(d.ending, name)
+		}
+	}
+}
+
 // jobsInOrder returns the jobs in a fixed order.
 func (d *Dispatcher) jobsInOrder() []*job {
 	jobs := make([]*job, 0, len(d.jobs))
@@ -267,6 +296,12 @@
 }
 
 func (d *Dispatcher) updateRun(now time.Time, e RunUpdated) {
+	if last, ok := d.ending[e.Update.Name]; ok && last.agent == e.Agent {
+		if e.Update.Outcome.IsEnd() {
+			delete(d.ending, e.Update.Name)
+		}
+		return
+	}
 	j, t := d.find(e.Update.Name)
 	if t == nil || t.state != taskSent || t.agent != e.Agent {
 		return
@@ -275,7 +310,7 @@
 	if e.Update.Outcome != runner.OutcomeNotStarted {
 		j.begun = true
 	}
-	if e.Update.Outcome != runner.OutcomeStarted && e.Update.Outcome != runner.OutcomeProgress {
+	if e.Update.Outcome.IsEnd() {
 		d.noteEnd(now, j, t, e)
 	}
 	switch e.Update.Outcome {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -102,9 +102,12 @@
 }
 
 // placeable returns the tasks that may be placed now, in the order of their steps.
-func (j *job) placeable(now time.Time) []*task {
+func (d *Dispatcher) placeable(now time.Time, j *job) []*task {
 	var tasks []*task
 	for _, t := range j.tasks {
+		if _, isEnding := d.ending[t.name]; isEnding {
+			continue
+		}
 		if t.state == taskPending && !now.Before(t.settled) && j.isReady(t.step) {
 			tasks = append(tasks, t)
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -21,7 +21,7 @@
 		if j.overdue && !j.offered && d.freeShare(j.Kind.Service) < overdueShare {
 			continue
 		}
-		tasks := j.placeable(now)
+		tasks := d.placeable(now, j)
 		if len(tasks) == 0 {
 			if j.offered {
 				d.dequeueUnlessSettling(now, j)
--- /dev/null
+++ b/internal/dispatch/random_test.go
@@ -0,0 +1,292 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+var (
+	schedules = flag.Int("schedules", 60, "number of random schedules")
+	first     = flag.Uint64("first", 0, "seed of the first random schedule")
+)
+
+// sentTask is a task at a fake agent.
+type sentTask struct {
+	run     uint32
+	started bool
+	stopped bool
+	due     time.Time
+	needs   worker.Room
+}
+
+// fakeAgent is an agent that runs what it is sent, as the dispatcher may see it.
+type fakeAgent struct {
+	id      AgentID
+	up      bool
+	handled uint64
+	used    worker.Room
+	tasks   map[string]*sentTask
+	// downSince is when the session ended; its tasks go on for some time after that.
+	downSince time.Time
+}
+
+// schedule plays a dispatcher against fake agents and callers on virtual time.
+type schedule struct {
+	t          *testing.T
+	random     *rand.Rand
+	now        time.Time
+	dispatcher *Dispatcher
+	agents     []*fakeAgent
+	waiting    map[Waiter]string
+	answers    map[Waiter]Answer
+	next       Waiter
+	began      map[string]bool
+	// ghosts are the tasks of ended sessions that may still run, until the time given.
+	ghosts map[string]time.Time
+}
+
+const (
+	capacity = 8000
+	step     = 5 * time.Millisecond
+	// load is the chance of a new job in each step; it is more than the fake agents can do now and then.
+	load = 0.15
+)
+
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	random := rand.New(rand.NewPCG(seed, 2))
+	s := &schedule{
+		t: t, random: random, now: time.Unix(1_000_000, 0),
+		dispatcher: New(Limits{Jobs: 200}, random),
+		waiting:    make(map[Waiter]string), answers: make(map[Waiter]Answer), began: make(map[string]bool),
+		ghosts: make(map[string]time.Time),
+	}
+	for i := range 4 {
+		s.agents = append(s.agents, &fakeAgent{id: AgentID(fmt.Sprintf("agent-%d", i)), tasks: make(map[string]*sentTask)})
+	}
+	return s
+}
+
+func (s *schedule) chance(share float64) bool { return s.random.Float64() < share }
+
+func (s *schedule) millis(least, most int) time.Duration {
+	return time.Duration(least+s.random.IntN(most-least+1)) * time.Millisecond
+}
+
+func (s *schedule) handle(event Event) {
+	for _, effect := range s.dispatcher.Handle(s.now, event) {
+		switch e := effect.(type) {
+		case StartTask:
+			s.start(e)
+		case StopTask:
+			if task, ok := s.agent(e.Agent).tasks[e.Name]; ok {
+				task.stopped = true
+			}
+		case Reply:
+			s.reply(e)
+		}
+	}
+}
+
+func (s *schedule) agent(id AgentID) *fakeAgent {
+	for _, a := range s.agents {
+		if a.id == id {
+			return a
+		}
+	}
+	s.t.Fatalf("unknown agent %s", id)
+	return nil
+}
+
+// start checks that no other run of the task may be under way.
+func (s *schedule) start(e StartTask) {
+	for _, a := range s.agents {
+		if _, ok := a.tasks[e.Task.Name]; ok {
+			s.t.Fatalf("%s is sent to %s while it is at %s", e.Task.Name, e.Agent, a.id)
+		}
+	}
+	if until, ok := s.ghosts[e.Task.Name]; ok && s.now.Before(until) {
+		s.t.Fatalf("%s is sent to %s while a run of an ended session may go on for %s", e.Task.Name, e.Agent, until.Sub(s.now))
+	}
+	a := s.agent(e.Agent)
+	if !a.up {
+		s.t.Fatalf("%s is sent to %s, which has no session", e.Task.Name, e.Agent)
+	}
+	if e.Number != a.handled+1 {
+		s.t.Fatalf("start %d follows start %d", e.Number, a.handled)
+	}
+	a.handled = e.Number
+	a.tasks[e.Task.Name] = &sentTask{run: e.Task.Run, due: s.now.Add(s.millis(1, 400)), needs: e.Task.Needs}
+}
+
+func jobOf(task string) string {
+	var job string
+	_, _ = fmt.Sscanf(task, "%16s", &job)
+	return job
+}
+
+// reply checks that every waiter has one answer, and that the answer is true.
+func (s *schedule) reply(e Reply) {
+	for _, waiter := range e.Waiters {
+		job, ok := s.waiting[waiter]
+		if !ok {
+			s.t.Fatalf("waiter %d gets a second answer", waiter)
+		}
+		delete(s.waiting, waiter)
+		s.answers[waiter] = e.Answer
+		if answer, refused := e.Answer.(NotRun); refused {
+			if s.began[job] {
+				s.t.Fatalf("job %s is told not run, yet a task of it has begun", job)
+			}
+			if answer.RetryAfter <= 0 {
+				s.t.Fatalf("job %s is not told when to come back", job)
+			}
+		}
+	}
+}
+
+func (s *schedule) submit() {
+	s.next++
+	id := fmt.Sprintf("%016x", s.next)
+	if s.chance(0.05) && s.next > 1 {
+		id = fmt.Sprintf("%016x", s.next-1)
+	}
+	s.waiting[s.next] = id
+	if s.dispatcher.stateOf(id) == JobUnknown {
+		delete(s.began, id)
+	}
+	job := Job{
+		ID: id, Payload: "p",
+		Kind: Kind{Name: "kind", Service: "service", Priority: s.random.IntN(3), Attempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond},
+	}
+	for i := range 1 + s.random.IntN(2) {
+		one := Step{Count: 1 + s.random.IntN(6), Needs: worker.Room{CPU: 1000}, Expected: 150 * time.Millisecond}
+		if i > 0 {
+			one.After = []int{0}
+		}
+		job.Steps = append(job.Steps, one)
+	}
+	s.handle(Submitted{Job: job, Waiter: s.next})
+}
+
+// act lets an agent go on: report tasks, lose its session, open another.
+func (s *schedule) act(a *fakeAgent) {
+	switch {
+	case !a.up && s.now.Sub(a.downSince) > s.millis(0, 2000):
+		*a = fakeAgent{id: a.id, up: true, tasks: make(map[string]*sentTask)}
+		s.handle(AgentUp{Agent: a.id})
+		s.handle(WorkerSeen{Agent: a.id, Record: worker.Record{ID: "w", Service: "service", Capacity: worker.Room{CPU: capacity}}})
+		s.load(a)
+	case a.up && s.chance(0.002):
+		a.up = false
+		a.downSince = s.now
+		for name := range a.tasks {
+			// The worst an agent's runs may do after the end of its session.
+			s.ghosts[name] = s.now.Add(settleTime - time.Millisecond)
+		}
+		a.tasks = make(map[string]*sentTask)
+		s.handle(AgentDown{Agent: a.id})
+	case a.up:
+		s.report(a)
+	}
+}
+
+func (s *schedule) report(a *fakeAgent) {
+	for _, name := range slices.Sorted(maps.Keys(a.tasks)) {
+		task := a.tasks[name]
+		switch {
+		case !task.started && s.chance(0.1):
+			s.end(a, name, runner.OutcomeNotStarted)
+		case !task.started && task.stopped:
+			s.end(a, name, runner.OutcomeNotStarted)
+		case !task.started:
+			task.started = true
+			if !task.stopped {
+				s.began[jobOf(name)] = true
+			}
+			a.used = a.used.Plus(task.needs)
+			s.handle(RunUpdated{Agent: a.id, Update: runner.Update{Name: name, Run: task.run, Outcome: runner.OutcomeStarted}})
+		case task.stopped:
+			s.end(a, name, runner.OutcomeStopped)
+		case s.now.After(task.due):
+			outcome := runner.OutcomeDone
+			switch {
+			case s.chance(0.05):
+				outcome = runner.OutcomeFailed
+			case s.chance(0.05):
+				outcome = runner.OutcomeLost
+			}
+			s.end(a, name, outcome)
+		}
+	}
+	s.load(a)
+}
+
+func (s *schedule) end(a *fakeAgent, name string, outcome runner.Outcome) {
+	task := a.tasks[name]
+	delete(a.tasks, name)
+	if task.started {
+		a.used = a.used.Minus(task.needs)
+	}
+	s.handle(RunUpdated{Agent: a.id, Update: runner.Update{Name: name, Run: task.run, Outcome: outcome}})
+}
+
+func (s *schedule) load(a *fakeAgent) {
+	s.handle(LoadSeen{Agent: a.id, Handled: a.handled, Load: runner.Load{Used: a.used, Accepts: true, Slowness: 1}})
+}
+
+func (s *schedule) run(length time.Duration, submits bool) {
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(step) {
+		if submits && s.chance(load) {
+			s.submit()
+		}
+		if submits && s.chance(0.02) && len(s.waiting) > 0 {
+			waiter := slices.Sorted(maps.Keys(s.waiting))[0]
+			job := s.waiting[waiter]
+			delete(s.waiting, waiter)
+			s.handle(CallerLeft{Job: job, Waiter: waiter})
+		}
+		for _, a := range s.agents {
+			s.act(a)
+		}
+		s.handle(Ticked{})
+	}
+}
+
+func TestRandomSchedulesKeepTheRules(t *testing.T) {
+	for seed := *first; seed < *first+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed)
+		s.run(6*time.Second, true)
+		s.run(4*time.Second, false)
+		if len(s.waiting) > 0 {
+			t.Fatalf("seed %d: %d callers have no answer", seed, len(s.waiting))
+		}
+		if jobs, waiting, _ := s.dispatcher.Counts(); jobs > 0 || waiting > 0 {
+			t.Fatalf("seed %d: %d jobs are left, %d of them waiting", seed, jobs, waiting)
+		}
+	}
+}
+
+func TestMostJobsOfARandomScheduleAreServed(t *testing.T) {
+	s := newSchedule(t, 3)
+	s.run(20*time.Second, true)
+	completed := 0
+	for _, answer := range s.answers {
+		if _, ok := answer.(Completed); ok {
+			completed++
+		}
+	}
+	if completed < len(s.answers)/4 {
+		t.Fatalf("%d of %d jobs are completed", completed, len(s.answers))
+	}
+}
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -203,6 +203,11 @@
 	OutcomeProgress
 )
 
+// IsEnd reports whether the run has surely ended, or surely never began.
+func (o Outcome) IsEnd() bool {
+	return o != OutcomeStarted && o != OutcomeProgress
+}
+
 // String returns the outcome as it is logged.
 func (o Outcome) String() string {
 	names := [...]string{"unknown", "started", "not_started", "done", "failed", "stopped", "lost", "progress"}
--- /dev/null
+++ b/internal/runner/fakeworker_test.go
@@ -0,0 +1,179 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sailhead/internal/worker"
+)
+
+// fakeRun is a run at the fake worker.
+type fakeRun struct {
+	run   uint32
+	ends  time.Time
+	fails bool
+	// stopping is when a stop takes effect; zero if none was asked.
+	stopping time.Time
+	until    time.Duration
+}
+
+// fakeWorker is a worker as the users' page describes it, on virtual time.
+type fakeWorker struct {
+	id       string
+	capacity worker.Room
+	origin   time.Time
+	hold     time.Duration
+	stopTime time.Duration
+	fence    uint64
+	runs     map[string]*fakeRun
+	needs    func(name string) worker.Room
+	// highest is the highest run of each task that was stopped or has ended.
+	highest map[string]uint32
+	ends    []worker.End
+	number  uint64
+	// begun counts the runs of each task, and done those that ended well.
+	begun map[string]int
+	done  map[string]int
+	last  time.Time
+}
+
+func newFakeWorker(id string, origin time.Time, capacity worker.Room, needs func(string) worker.Room) *fakeWorker {
+	return &fakeWorker{
+		id: id, capacity: capacity, origin: origin, hold: time.Second, stopTime: 30 * time.Millisecond, needs: needs,
+		runs: make(map[string]*fakeRun), highest: make(map[string]uint32), begun: make(map[string]int), done: make(map[string]int),
+	}
+}
+
+func (w *fakeWorker) clock(now time.Time) time.Duration { return now.Sub(w.origin) + time.Hour }
+
+func (w *fakeWorker) reply(now time.Time) worker.Reply {
+	return worker.Reply{Clock: w.clock(now), Received: now}
+}
+
+func (w *fakeWorker) end(name string, r *fakeRun, ending worker.Ending) {
+	delete(w.runs, name)
+	w.highest[name] = max(w.highest[name], r.run)
+	w.number++
+	if ending == worker.EndingDone {
+		w.done[name]++
+	}
+	w.ends = append(w.ends, worker.End{Number: w.number, Name: name, Run: r.run, Ending: ending})
+}
+
+// advance ends what has ended by now, in order of time.
+func (w *fakeWorker) advance(now time.Time) {
+	names := make([]string, 0, len(w.runs))
+	for name := range w.runs {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		r := w.runs[name]
+		switch {
+		case !r.stopping.IsZero() && !r.stopping.After(now):
+			w.end(name, r, worker.EndingStopped)
+		case !r.ends.After(now) && w.clock(r.ends) <= r.until && r.fails:
+			w.end(name, r, worker.EndingFailed)
+		case !r.ends.After(now) && w.clock(r.ends) <= r.until:
+			w.end(name, r, worker.EndingDone)
+		case w.clock(now) > r.until:
+			w.end(name, r, worker.EndingLapsed)
+		}
+	}
+	w.last = now
+}
+
+func (w *fakeWorker) used() worker.Room {
+	var used worker.Room
+	for name := range w.runs {
+		used = used.Plus(w.needs(name))
+	}
+	return used
+}
+
+func (w *fakeWorker) isFenced(fence uint64) bool {
+	if fence < w.fence {
+		return true
+	}
+	w.fence = fence
+	return false
+}
+
+func (w *fakeWorker) lease(now time.Time, until time.Duration) {
+	until = min(until, w.clock(now)+w.hold)
+	for _, r := range w.runs {
+		r.until = max(r.until, until)
+	}
+}
+
+func (w *fakeWorker) start(now time.Time, life string, s worker.Start, takes time.Duration, fails bool) worker.StartResult {
+	w.advance(now)
+	if life != w.id {
+		return worker.OtherLife{Reply: w.reply(now)}
+	}
+	if w.isFenced(s.Fence) {
+		return worker.Fenced{Reply: w.reply(now)}
+	}
+	if r, ok := w.runs[s.Name]; ok && r.run == s.Run {
+		return worker.Accepted{Reply: w.reply(now)}
+	}
+	if s.Run <= w.highest[s.Name] || w.runs[s.Name] != nil {
+		return worker.Outdated{Reply: w.reply(now)}
+	}
+	if s.Until <= w.clock(now) {
+		return worker.TooLate{Reply: w.reply(now)}
+	}
+	w.lease(now, s.Until)
+	if !w.needs(s.Name).Fits(w.capacity.Minus(w.used())) {
+		return worker.NoRoom{Reply: w.reply(now)}
+	}
+	w.runs[s.Name] = &fakeRun{run: s.Run, ends: now.Add(takes), fails: fails, until: min(s.Until, w.clock(now)+w.hold)}
+	w.begun[s.Name]++
+	return worker.Accepted{Reply: w.reply(now)}
+}
+
+func (w *fakeWorker) stop(now time.Time, life string, s worker.Stop) worker.StopResult {
+	w.advance(now)
+	if life != w.id {
+		return worker.OtherLife{Reply: w.reply(now)}
+	}
+	if w.isFenced(s.Fence) {
+		return worker.Fenced{Reply: w.reply(now)}
+	}
+	w.highest[s.Name] = max(w.highest[s.Name], s.Run)
+	if r, ok := w.runs[s.Name]; ok && r.run <= s.Run && r.stopping.IsZero() {
+		r.stopping = now.Add(w.stopTime)
+	}
+	return worker.Accepted{Reply: w.reply(now)}
+}
+
+func (w *fakeWorker) list(now time.Time, life string, h worker.Hold) worker.HoldResult {
+	w.advance(now)
+	if life != w.id {
+		return worker.OtherLife{Reply: w.reply(now)}
+	}
+	if w.isFenced(h.Fence) {
+		return worker.Fenced{Reply: w.reply(now)}
+	}
+	w.lease(now, h.Until)
+	w.ends = slices.DeleteFunc(w.ends, func(e worker.End) bool { return e.Number <= h.LastSeen })
+	listing := worker.Listing{Reply: w.reply(now), Ended: slices.Clone(w.ends)}
+	for name, r := range w.runs {
+		listing.Running = append(listing.Running, worker.Run{Name: name, Run: r.run})
+	}
+	slices.SortFunc(listing.Running, func(a, b worker.Run) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return listing
+}
+
+func (w *fakeWorker) String() string {
+	return fmt.Sprintf("%s runs=%d", w.id, len(w.runs))
+}
--- /dev/null
+++ b/internal/runner/random_test.go
@@ -0,0 +1,369 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sailhead/internal/worker"
+)
+
+// schedule plays a runner against a fake worker and two entries on virtual time. Calls and answers are lost,
+// late and overtaken, the worker changes its life, entries fall silent, the agent freezes and is replaced.
+type schedule struct {
+	t      *testing.T
+	random *rand.Rand
+	now    time.Time
+	queue  actions
+	serial int
+	runner *Runner
+	worker *fakeWorker
+	// epoch drops what was meant for an earlier process of the agent.
+	epoch    int
+	entries  map[SessionID]*fakeEntry
+	sessions SessionID
+	frozen   time.Time
+	// faults is the share of calls that go wrong.
+	faults float64
+	limits Limits
+	lives  int
+	tasks  int
+	fence  uint64
+	log    []string
+}
+
+// fakeEntry is an entry's end of a session.
+type fakeEntry struct {
+	name   string
+	number uint64
+	silent bool
+	// open are the tasks without an outcome, and outcomes those with one.
+	open     map[string]bool
+	outcomes map[string]Outcome
+}
+
+type action struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, k int) bool {
+	if !a[i].at.Equal(a[k].at) {
+		return a[i].at.Before(a[k].at)
+	}
+	return a[i].serial < a[k].serial
+}
+func (a actions) Swap(i, k int) { a[i], a[k] = a[k], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+const taskCPU = 1000
+
+func newSchedule(t *testing.T, seed uint64, faults float64) *schedule {
+	s := &schedule{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), faults: faults,
+		entries: make(map[SessionID]*fakeEntry), limits: DefaultLimits(time.Second, 50*time.Millisecond), fence: 10,
+	}
+	s.runner = New(s.limits, s.fence)
+	s.newLife()
+	s.tick()
+	return s
+}
+
+func (s *schedule) after(d time.Duration, do func()) {
+	s.serial++
+	heap.Push(&s.queue, action{at: s.now.Add(d), serial: s.serial, do: do})
+}
+
+func (s *schedule) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.random.Int64N(int64(most-least)+1))
+}
+
+func (s *schedule) chance(share float64) bool { return s.random.Float64() < share }
+
+func needs(string) worker.Room { return worker.Room{CPU: taskCPU} }
+
+func (s *schedule) newLife() {
+	s.lives++
+	earlier := s.worker
+	s.worker = newFakeWorker(fmt.Sprintf("life-%d", s.lives), s.now.Add(-s.between(0, time.Hour)), worker.Room{CPU: 4 * taskCPU}, needs)
+	if earlier != nil {
+		// What ran is counted over all lives.
+		s.worker.begun, s.worker.done = earlier.begun, earlier.done
+	}
+	s.beat(s.worker, 1)
+}
+
+// sorted returns the open sessions in order.
+func (s *schedule) sorted() []SessionID {
+	return slices.Sorted(maps.Keys(s.entries))
+}
+
+// beat sends heartbeats of a life until another begins.
+func (s *schedule) beat(w *fakeWorker, sequence uint64) {
+	if s.worker != w {
+		return
+	}
+	record := worker.Record{ID: w.id, Service: "service", Capacity: w.capacity, Sequence: sequence, Clock: w.clock(s.now)}
+	s.after(s.between(0, 5*time.Millisecond), func() { s.handle(WorkerSeen{Record: record}) })
+	s.after(1500*time.Millisecond, func() { s.beat(w, sequence+1) })
+}
+
+func (s *schedule) tick() {
+	s.after(20*time.Millisecond, func() {
+		if s.now.After(s.frozen) {
+			s.handle(Ticked{})
+		}
+		s.tick()
+	})
+}
+
+// handle gives the runner an event, at once or when it thaws.
+func (s *schedule) handle(event Event) {
+	if s.frozen.After(s.now) {
+		epoch := s.epoch
+		s.after(s.frozen.Sub(s.now)+time.Millisecond, func() {
+			if epoch == s.epoch {
+				s.handle(event)
+			}
+		})
+		return
+	}
+	for _, effect := range s.runner.Handle(s.now, event) {
+		s.carry(effect)
+	}
+	s.checkUse()
+}
+
+// checkUse checks that the runner's count of what is taken fits its tasks.
+func (s *schedule) checkUse() {
+	if s.runner.life == nil {
+		return
+	}
+	if used := len(s.runner.active()) * taskCPU; used != s.runner.life.used.CPU {
+		s.t.Fatalf("the runner counts %d as taken, its tasks take %d", s.runner.life.used.CPU, used)
+	}
+}
+
+func (s *schedule) carry(effect Effect) {
+	switch e := effect.(type) {
+	case CallStart:
+		takes, fails := s.between(20*time.Millisecond, 900*time.Millisecond), s.chance(0.05)
+		s.call(func() any { return s.worker.start(s.now, e.Life, e.Start, takes, fails) }, func(result any) Event {
+			return StartAnswered{Life: e.Life, Name: e.Start.Name, Run: e.Start.Run, Result: result.(worker.StartResult)}
+		})
+	case CallStop:
+		s.call(func() any { return s.worker.stop(s.now, e.Life, e.Stop) }, func(result any) Event {
+			return StopAnswered{Life: e.Life, Name: e.Stop.Name, Run: e.Stop.Run, Result: result.(worker.StopResult)}
+		})
+	case CallHold:
+		asked := s.now
+		s.call(func() any { return s.worker.list(s.now, e.Life, e.Hold) }, func(result any) Event {
+			return HoldAnswered{Life: e.Life, Asked: asked, Waited: e.Hold.Wait > 0, Result: result.(worker.HoldResult)}
+		})
+	case SendPing:
+		entry := s.entries[e.Session]
+		if entry != nil && !entry.silent {
+			s.after(s.between(time.Millisecond, 6*time.Millisecond), func() { s.handle(PongHeard{Session: e.Session, Sent: e.Time}) })
+		}
+	case SendUpdate:
+		s.update(e)
+	case CloseSession:
+		s.closed(e.Session)
+	}
+}
+
+// call carries out a call of the worker, or leaves it unanswered and carries it out now, late or never.
+func (s *schedule) call(do func() any, answered func(any) Event) {
+	epoch := s.epoch
+	post := func(result any) {
+		if epoch == s.epoch {
+			s.handle(answered(result))
+		}
+	}
+	if s.chance(s.faults) {
+		switch s.random.IntN(3) {
+		case 0:
+			s.after(s.between(0, 3*time.Millisecond), func() { do() })
+		case 1:
+			s.after(s.between(2*time.Second, 12*time.Second), func() { do() })
+		}
+		s.after(25*time.Millisecond, func() { post(worker.Unanswered{Reason: "lost"}) })
+		return
+	}
+	s.after(s.between(100*time.Microsecond, 2*time.Millisecond), func() {
+		result := do()
+		s.after(s.between(100*time.Microsecond, 2*time.Millisecond), func() { post(result) })
+	})
+}
+
+func (s *schedule) update(e SendUpdate) {
+	entry := s.entries[e.Session]
+	if entry == nil || !entry.open[e.Update.Name] {
+		return
+	}
+	switch e.Update.Outcome {
+	case OutcomeStarted, OutcomeProgress:
+		return
+	case OutcomeNotStarted:
+		if s.worker.done[e.Update.Name] > 0 {
+			s.t.Fatalf("%s is told not started, yet it has run", e.Update.Name)
+		}
+	case OutcomeDone:
+		if s.worker.done[e.Update.Name] == 0 {
+			s.t.Fatalf("%s is told done, yet no run ended well", e.Update.Name)
+		}
+	}
+	delete(entry.open, e.Update.Name)
+	entry.outcomes[e.Update.Name] = e.Update.Outcome
+	if _, running := s.worker.runs[e.Update.Name]; running && e.Update.Outcome != OutcomeLost {
+		s.t.Fatalf("%s is told %s, yet a run of it goes on", e.Update.Name, e.Update.Outcome)
+	}
+}
+
+func (s *schedule) closed(id SessionID) {
+	delete(s.entries, id)
+}
+
+func (s *schedule) openSession(name string) SessionID {
+	s.sessions++
+	s.entries[s.sessions] = &fakeEntry{name: name, open: make(map[string]bool), outcomes: make(map[string]Outcome)}
+	s.handle(SessionOpened{Session: s.sessions, Entry: name})
+	return s.sessions
+}
+
+// run plays until a time, with a task now and then and a trouble now and then.
+func (s *schedule) run(length time.Duration, troubles bool) {
+	end := s.now.Add(length)
+	var submit func()
+	submit = func() {
+		if s.now.Before(end.Add(-4 * time.Second)) {
+			s.tasks++
+			s.submit(fmt.Sprintf("job.0.0.%d", s.tasks))
+			s.after(s.between(0, 150*time.Millisecond), submit)
+		}
+	}
+	s.after(0, submit)
+	var trouble func()
+	trouble = func() {
+		if s.now.Before(end.Add(-4 * time.Second)) {
+			s.trouble()
+			s.after(s.between(100*time.Millisecond, 3*time.Second), trouble)
+		}
+	}
+	if troubles {
+		s.after(time.Second, trouble)
+	}
+	for s.queue.Len() > 0 && s.queue[0].at.Before(end) {
+		next := heap.Pop(&s.queue).(action)
+		s.now = next.at
+		next.do()
+		s.worker.advance(s.now)
+	}
+	s.now = end
+}
+
+func (s *schedule) submit(name string) {
+	if len(s.entries) < 2 {
+		s.openSession(fmt.Sprintf("entry-%d", s.random.IntN(2)))
+	}
+	ids := s.sorted()
+	id := ids[s.random.IntN(len(ids))]
+	entry := s.entries[id]
+	{
+		entry.number++
+		entry.open[name] = true
+		s.handle(StartAsked{Session: id, Number: entry.number, Task: Task{
+			Name: name, Run: 1, Needs: worker.Room{CPU: taskCPU}, Expected: 300 * time.Millisecond,
+			MaxWait: s.between(0, 300*time.Millisecond),
+		}})
+		if s.chance(0.1) {
+			s.after(s.between(0, 300*time.Millisecond), func() { s.handle(StopAsked{Session: id, Name: name}) })
+		}
+	}
+}
+
+func (s *schedule) trouble() {
+	switch s.random.IntN(5) {
+	case 0:
+		s.newLife()
+	case 1:
+		for _, id := range s.sorted() {
+			s.entries[id].silent = true
+			return
+		}
+	case 2:
+		s.frozen = s.now.Add(s.between(100*time.Millisecond, 4*time.Second))
+	case 3:
+		for _, id := range s.sorted() {
+			delete(s.entries, id)
+			s.handle(SessionClosed{Session: id})
+			return
+		}
+	case 4:
+		s.restart()
+	}
+}
+
+// restart replaces the agent by a new process that must find out what runs.
+func (s *schedule) restart() {
+	s.epoch++
+	s.frozen = time.Time{}
+	s.fence++
+	s.runner = New(s.limits, s.fence)
+	s.entries = make(map[SessionID]*fakeEntry)
+}
+
+// schedules is how many schedules are played, and first the seed of the first.
+var (
+	schedules = flag.Int("schedules", 60, "number of random schedules")
+	first     = flag.Uint64("first", 0, "seed of the first random schedule")
+)
+
+func TestRandomSchedulesKeepTheRules(t *testing.T) {
+	for seed := *first; seed < *first+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed, []float64{0, 0.05, 0.3}[seed%3])
+		s.run(20*time.Second, true)
+		// Without further tasks and faults everything settles.
+		s.faults = 0
+		s.run(16*time.Second, false)
+		for _, entry := range s.entries {
+			for name := range entry.open {
+				t.Fatalf("seed %d: %s has no outcome", seed, name)
+			}
+		}
+		if len(s.runner.tasks) > 0 || len(s.worker.runs) > 0 {
+			t.Fatalf("seed %d: %d tasks and %d runs are left", seed, len(s.runner.tasks), len(s.worker.runs))
+		}
+	}
+}
+
+func TestCalmScheduleServesEveryTask(t *testing.T) {
+	s := newSchedule(t, 7, 0)
+	s.run(30*time.Second, false)
+	outcomes := make(map[Outcome]int)
+	for _, entry := range s.entries {
+		for _, outcome := range entry.outcomes {
+			outcomes[outcome]++
+		}
+	}
+	if outcomes[OutcomeDone] < 100 || outcomes[OutcomeLost] > 0 {
+		t.Fatalf("outcomes of a calm schedule: %v", outcomes)
+	}
+}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -3,7 +3,11 @@
 
 package runner
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // session is one connection of an entry. Its tasks run while it is valid.
 type session struct {
@@ -18,9 +22,9 @@
 }
 
 func (r *Runner) openSession(now time.Time, e SessionOpened) {
-	for id, other := range r.sessions {
+	for _, other := range r.inOrder() {
 		if other.entry == e.Entry {
-			r.endSession(now, id, "the entry has opened another session")
+			r.endSession(now, other.id, "the entry has opened another session")
 		}
 	}
 	s := &session{id: e.Session, entry: e.Entry, valid: now.Add(r.limits.Session), loadDue: true}
@@ -31,6 +35,15 @@
 	r.ping(now, s)
 }
 
+// inOrder returns the sessions in the order of their opening.
+func (r *Runner) inOrder() []*session {
+	sessions := make([]*session, 0, len(r.sessions))
+	for _, id := range slices.Sorted(maps.Keys(r.sessions)) {
+		sessions = append(sessions, r.sessions[id])
+	}
+	return sessions
+}
+
 func (r *Runner) closeSession(now time.Time, id SessionID) {
 	delete(r.sessions, id)
 	r.stopTasksOf(now, id)
@@ -54,10 +67,10 @@
 
 // tickSessions pings the entries and ends the sessions of those that are silent.
 func (r *Runner) tickSessions(now time.Time) {
-	for id, s := range r.sessions {
+	for _, s := range r.inOrder() {
 		switch {
 		case now.After(s.valid):
-			r.endSession(now, id, "the entry is silent")
+			r.endSession(now, s.id, "the entry is silent")
 		case now.Sub(s.pinged) >= r.limits.Ping:
 			r.ping(now, s)
 		}
@@ -77,8 +90,8 @@
 
 // describeWorker tells every entry about the worker.
 func (r *Runner) describeWorker() {
-	for id := range r.sessions {
-		r.emit(SendWorker{Session: id, Record: r.life.record})
+	for _, s := range r.inOrder() {
+		r.emit(SendWorker{Session: s.id, Record: r.life.record})
 	}
 	r.markLoad()
 }
@@ -92,7 +105,7 @@
 
 // sendLoads tells the load to the entries that are due.
 func (r *Runner) sendLoads(now time.Time) {
-	for _, s := range r.sessions {
+	for _, s := range r.inOrder() {
 		if s.loadDue && now.Sub(s.loaded) >= loadPause {
 			s.loadDue = false
 			s.loaded = now
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -4,7 +4,9 @@
 package runner
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"sailhead/internal/worker"
@@ -56,13 +58,13 @@
 	}
 	s.handled = max(s.handled, e.Number)
 	s.loadDue = true
-	if !r.isValid(now, e.Session) {
-		return
-	}
 	if earlier, exists := r.tasks[e.Task.Name]; exists && earlier.session == e.Session {
 		return
 	}
 	reason := r.refusal(now)
+	if reason == "" && !r.isValid(now, e.Session) {
+		reason = "the session's lease has run out"
+	}
 	if reason == "" && len(r.queue) >= r.limits.Queue {
 		reason = "the queue is full"
 	}
@@ -100,8 +102,8 @@
 
 // stopTasksOf stops the tasks of a session that has ended.
 func (r *Runner) stopTasksOf(now time.Time, id SessionID) {
-	for _, t := range r.tasks {
-		if t.session == id {
+	for _, name := range slices.Sorted(maps.Keys(r.tasks)) {
+		if t := r.tasks[name]; t.session == id {
 			r.stop(now, t)
 		}
 	}
@@ -120,7 +122,7 @@
 	}
 }
 
-// active returns the tasks that may be at the worker.
+// active returns the tasks that may be at the worker, in the order of their names.
 func (r *Runner) active() []*task {
 	var active []*task
 	for _, t := range r.tasks {
@@ -128,6 +130,7 @@
 			active = append(active, t)
 		}
 	}
+	slices.SortFunc(active, func(a, b *task) int { return strings.Compare(a.Name, b.Name) })
 	return active
 }
 
