--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 GO ?= go
 VERSION ?= dev
-GENERATED := internal/peer/peerpb
+GENERATED := internal/peer/peerpb internal/session/sessionpb internal/cluster/clusterpb
 
 .PHONY: all build demo measure test tools format vet generated generate spec unit
 
@@ -35,13 +35,17 @@
 	$(GO) tool staticcheck ./...
 
 generate:
-	$(GENERATED)/generate.sh
+	@for package in $(GENERATED); do $$package/generate.sh; done
 
 # generated compares the committed code with what the generator writes now.
 generated:
 	@dir=$$(mktemp -d); trap 'rm -rf "$$dir"' EXIT; \
-	$(GENERATED)/generate.sh "$$dir" && \
-	for f in peer.pb.go peer.twirp.go; do diff -q "$$dir/$$f" "$(GENERATED)/$$f" || exit 1; done
+	for package in $(GENERATED); do \
+	  $$package/generate.sh "$$dir" || exit 1; \
+	  for f in $$package/*.pb.go $$package/*.twirp.go; do \
+	    test ! -e $$f || diff -q "$$dir/$$(basename $$f)" $$f || exit 1; \
+	  done; \
+	done
 
 spec:
 	spec/check.sh
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -108,6 +108,11 @@
 	}
 }
 
+// Knows reports whether so many entries are known, this one among them.
+func (f *Frontend) Knows(entries int) bool {
+	return len(f.directory.Members(cluster.RoleEntry)) >= entries
+}
+
 // run is the duty that decides.
 func (f *Frontend) run() {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -31,6 +31,7 @@
 	entries  map[SessionID]*fakeEntry
 	sessions SessionID
 	frozen   time.Time
+	inbox    []Event
 	// faults is the share of calls that go wrong.
 	faults float64
 	limits Limits
@@ -136,15 +137,35 @@
 
 // handle gives the runner an event, at once or when it thaws.
 func (s *schedule) handle(event Event) {
-	if s.frozen.After(s.now) {
-		epoch := s.epoch
-		s.after(s.frozen.Sub(s.now)+time.Millisecond, func() {
-			if epoch == s.epoch {
-				s.handle(event)
-			}
-		})
+	if s.frozen.After(s.now) || len(s.inbox) > 0 {
+		s.inbox = append(s.inbox, event)
+		if len(s.inbox) == 1 {
+			s.thaw()
+		}
 		return
 	}
+	s.give(event)
+}
+
+// thaw gives a frozen runner what has come meanwhile, in order.
+func (s *schedule) thaw() {
+	epoch := s.epoch
+	s.after(max(s.frozen.Sub(s.now), 0)+time.Millisecond, func() {
+		switch {
+		case epoch != s.epoch:
+		case s.frozen.After(s.now):
+			s.thaw()
+		default:
+			events := s.inbox
+			s.inbox = nil
+			for _, event := range events {
+				s.give(event)
+			}
+		}
+	})
+}
+
+func (s *schedule) give(event Event) {
 	for _, effect := range s.runner.Handle(s.now, event) {
 		s.carry(effect)
 	}
@@ -325,6 +346,7 @@
 func (s *schedule) restart() {
 	s.epoch++
 	s.frozen = time.Time{}
+	s.inbox = nil
 	s.fence++
 	s.runner = New(s.limits, s.fence)
 	s.entries = make(map[SessionID]*fakeEntry)
