--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -38,7 +38,6 @@
 	lives  int
 	tasks  int
 	fence  uint64
-	log    []string
 }
 
 // fakeEntry is an entry's end of a session.
