Stop to the last moment, shorten leases, leave slow and hanging workers; logs and metrics

Agents tell a worker's slowness by the median outlook of three jobs or more (progress when listed), entries avoid it from 3.5 on and move runs that last 2.5 times their usual time. Also: histograms and counters at metrics_address, logs sampled and bounded, an agent's record keeps the worker that it recalled.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -39,6 +41,11 @@
 	defer signal.Stop(signals)
 	metrics := metric.NewSet()
 	metrics.Publish("sailhead")
+	closeMetrics, err := serveMetrics(loaded, ring)
+	if err != nil {
+		return err
+	}
+	defer closeMetrics()
 	stop, err := startOnPlatform(loaded, logger, metrics)
 	if err != nil {
 		_ = level.Error(logger).Log("msg", "unable to start", "err", err)
@@ -55,6 +62,26 @@
 	return stop()
 }
 
+// serveMetrics shows the counters and histograms of the process, and how many lines of the log were dropped.
+func serveMetrics(s settings.Settings, ring *logging.Ring) (func(), error) {
+	if s.MetricsAddress == "" {
+		return func() {}, nil
+	}
+	listeners, err := listen(s.MetricsAddress)
+	if err != nil {
+		return nil, err
+	}
+	if expvar.Get(droppedLines) == nil {
+		expvar.Publish(droppedLines, expvar.Func(func() any { return ring.Dropped() }))
+	}
+	server := &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listeners[0]) }()
+	return func() { _ = server.Close() }, nil
+}
+
+// droppedLines names the counter of the log's lines that were dropped.
+const droppedLines = "log_lines_dropped"
+
 func startOnPlatform(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
 	if s.Role == settings.RolePlatformEntry {
 		return startPlatformEntry(s, logger, metrics)
@@ -88,11 +115,10 @@
 
 const (
 	// idleCloseDelay is how long after the start of a planned stop idle connections of callers are closed:
-	// by then the balancer sends no new ones.
+	// by then the balancer sends no new ones where there is another entry.
 	idleCloseDelay = 2500 * time.Millisecond
-	// listenDelay is how long new connections are still taken.
-	listenDelay = 4300 * time.Millisecond
-	pollPause   = 20 * time.Millisecond
+	// answerTime is how long the last open requests may take to be answered.
+	answerTime = 250 * time.Millisecond
 )
 
 func startPlatformEntry(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
@@ -116,16 +142,14 @@
 	}, nil
 }
 
-// stopEntry stops an entry as planned: every request that arrives is answered.
+// stopEntry stops an entry as planned: every request that arrives is answered. New connections are taken to the
+// end, as the balancer goes on sending them where there is no other entry.
 func stopEntry(entry *frontend.Frontend, ingress *platform.Ingress) error {
-	began := time.Now()
 	until := entry.Leave()
 	time.Sleep(min(idleCloseDelay, time.Until(until)))
 	ingress.CloseIdle()
-	for time.Since(began) < listenDelay && time.Now().Before(until) {
-		time.Sleep(pollPause)
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), until.Add(200*time.Millisecond))
+	time.Sleep(time.Until(until))
+	ctx, cancel := context.WithDeadline(context.Background(), until.Add(answerTime))
 	defer cancel()
 	return ingress.Shutdown(ctx)
 }
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -64,7 +64,7 @@
 
 const (
 	// slowLimit is the slowness from which a worker is used only if no other has room.
-	slowLimit = 2.5
+	slowLimit = 3.5
 	// failureLimit is the failure rate from which it is.
 	failureLimit = 0.25
 )
@@ -75,5 +75,6 @@
 }
 
 // settleTime is how long after the loss of its session an agent's runs have surely ended: a living agent
-// stops them at the latest when the session's lease runs out, a dead one holds them no longer.
-const settleTime = 1150 * time.Millisecond
+// stops them at the latest when the session's time is over, a dead one's leases run out then. It is the sum of
+// both times of the runner and some more, and less than the time after which a caller comes back.
+const settleTime = 1200 * time.Millisecond
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -85,6 +85,7 @@
 	case Ticked:
 		d.expire(now)
 		d.forgetEnded(now)
+		d.moveStuck(now)
 	}
 	d.place(now)
 	return d.effects
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -201,6 +201,7 @@
 	DecisionJoined    Decision = "joined"
 	DecisionPlaced    Decision = "placed"
 	DecisionEnded     Decision = "ended"
+	DecisionMoved     Decision = "moved"
 	DecisionAnswered  Decision = "answered"
 	DecisionLeft      Decision = "caller_left"
 	DecisionAgentUp   Decision = "agent_up"
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -28,8 +28,11 @@
 	run   uint32
 	agent AgentID
 	// settled is when the latest run has surely ended.
-	settled    time.Time
-	failures   int
+	settled  time.Time
+	failures int
+	// placed is when the latest run was sent, and moved how often a run was stopped to run elsewhere.
+	placed     time.Time
+	moved      int
 	avoid      []AgentID
 	checkpoint string
 }
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -6,8 +6,10 @@
 import "time"
 
 const (
-	// patienceWeight is the weight of the latest caller in the usual patience of a kind.
-	patienceWeight = 0.05
+	// fallWeight is the weight of a caller that waits less than usual in the usual patience of its kind, and
+	// riseWeight that of one that waits longer: after a restart the first callers are those that come back.
+	fallWeight = 0.02
+	riseWeight = 0.3
 	// returnedShare is the part of its kind's usual patience below which a caller has come back.
 	returnedShare = 0.6
 )
@@ -23,14 +25,15 @@
 	if left <= 0 {
 		return false
 	}
-	usual, known := p[j.Kind.Name]
-	if !known {
-		p[j.Kind.Name] = left
-		return false
-	}
+	// A caller grants a kind's time at least.
+	usual := max(p[j.Kind.Name], j.Kind.Timeout)
 	if float64(left) < returnedShare*float64(usual) {
 		return usual-left > finalFactor*j.objective-j.chain()
 	}
-	p[j.Kind.Name] = usual + time.Duration(patienceWeight*float64(left-usual))
+	weight := fallWeight
+	if left > usual {
+		weight = riseWeight
+	}
+	p[j.Kind.Name] = usual + time.Duration(weight*float64(left-usual))
 	return false
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -191,6 +191,7 @@
 	step := j.Steps[t.step]
 	t.state = taskSent
 	t.agent = a.id
+	t.placed = now
 	t.run++
 	j.offered = true
 	number := a.sends(step.Needs)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,6 +9,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,7 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	// stopMargin is kept of the time to stop for the end of the process.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 400 * time.Millisecond
 )
 
 // Frontend is a running entry.
@@ -59,6 +60,10 @@
 	exchanger      *cluster.Exchanger
 	configurations Configurations
 	store          Store
+	successes      log.Logger
+	others         log.Logger
+	answerTimes    *metric.Times
+	queueTimes     *metric.Times
 	dispatcher     *dispatch.Dispatcher
 	logger         log.Logger
 	metrics        *metric.Set
@@ -91,6 +96,10 @@
 		waiters:    make(map[dispatch.Waiter]chan dispatch.Answer),
 		sessions:   make(map[dispatch.AgentID]*agentSession),
 	}
+	f.successes = logging.NewLimited(level.Info(f.logger), successLines)
+	f.others = logging.NewLimited(level.Info(f.logger), otherLines)
+	f.answerTimes = metrics.Times("answer_time")
+	f.queueTimes = metrics.Times("queue_time")
 	f.context, f.cancel = context.WithCancel(context.Background())
 	exchanger, closeExchanger := cluster.NewExchanger(f.directory, configurations.Accept)
 	f.exchanger = exchanger
@@ -138,6 +147,10 @@
 	jobs, _, agents := f.dispatcher.Counts()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.jobs != jobs || f.agents != agents {
+		f.metrics.Set(metric.JobsOpen, int64(jobs))
+		f.metrics.Set(metric.Agents, int64(agents))
+	}
 	f.jobs = jobs
 	f.agents = agents
 }
@@ -176,12 +189,46 @@
 	}
 }
 
-// log logs a decision. Placements and plain successes are for debugging only.
-func (f *Frontend) log(n dispatch.Note) {
-	logger := level.Info(f.logger)
-	if n.Decision == dispatch.DecisionPlaced || n.Decision == dispatch.DecisionTaken || n.Decision == dispatch.DecisionEnded && n.Detail == "done " {
-		logger = level.Debug(f.logger)
+// The most lines a second for decisions that went well, and for all others.
+const (
+	successLines = 20
+	otherLines   = 200
+)
+
+// record counts a decision.
+func (f *Frontend) record(n dispatch.Note) {
+	switch n.Decision {
+	case dispatch.DecisionAnswered:
+		outcome, _, _ := strings.Cut(n.Detail, ":")
+		f.metrics.Add(metric.JobsPrefix+outcome, 1)
+		f.answerTimes.Record(n.Kind+" "+outcome, n.Age)
+	case dispatch.DecisionPlaced:
+		f.metrics.Add(metric.TasksStarted, 1)
+		if n.Run == 1 {
+			f.queueTimes.Record(n.Kind, n.Age)
+		}
+	case dispatch.DecisionEnded:
+		f.metrics.Add(metric.TasksEnded, 1)
 	}
+}
+
+// loggerFor returns the logger of a decision: those that went well are sampled, placements are for debugging.
+func (f *Frontend) loggerFor(n dispatch.Note) log.Logger {
+	switch {
+	case n.Decision == dispatch.DecisionPlaced, n.Decision == dispatch.DecisionTaken,
+		n.Decision == dispatch.DecisionEnded && n.Detail == "done ":
+		return level.Debug(f.logger)
+	case n.Decision == dispatch.DecisionAnswered && n.Detail == "completed":
+		return f.successes
+	default:
+		return f.others
+	}
+}
+
+// log logs a decision.
+func (f *Frontend) log(n dispatch.Note) {
+	f.record(n)
+	logger := f.loggerFor(n)
 	fields := []any{"msg", string(n.Decision)}
 	if n.Job != "" {
 		fields = append(fields, "job", n.Job, "kind", n.Kind, "age", n.Age.Round(time.Millisecond/10))
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -32,6 +32,11 @@
 	PlatformFailures = "platform_failures"
 	ConfigVersion    = "configuration_version"
 	RosterEpoch      = "roster_epoch"
+	JobsOpen         = "jobs_open"
+	Agents           = "agents"
+	Sessions         = "sessions"
+	RunsPrefix       = "runs_"
+	CallsUnanswered  = "calls_unanswered"
 )
 
 // NewSet returns a set of counters that is not published.
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -56,6 +56,9 @@
 		r.list(now)
 	case worker.Unanswered:
 		r.checkUnlisted(now, e.Asked)
+		if !e.Waited && r.isInDoubt() && !r.life.isSilent(now) {
+			r.list(now)
+		}
 	default:
 		r.heed(now, e.Life, e.Result)
 	}
@@ -64,6 +67,16 @@
 	}
 }
 
+// isInDoubt reports whether a run waits for a listing.
+func (r *Runner) isInDoubt() bool {
+	for _, t := range r.tasks {
+		if t.state == stateChecking || t.state == stateStopping && !t.stopAnswered.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Runner) takeListing(now, asked time.Time, listing worker.Listing) {
 	r.readClock(listing.Clock, listing.Received)
 	wasSilent := r.life.isSilent(now)
@@ -133,10 +146,8 @@
 		}
 		return
 	}
-	if run.Percent > t.progress {
-		t.progress = run.Percent
-		t.progressed = now
-	}
+	t.progress = run.Percent
+	t.looked = now
 }
 
 // stopForeign stops a run that nobody here asked for, as an earlier agent leaves behind.
@@ -212,6 +223,10 @@
 		if ok && t.state == stateStopping {
 			r.callStop(now, t)
 		}
+	case worker.Unanswered:
+		if ok && t.state == stateStopping && t.stopAnswered.IsZero() && !r.life.isSilent(now) {
+			r.callStop(now, t)
+		}
 	default:
 		r.heed(now, e.Life, e.Result)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"sailhead/internal/worker"
@@ -23,11 +24,18 @@
 	Queue int
 }
 
-// DefaultLimits returns the limits for a worker that grants and stops as given.
+// DefaultLimits returns the limits for a worker that grants and stops as given. A session and a lease together
+// are shorter than the time after which a caller comes back whose entry is gone.
 func DefaultLimits(hold, stop time.Duration) Limits {
-	return Limits{Session: 600 * time.Millisecond, Ping: 120 * time.Millisecond, Hold: hold, Stop: stop, Queue: 512}
+	return Limits{
+		Session: 600 * time.Millisecond, Ping: 120 * time.Millisecond,
+		Hold: min(hold, maxHold), Stop: stop, Queue: 512,
+	}
 }
 
+// maxHold is the longest lease that is asked for: a dead agent's runs have ended after it.
+const maxHold = 550 * time.Millisecond
+
 const (
 	// holdPause is the time between two holds while tasks run.
 	holdPause = 60 * time.Millisecond
@@ -170,10 +178,23 @@
 		return
 	}
 	r.repeatStops(now)
+	r.lookAtHealth(now)
 	r.hold(now)
 	r.expireLease(now)
 }
 
+// lookAtHealth takes in how the runs go on, and has the entries told if that changes what they do.
+func (r *Runner) lookAtHealth(now time.Time) {
+	before := r.health.slowness()
+	r.health.look(now, r.active())
+	if math.Abs(r.health.slowness()-before) > healthChange {
+		r.markLoad()
+	}
+}
+
+// healthChange is the change of the worker's slowness of which entries are told at once.
+const healthChange = 0.3
+
 // leave refuses what waits and all new tasks.
 func (r *Runner) leave() {
 	r.leaving = true
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -45,9 +45,9 @@
 	again bool
 	// successor is the same task of a newer session, which waits for this one to end.
 	successor *task
-	// progress is the run's last known progress, and progressed when it last grew.
-	progress   int
-	progressed time.Time
+	// progress is the run's progress when it was last listed, and looked when that was.
+	progress int
+	looked   time.Time
 }
 
 // askStart takes a task in or says that it is not started.
@@ -206,7 +206,7 @@
 	t.again = false
 	t.began = now
 	t.progress = 0
-	t.progressed = now
+	t.looked = now
 	r.life.used = r.life.used.Plus(t.Needs)
 	r.life.granted = now
 	r.markLoad()
--- a/internal/settings/option.go
+++ b/internal/settings/option.go
@@ -158,8 +158,8 @@
 		{Name: "stop_time", Help: "Longest time that the worker takes to stop a run.", Roles: platformAgents,
 			Default: 50 * time.Millisecond, Min: time.Millisecond, Max: time.Minute,
 			value: func(s *Settings) any { return &s.StopTime }},
-		{Name: "metrics_port", Help: "Port at which the process shows its counters; 0 is none.", Roles: onPlatform, Default: 0, Min: 0, Max: 65_535,
-			value: func(s *Settings) any { return &s.MetricsPort }},
+		{Name: "metrics_address", Help: "Address at which the process shows its counters; without one it does not.", Roles: onPlatform, Default: Address(""),
+			value: func(s *Settings) any { return &s.MetricsAddress }},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,7 +77,7 @@
 
 	ReadyAddress     Address
 	HeartbeatAddress Address
-	MetricsPort      int
+	MetricsAddress   Address
 	Jobs             int
 	HoldTime         time.Duration
 	StopTime         time.Duration
--- a/internal/sidecar/describe.go
+++ b/internal/sidecar/describe.go
@@ -3,7 +3,17 @@
 
 package sidecar
 
-import "sailhead/internal/worker"
+import (
+	"strings"
+
+	"sailhead/internal/worker"
+)
+
+// describeKind returns a worker's answer without its reason.
+func describeKind(result any) string {
+	kind, _, _ := strings.Cut(describe(result), ":")
+	return kind
+}
 
 // describe returns a worker's answer as it is logged.
 func describe(result any) string {
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -22,12 +22,15 @@
 // it reads what an earlier process of the agent left: if that life of the worker still answers, there is no
 // need to wait for a heartbeat.
 func (s *Sidecar) register() {
-	s.recall()
+	earlier := s.recall()
 	for {
 		member := s.self
 		s.mu.Lock()
 		member.Worker = s.recorded
 		s.mu.Unlock()
+		if member.Worker == nil {
+			member.Worker = earlier
+		}
 		if !s.put(member) {
 			return
 		}
@@ -39,8 +42,8 @@
 	}
 }
 
-// recall tells the runner of the worker that the agent's earlier process knew.
-func (s *Sidecar) recall() {
+// recall tells the runner of the worker that the agent's earlier process knew, and returns it.
+func (s *Sidecar) recall() *worker.Record {
 	earlier, ok, err := s.store.Member(s.self.Name)
 	switch {
 	case err != nil:
@@ -52,7 +55,9 @@
 		record.Sequence = 0
 		s.post(runner.WorkerRecalled{Record: record})
 		_ = level.Info(s.logger).Log("msg", "worker recalled", "life", record.ID)
+		return &record
 	}
+	return nil
 }
 
 // put writes a record, and tries until that is done.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -78,6 +78,10 @@
 	mu        sync.Mutex
 	idle      bool
 	entries   int
+	// began is when the start of each task was sent; only the deciding duty uses it.
+	began      map[string]time.Time
+	runTimes   *metric.Times
+	startTimes *metric.Times
 	// recorded is the worker as the store is to know it, and changed tells that it is another.
 	recorded *worker.Record
 	changed  chan struct{}
@@ -96,7 +100,10 @@
 		runner:  runner.New(settings.Limits, uint64(now.Unix())),
 		events:  make(chan runner.Event, settings.Ring),
 		changed: make(chan struct{}, 1),
+		began:   make(map[string]time.Time),
 	}
+	s.runTimes = metrics.Times("run_time")
+	s.startTimes = metrics.Times("start_time")
 	s.context, s.cancel = context.WithCancel(context.Background())
 	exchanger, closeExchanger := cluster.NewExchanger(cluster.NewDirectory(), refuseDocument)
 	s.exchanger = exchanger
@@ -164,7 +171,14 @@
 	sessions, _, _ := s.runner.Counts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.entries != sessions {
+		s.metrics.Set(metric.Sessions, int64(sessions))
+	}
 	s.idle = s.runner.IsIdle()
+	if s.idle {
+		// Runs whose entry has gone are never told of.
+		clear(s.began)
+	}
 	s.entries = sessions
 	s.noteWorker()
 }
@@ -180,6 +194,7 @@
 	switch e := effect.(type) {
 	case runner.CallStart:
 		s.metrics.Add(metric.TasksStarted, 1)
+		s.began[e.Start.Name] = time.Now()
 		go s.callStart(e)
 	case runner.CallStop:
 		go func() {
@@ -193,16 +208,32 @@
 			s.post(runner.HoldAnswered{Life: e.Life, Asked: asked, Waited: e.Hold.Wait > 0, Result: result})
 		}()
 	default:
+		s.record(effect)
 		s.logEffect(effect)
 		s.sessions.Carry(effect)
 	}
 }
 
+// record counts what became of a run.
+func (s *Sidecar) record(effect runner.Effect) {
+	e, ok := effect.(runner.SendUpdate)
+	if !ok || !e.Update.Outcome.IsEnd() {
+		return
+	}
+	outcome := e.Update.Outcome.String()
+	s.metrics.Add(metric.RunsPrefix+outcome, 1)
+	if began, ok := s.began[e.Update.Name]; ok {
+		s.runTimes.Record(outcome, time.Since(began))
+	}
+	delete(s.began, e.Update.Name)
+}
+
 // callStart starts a run unless the session's lease has run out meanwhile.
 func (s *Sidecar) callStart(e runner.CallStart) {
 	var result worker.StartResult = worker.Invalid{Reason: "the session ended before the start"}
-	if !time.Now().After(e.Before) {
+	if began := time.Now(); !began.After(e.Before) {
 		result = s.worker.Start(e.Life, e.Start)
+		s.startTimes.Record(describeKind(result), time.Since(began))
 	}
 	s.post(runner.StartAnswered{Life: e.Life, Name: e.Start.Name, Run: e.Start.Run, Result: result})
 }
