--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -114,11 +114,14 @@
 }
 
 const (
-	// idleCloseDelay is how long after the start of a planned stop idle connections of callers are closed:
-	// by then the balancer sends no new ones where there is another entry.
-	idleCloseDelay = 2500 * time.Millisecond
+	// balancerDelay is how long after the start of a planned stop the balancer may send new connections: it asks
+	// every second, and misses twice.
+	balancerDelay = 2300 * time.Millisecond
+	// quietTime is how long no connection has come once the balancer sends none.
+	quietTime = 250 * time.Millisecond
 	// answerTime is how long the last open requests may take to be answered.
 	answerTime = 250 * time.Millisecond
+	pollPause  = 20 * time.Millisecond
 )
 
 func startPlatformEntry(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
@@ -142,14 +145,21 @@
 	}, nil
 }
 
-// stopEntry stops an entry as planned: every request that arrives is answered. New connections are taken to the
-// end, as the balancer goes on sending them where there is no other entry.
+// stopEntry stops an entry as planned: every request that arrives is answered. Once the balancer sends no more
+// connections and no job is under way there is no reason to wait. Where no entry is ready the balancer goes on
+// sending, and this one goes on serving to the end.
 func stopEntry(entry *frontend.Frontend, ingress *platform.Ingress) error {
 	until := entry.Leave()
-	time.Sleep(min(idleCloseDelay, time.Until(until)))
+	time.Sleep(min(balancerDelay, time.Until(until)))
+	for ingress.SinceConnection() < quietTime && time.Now().Before(until) {
+		time.Sleep(pollPause)
+	}
+	ingress.StopListening()
 	ingress.CloseIdle()
-	time.Sleep(time.Until(until))
-	ctx, cancel := context.WithDeadline(context.Background(), until.Add(answerTime))
+	for !entry.IsIdle() && time.Now().Before(until) {
+		time.Sleep(pollPause)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(answerTime))
 	defer cancel()
 	return ingress.Shutdown(ctx)
 }
