Refuse a job when its objective can hardly be met, not after a quarter of it

Cause: under load most refused jobs could still have begun within their slack (a lookup has 96 ms, a quarter of its objective is 45).

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -141,9 +141,14 @@
 	return false
 }
 
-// refuseAt is when a job of which nothing was placed is refused.
+// slackShare is the part of the time between a job's chain of work and its objective in which it may wait.
+const slackShare = 0.8
+
+// refuseAt is when a job of which nothing was placed is refused: when it could hardly be done within its
+// objective any more.
 func (j *job) refuseAt() time.Time {
-	return j.arrived.Add(j.objective / 4)
+	slack := time.Duration(slackShare * float64(j.objective-j.chain()))
+	return j.arrived.Add(max(slack, j.objective/4))
 }
 
 // finalAt is when a job is worth nothing any more.
