--- /dev/null
+++ b/internal/frontend/dependencies.go
@@ -0,0 +1,42 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package frontend
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// maxDependencies is how many dependencies are told apart.
+const maxDependencies = 256
+
+// dependencies logs once when a dependency is lost and once when it is regained.
+type dependencies struct {
+	mu     sync.Mutex
+	logger log.Logger
+	// lost holds since when each lost dependency has not answered.
+	lost map[string]time.Time
+}
+
+func newDependencies(logger log.Logger) *dependencies {
+	return &dependencies{logger: logger, lost: make(map[string]time.Time)}
+}
+
+// note takes in the outcome of a call to a dependency.
+func (d *dependencies) note(name string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since, isLost := d.lost[name]
+	switch {
+	case err != nil && !isLost && len(d.lost) < maxDependencies:
+		d.lost[name] = time.Now()
+		_ = level.Warn(d.logger).Log("msg", "dependency lost", "dependency", name, "err", err)
+	case err == nil && isLost:
+		delete(d.lost, name)
+		_ = level.Info(d.logger).Log("msg", "dependency regained", "dependency", name, "after", time.Since(since).Round(time.Millisecond))
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -60,6 +60,7 @@
 	exchanger      *cluster.Exchanger
 	configurations Configurations
 	store          Store
+	dependencies   *dependencies
 	successes      log.Logger
 	others         log.Logger
 	answerTimes    *metric.Times
@@ -96,6 +97,7 @@
 		waiters:    make(map[dispatch.Waiter]chan dispatch.Answer),
 		sessions:   make(map[dispatch.AgentID]*agentSession),
 	}
+	f.dependencies = newDependencies(f.logger)
 	f.successes = logging.NewLimited(level.Info(f.logger), successLines)
 	f.others = logging.NewLimited(level.Info(f.logger), otherLines)
 	f.answerTimes = metrics.Times("answer_time")
--- a/internal/frontend/news.go
+++ b/internal/frontend/news.go
@@ -54,8 +54,8 @@
 	current := false
 	for f.context.Err() == nil {
 		document, members, err := f.nextNews(&current)
+		f.dependencies.note("store", err)
 		if err != nil {
-			_ = level.Warn(f.logger).Log("msg", "no news from the store", "err", err)
 			if !f.pause(storePause) {
 				return
 			}
@@ -118,9 +118,7 @@
 			continue
 		}
 		before, _ := f.directory.Document()
-		if err := f.exchanger.ExchangeWith(f.context, address); err != nil {
-			_ = level.Debug(f.logger).Log("msg", "no exchange", "peer", address, "err", err)
-		}
+		f.dependencies.note("entry "+address, f.exchanger.ExchangeWith(f.context, address))
 		if after, _ := f.directory.Document(); after > before {
 			_ = level.Info(f.logger).Log("msg", "configuration", "version", after, "from", address)
 		}
