Test the dispatcher's decisions by scripts; keep to the bound of tasks on one worker

The script 'steps' failed first: a plan sent two tasks of a step that allows one a worker to the same worker, as it counted only what had been sent before.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -77,6 +77,8 @@
 type candidate struct {
 	agent *agent
 	room  worker.Room
+	// planned counts the tasks of each step that the plan sends there.
+	planned map[int]int
 }
 
 // plan finds room for as many of the tasks as there is, on as few workers as possible: a job suffers from
@@ -109,7 +111,7 @@
 	var candidates []*candidate
 	for _, a := range d.agents {
 		if a.accepts(j.Kind.Service) {
-			candidates = append(candidates, &candidate{agent: a, room: a.room()})
+			candidates = append(candidates, &candidate{agent: a, room: a.room(), planned: make(map[int]int)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *candidate) int {
@@ -134,6 +136,7 @@
 			plan = append(plan, placement{task: t, agent: best.agent})
 		}
 		best.room = best.room.Minus(step.Needs.Times(count))
+		best.planned[group[0].step] += count
 		group = group[count:]
 	}
 	return plan
@@ -148,7 +151,7 @@
 		}
 		fits := step.Needs.Count(c.room, len(group))
 		if step.PerWorker > 0 {
-			fits = min(fits, step.PerWorker-j.countAt(c.agent.id, group[0].step))
+			fits = min(fits, step.PerWorker-j.countAt(c.agent.id, group[0].step)-c.planned[group[0].step])
 		}
 		if fits <= 0 {
 			continue
--- /dev/null
+++ b/internal/dispatch/script_test.go
@@ -0,0 +1,146 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// script runs a dispatcher by the commands of a file in testdata.
+type script struct {
+	t          *testing.T
+	now        time.Time
+	dispatcher *Dispatcher
+	waiter     Waiter
+	numbers    map[AgentID]uint64
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{
+			t: t, now: time.Unix(1_000_000, 0), numbers: make(map[AgentID]uint64),
+			dispatcher: New(Limits{Jobs: 10}, rand.New(rand.NewPCG(1, 2))),
+		}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+// number reads an argument that may be missing.
+func number(d *datadriven.TestData, key string, otherwise int) int {
+	if d.HasArg(key) {
+		d.ScanArgs(current, key, &otherwise)
+	}
+	return otherwise
+}
+
+// current is the test that runs; scripts run one after the other.
+var current *testing.T
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	current = t
+	agent := AgentID(text(d, "agent"))
+	switch d.Cmd {
+	case "agent":
+		agent = AgentID(d.CmdArgs[0].Key)
+		s.handle(AgentUp{Agent: agent})
+		s.handle(WorkerSeen{Agent: agent, Record: worker.Record{ID: "w", Service: "svc", Capacity: worker.Room{CPU: number(d, "cpu", 8000)}}})
+		return s.load(agent, d)
+	case "load":
+		return s.load(AgentID(d.CmdArgs[0].Key), d)
+	case "submit":
+		return s.submit(d)
+	case "run":
+		return s.handle(RunUpdated{Agent: agent, Update: runner.Update{
+			Name: d.CmdArgs[0].Key, Run: uint32(number(d, "run", 1)), Outcome: outcomeOf(t, d.CmdArgs[1].Key),
+		}})
+	case "wait":
+		s.now = s.now.Add(time.Duration(number(d, "ms", 0)) * time.Millisecond)
+		return s.handle(Ticked{})
+	case "down":
+		return s.handle(AgentDown{Agent: AgentID(d.CmdArgs[0].Key)})
+	case "silent":
+		return s.handle(AgentSilent{Agent: AgentID(d.CmdArgs[0].Key)})
+	case "heard":
+		return s.handle(AgentHeard{Agent: AgentID(d.CmdArgs[0].Key)})
+	case "left":
+		return s.handle(CallerLeft{Job: d.CmdArgs[0].Key, Waiter: Waiter(number(d, "waiter", 0))})
+	case "leave":
+		return s.handle(LeaveAsked{Until: s.now.Add(time.Duration(number(d, "ms", 0)) * time.Millisecond)})
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+		return ""
+	}
+}
+
+func text(d *datadriven.TestData, key string) string {
+	var value string
+	if d.HasArg(key) {
+		d.ScanArgs(current, key, &value)
+	}
+	return value
+}
+
+func outcomeOf(t *testing.T, name string) runner.Outcome {
+	for o := runner.OutcomeStarted; o <= runner.OutcomeProgress; o++ {
+		if o.String() == name {
+			return o
+		}
+	}
+	t.Fatalf("unknown outcome %s", name)
+	return 0
+}
+
+func (s *script) load(agent AgentID, d *datadriven.TestData) string {
+	return s.handle(LoadSeen{Agent: agent, Handled: s.numbers[agent], Load: runner.Load{
+		Used: worker.Room{CPU: number(d, "used", 0)}, Accepts: !d.HasArg("refuses"),
+		Slowness: float64(number(d, "slowness", 1)), FailureRate: float64(number(d, "failures", 0)) / 100,
+	}})
+}
+
+func (s *script) submit(d *datadriven.TestData) string {
+	s.waiter++
+	job := Job{
+		ID: d.CmdArgs[0].Key, Payload: "p", Patience: time.Duration(number(d, "patience", 0)) * time.Millisecond,
+		Kind: Kind{
+			Name: "kind", Service: "svc", Priority: number(d, "priority", 0), Attempts: number(d, "attempts", 2),
+			Stretch: 1.6, Target: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond,
+		},
+	}
+	step := Step{
+		Count: number(d, "tasks", 1), Needs: worker.Room{CPU: number(d, "cpu", 1000)},
+		Expected: time.Duration(number(d, "expected", 100)) * time.Millisecond, PerWorker: number(d, "per_worker", 0),
+	}
+	job.Steps = append(job.Steps, step)
+	if then := number(d, "then", 0); then > 0 {
+		step.Count, step.After = then, []int{0}
+		job.Steps = append(job.Steps, step)
+	}
+	return s.handle(Submitted{Job: job, Waiter: s.waiter})
+}
+
+// handle gives the dispatcher an event and prints the effects but notes.
+func (s *script) handle(event Event) string {
+	var out strings.Builder
+	for _, effect := range s.dispatcher.Handle(s.now, event) {
+		switch e := effect.(type) {
+		case StartTask:
+			s.numbers[e.Agent] = e.Number
+			fmt.Fprintf(&out, "start %s at %s run=%d\n", e.Task.Name, e.Agent, e.Task.Run)
+		case StopTask:
+			fmt.Fprintf(&out, "stop %s at %s\n", e.Name, e.Agent)
+		case Reply:
+			fmt.Fprintf(&out, "reply to %v: %s\n", e.Waiters, describe(e.Answer))
+		}
+	}
+	return out.String()
+}
