--- /dev/null
+++ b/internal/runner/script_test.go
@@ -0,0 +1,155 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"sailhead/internal/worker"
+)
+
+// script runs a runner by the commands of a file in testdata.
+type script struct {
+	t      *testing.T
+	now    time.Time
+	runner *Runner
+	number uint64
+	// ends counts the ends that the worker has listed.
+	ends uint64
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{t: t, now: time.Unix(1_000_000, 0), runner: New(DefaultLimits(time.Second, 50*time.Millisecond), 7)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func number(t *testing.T, d *datadriven.TestData, key string, otherwise int) int {
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &otherwise)
+	}
+	return otherwise
+}
+
+// clock is the worker's clock in scripts.
+func (s *script) clock() time.Duration { return time.Duration(s.now.UnixNano()) }
+
+func (s *script) reply() worker.Reply { return worker.Reply{Clock: s.clock(), Received: s.now} }
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	first := ""
+	if len(d.CmdArgs) > 0 {
+		first = d.CmdArgs[0].Key
+	}
+	session := SessionID(number(t, d, "session", 1))
+	life := "w"
+	if d.HasArg("life") {
+		d.ScanArgs(t, "life", &life)
+	}
+	run := uint32(number(t, d, "run", 1))
+	switch d.Cmd {
+	case "worker":
+		return s.handle(WorkerSeen{Record: worker.Record{
+			ID: first, Service: "svc", Capacity: worker.Room{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
+			Sequence: uint64(s.now.UnixMilli()), Clock: s.clock(),
+		}})
+	case "recall":
+		return s.handle(WorkerRecalled{Record: worker.Record{ID: first, Service: "svc", Capacity: worker.Room{CPU: 4000}}})
+	case "gone":
+		return s.handle(WorkerLeft{ID: first})
+	case "open":
+		return s.handle(SessionOpened{Session: session, Entry: first})
+	case "close":
+		return s.handle(SessionClosed{Session: session})
+	case "pong":
+		return s.handle(PongHeard{Session: session, Sent: s.now.Add(-time.Duration(number(t, d, "ago", 0)) * time.Millisecond)})
+	case "start":
+		s.number++
+		return s.handle(StartAsked{Session: session, Number: s.number, Task: Task{
+			Name: first, Run: run, Needs: worker.Room{CPU: number(t, d, "cpu", 1000)}, Expected: 100 * time.Millisecond,
+			MaxWait: time.Duration(number(t, d, "wait", 0)) * time.Millisecond,
+		}})
+	case "stop":
+		return s.handle(StopAsked{Session: session, Name: first})
+	case "started":
+		return s.handle(StartAnswered{Life: life, Name: first, Run: run, Result: s.startResult(t, d.CmdArgs[1].Key)})
+	case "stopped":
+		return s.handle(StopAnswered{Life: life, Name: first, Run: run, Result: s.startResult(t, d.CmdArgs[1].Key).(worker.StopResult)})
+	case "listed":
+		return s.handle(HoldAnswered{Life: life, Asked: s.now, Result: s.listing(t, d)})
+	case "unlisted":
+		return s.handle(HoldAnswered{Life: life, Asked: s.now, Result: worker.Unanswered{}})
+	case "wait":
+		s.now = s.now.Add(time.Duration(number(t, d, "ms", 0)) * time.Millisecond)
+		return s.handle(Ticked{})
+	case "leave":
+		return s.handle(LeaveAsked{})
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+		return ""
+	}
+}
+
+func (s *script) startResult(t *testing.T, name string) worker.StartResult {
+	results := map[string]worker.StartResult{
+		"accepted": worker.Accepted{Reply: s.reply()}, "unanswered": worker.Unanswered{}, "outdated": worker.Outdated{Reply: s.reply()},
+		"fenced": worker.Fenced{Reply: s.reply()}, "late": worker.TooLate{Reply: s.reply()}, "no_room": worker.NoRoom{Reply: s.reply()},
+		"unhealthy": worker.Unhealthy{Reply: s.reply()}, "other_life": worker.OtherLife{Reply: s.reply()}, "not_reached": worker.NotReached{},
+		"invalid": worker.Invalid{Reply: s.reply(), Reason: "x"},
+	}
+	result, ok := results[name]
+	if !ok {
+		t.Fatalf("unknown answer %s", name)
+	}
+	return result
+}
+
+// listing reads the runs of a listing: NAME=RUN for one that goes on, NAME=(RUN,ENDING) for one that has ended.
+func (s *script) listing(t *testing.T, d *datadriven.TestData) worker.Listing {
+	endings := map[string]worker.Ending{"done": worker.EndingDone, "failed": worker.EndingFailed, "stopped": worker.EndingStopped, "lapsed": worker.EndingLapsed}
+	l := worker.Listing{Reply: s.reply()}
+	for _, arg := range d.CmdArgs {
+		var run uint32
+		if _, err := fmt.Sscan(arg.Vals[0], &run); err != nil {
+			t.Fatal(err)
+		}
+		if len(arg.Vals) == 1 {
+			l.Running = append(l.Running, worker.Run{Name: arg.Key, Run: run})
+			continue
+		}
+		s.ends++
+		l.Ended = append(l.Ended, worker.End{Number: s.ends, Name: arg.Key, Run: run, Ending: endings[arg.Vals[1]]})
+	}
+	return l
+}
+
+// handle gives the runner an event and prints the effects but pings and loads.
+func (s *script) handle(event Event) string {
+	var out strings.Builder
+	for _, effect := range s.runner.Handle(s.now, event) {
+		switch e := effect.(type) {
+		case CallStart:
+			fmt.Fprintf(&out, "call start %s run=%d for %s fence=%d\n", e.Start.Name, e.Start.Run, e.Start.Until-s.clock(), e.Start.Fence)
+		case CallStop:
+			fmt.Fprintf(&out, "call stop %s run=%d fence=%d\n", e.Stop.Name, e.Stop.Run, e.Stop.Fence)
+		case CallHold:
+			lease := "none"
+			if e.Hold.Until > 0 {
+				lease = (e.Hold.Until - s.clock()).String()
+			}
+			fmt.Fprintf(&out, "call hold lease=%s last=%d wait=%s\n", lease, e.Hold.LastSeen, e.Hold.Wait)
+		case SendUpdate:
+			fmt.Fprintf(&out, "tell %d: %s run=%d %s %s\n", e.Session, e.Update.Name, e.Update.Run, e.Update.Outcome, e.Update.Reason)
+		case CloseSession:
+			fmt.Fprintf(&out, "close %d: %s\n", e.Session, e.Reason)
+		}
+	}
+	return out.String()
+}
