--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,152 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package session
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/session/sessionpb"
+	"sailhead/internal/worker"
+)
+
+// heard collects what an agent says.
+type heard struct{ messages chan any }
+
+func (h heard) Heard()                      {}
+func (h heard) Worker(record worker.Record) { h.messages <- record }
+func (h heard) Load(handled uint64, load runner.Load) {
+	h.messages <- runner.SendLoad{Handled: handled, Load: load}
+}
+func (h heard) Update(update runner.Update) { h.messages <- update }
+
+func next[T any](t *testing.T, messages <-chan T) T {
+	t.Helper()
+	select {
+	case message := <-messages:
+		return message
+	case <-time.After(5 * time.Second):
+		t.Fatal("no message came")
+		panic("unreachable")
+	}
+}
+
+// pair opens a session between an entry and an agent on loopback.
+func pair(t *testing.T) (*ToAgent, *Server, heard, chan runner.Event) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := make(chan runner.Event, 100)
+	server, closeServer := NewServer(listener, func(e runner.Event) { events <- e })
+	t.Cleanup(closeServer)
+	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(entry.Close)
+	h := heard{messages: make(chan any, 100)}
+	go func() { _ = entry.Serve(h) }()
+	return entry, server, h, events
+}
+
+func TestEveryMessageArrivesWhole(t *testing.T) {
+	entry, server, h, events := pair(t)
+	opened := next(t, events).(runner.SessionOpened)
+	if opened.Entry != "entry-1" {
+		t.Fatalf("%+v", opened)
+	}
+	task := runner.Task{
+		Name: "j.0.0.1", Run: 3, Payload: "p", Needs: worker.Room{CPU: 1, Memory: 2, GPU: 3}, Checkpoint: "c",
+		MaxWait: time.Second, Expected: 2 * time.Second, Priority: 4,
+	}
+	entry.Start(9, task)
+	entry.Stop("j.0.0.1")
+	if got, want := next(t, events), (runner.StartAsked{Session: opened.Session, Number: 9, Task: task}); !reflect.DeepEqual(got, want) {
+		t.Fatalf("%+v", got)
+	}
+	if got, want := next(t, events), (runner.StopAsked{Session: opened.Session, Name: "j.0.0.1"}); got != want {
+		t.Fatalf("%+v", got)
+	}
+	record := worker.Record{ID: "i", Service: "s", Zone: "z", Capacity: worker.Room{CPU: 1, Memory: 2, GPU: 3}, Labels: []string{"a"}}
+	load := runner.Load{Used: worker.Room{CPU: 7}, Accepts: true, Leaving: true, Slowness: 1.5, FailureRate: 0.25}
+	update := runner.Update{Name: "j.0.0.1", Run: 3, Outcome: runner.OutcomeFailed, Reason: "r", Checkpoint: "c", Elapsed: time.Second, Percent: 5}
+	server.Carry(runner.SendWorker{Session: opened.Session, Record: record})
+	server.Carry(runner.SendLoad{Session: opened.Session, Handled: 9, Load: load})
+	server.Carry(runner.SendUpdate{Session: opened.Session, Update: update})
+	for _, want := range []any{record, runner.SendLoad{Handled: 9, Load: load}, update} {
+		if got := next(t, h.messages); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	}
+}
+
+func TestAnEchoTellsWhenItsPingWasSent(t *testing.T) {
+	_, server, _, events := pair(t)
+	opened := next(t, events).(runner.SessionOpened)
+	sent := time.Now().Add(-time.Minute)
+	server.Carry(runner.SendPing{Session: opened.Session, Time: sent})
+	pong := next(t, events).(runner.PongHeard)
+	if pong.Session != opened.Session || !pong.Sent.Equal(sent) {
+		t.Fatalf("%+v, sent %s", pong, sent)
+	}
+}
+
+func TestBothEndsHearTheEndOfASession(t *testing.T) {
+	entry, server, _, events := pair(t)
+	opened := next(t, events).(runner.SessionOpened)
+	entry.Close()
+	if got := next(t, events); got != (runner.SessionClosed{Session: opened.Session}) {
+		t.Fatalf("%+v", got)
+	}
+	// What is sent on a closed session is dropped.
+	server.Carry(runner.SendPing{Session: opened.Session, Time: time.Now()})
+}
+
+func TestAPeerThatTakesNothingIsLost(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	payload := string(make([]byte, 4000))
+	for range 20 * ringSize {
+		entry.Start(1, runner.Task{Name: "t", Payload: payload})
+	}
+	select {
+	case <-entry.connection.closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the session is still open")
+	}
+}
+
+func TestMessagesStaySmall(t *testing.T) {
+	ping := &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Ping{Ping: &sessionpb.Ping{Time: int64(24 * time.Hour)}}}
+	load := packLoad(100_000, runner.Load{Used: worker.Room{CPU: 32_000, Memory: 1024}, Accepts: true, Slowness: 1, FailureRate: 0.1})
+	start := packStart(100_000, runner.Task{
+		Name: "5c0e7a21d94b36f8.0.1.17", Run: 1, Payload: string(make([]byte, 100)),
+		Needs: worker.Room{CPU: 3100, Memory: 64}, Expected: 200 * time.Millisecond, Priority: 1,
+	})
+	update := packUpdate(runner.Update{Name: "5c0e7a21d94b36f8.0.1.17", Run: 1, Outcome: runner.OutcomeDone})
+	for name, c := range map[string]struct {
+		message proto.Message
+		most    int
+	}{"ping": {ping, 12}, "load": {load, 26}, "start": {start, 160}, "update": {update, 36}} {
+		size := proto.Size(c.message)
+		t.Logf("%s: %d bytes", name, size)
+		if size > c.most {
+			t.Errorf("a %s has %d bytes, more than %d", name, size, c.most)
+		}
+	}
+}
