--- a/internal/frontend/submit.go
+++ b/internal/frontend/submit.go
@@ -93,6 +93,13 @@
 	return 0
 }
 
+// Rejected logs a request that was answered without being taken.
+func (f *Frontend) Rejected(path string, status int, reason string) {
+	f.metrics.Add(metric.RequestsRejected, 1)
+	version, _ := f.directory.Document()
+	_ = f.others.Log("msg", "rejected", "path", path, "status", status, "configuration", version, "reason", reason)
+}
+
 // IsReady reports whether the entry takes jobs: it has a configuration, an agent, and does not stop.
 func (f *Frontend) IsReady() bool {
 	version, _ := f.directory.Document()
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -32,6 +32,7 @@
 	PlatformFailures = "platform_failures"
 	ConfigVersion    = "configuration_version"
 	RosterEpoch      = "roster_epoch"
+	RequestsRejected = "requests_rejected"
 	JobsOpen         = "jobs_open"
 	Agents           = "agents"
 	Sessions         = "sessions"
