Give agents up that were not reached for ten minutes; drop what nothing used

Entries remove the record (only if it is still of that incarnation) and remember for an hour that they did, so that others do not bring it back; an agent that lives announces itself. Unused: progress in updates, an agent's zone in the dispatcher. Tests of the directory and of exchanges.

--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -57,17 +58,29 @@
 
 // Directory holds the newest record of each member and the newest configuration.
 type Directory struct {
-	mu       sync.Mutex
-	members  map[string]Member
-	version  uint64
-	document []byte
+	mu      sync.Mutex
+	members map[string]Member
+	// forgotten holds the members that were given up, so that other entries do not bring them back.
+	forgotten map[string]forgotten
+	version   uint64
+	document  []byte
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
+// forgotten is a member that was given up at a time.
+type forgotten struct {
+	incarnation int64
+	at          time.Time
+}
+
+// forgottenTime is how long a member that was given up is not taken from other entries again. All entries give it
+// up within that time.
+const forgottenTime = time.Hour
+
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{members: make(map[string]Member), changed: make(chan struct{})}
+	return &Directory{members: make(map[string]Member), forgotten: make(map[string]forgotten), changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -87,7 +100,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known, ok := d.members[m.Name]
-	if ok && known.Incarnation >= m.Incarnation {
+	if ok && known.Incarnation >= m.Incarnation || d.forgotten[m.Name].incarnation >= m.Incarnation {
 		return false
 	}
 	d.members[m.Name] = m
@@ -95,14 +108,29 @@
 	return true
 }
 
-// RemoveMember forgets a member's record if it is still the one given.
-func (d *Directory) RemoveMember(m Member) {
+// HearMember takes in what a member says of itself, also if it was given up.
+func (d *Directory) HearMember(m Member) {
+	d.mu.Lock()
+	delete(d.forgotten, m.Name)
+	d.mu.Unlock()
+	d.AddMember(m)
+}
+
+// ForgetMember gives a member up if its record is still of the incarnation given.
+func (d *Directory) ForgetMember(now time.Time, m Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.members[m.Name] == m {
-		delete(d.members, m.Name)
-		d.notify()
+	for name, f := range d.forgotten {
+		if now.Sub(f.at) > forgottenTime {
+			delete(d.forgotten, name)
+		}
 	}
+	if d.members[m.Name].Incarnation != m.Incarnation {
+		return
+	}
+	delete(d.members, m.Name)
+	d.forgotten[m.Name] = forgotten{incarnation: m.Incarnation, at: now}
+	d.notify()
 }
 
 // Members returns the members of a role by name.
@@ -155,12 +183,20 @@
 	return view
 }
 
-// addMembers takes in the members of another's view.
-func (d *Directory) addMembers(view *clusterpb.View) {
+// membersOf returns the members of another's view; those without a name or an address are passed over.
+func membersOf(view *clusterpb.View) []Member {
+	var members []Member
 	for _, m := range view.Members {
-		if m.GetName() == "" || m.GetAddress() == "" {
-			continue
+		if m.GetName() != "" && m.GetAddress() != "" {
+			members = append(members, Member{Name: m.Name, Role: Role(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation})
 		}
-		d.AddMember(Member{Name: m.Name, Role: Role(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation})
+	}
+	return members
+}
+
+// addMembers takes in the members of another's view.
+func (d *Directory) addMembers(view *clusterpb.View) {
+	for _, m := range membersOf(view) {
+		d.AddMember(m)
 	}
 }
--- /dev/null
+++ b/internal/cluster/directory_test.go
@@ -0,0 +1,118 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+func agentOf(incarnation int64) Member {
+	return Member{Name: "agent-1", Role: RoleAgent, Zone: "z", Address: "127.0.0.1:1", Incarnation: incarnation}
+}
+
+func TestTheNewestRecordOfAMemberIsKept(t *testing.T) {
+	d := NewDirectory()
+	for _, c := range []struct {
+		incarnation int64
+		news        bool
+	}{{5, true}, {5, false}, {4, false}, {6, true}} {
+		if got := d.AddMember(agentOf(c.incarnation)); got != c.news {
+			t.Errorf("incarnation %d: news %t", c.incarnation, got)
+		}
+	}
+	if got := d.Members(RoleAgent); len(got) != 1 || got[0].Incarnation != 6 || len(d.Members(RoleEntry)) != 0 {
+		t.Fatalf("%v", got)
+	}
+}
+
+func TestAMemberThatWasGivenUpComesBackByItsOwnWordOnly(t *testing.T) {
+	d := NewDirectory()
+	now := time.Unix(1000, 0)
+	d.AddMember(agentOf(5))
+	d.ForgetMember(now, agentOf(4))
+	if len(d.Members(RoleAgent)) != 1 {
+		t.Fatal("a newer incarnation was given up")
+	}
+	d.ForgetMember(now, agentOf(5))
+	if d.AddMember(agentOf(5)) || len(d.Members(RoleAgent)) != 0 {
+		t.Fatal("another entry brought the member back")
+	}
+	d.HearMember(agentOf(5))
+	if len(d.Members(RoleAgent)) != 1 {
+		t.Fatal("the member is not heard")
+	}
+	d.ForgetMember(now, agentOf(5))
+	if !d.AddMember(agentOf(6)) {
+		t.Fatal("a newer incarnation is not taken")
+	}
+	d.ForgetMember(now.Add(2*forgottenTime), agentOf(6))
+	if len(d.forgotten) != 1 {
+		t.Fatalf("%d members are remembered as given up", len(d.forgotten))
+	}
+}
+
+// accept takes documents of one byte, which is their version.
+func accept(document []byte) (uint64, error) {
+	if len(document) != 1 {
+		return 0, errors.New("no document")
+	}
+	return uint64(document[0]), nil
+}
+
+func TestAnExchangeBringsBothSidesTheNewest(t *testing.T) {
+	for name, versions := range map[string][2]byte{"the caller's": {7, 3}, "the other's": {3, 7}, "the same": {7, 7}} {
+		t.Run(name, func(t *testing.T) {
+			own, other := NewDirectory(), NewDirectory()
+			own.SetDocument(uint64(versions[0]), []byte{versions[0]})
+			other.SetDocument(uint64(versions[1]), []byte{versions[1]})
+			own.AddMember(agentOf(1))
+			served, closeServed := NewExchanger(other, accept)
+			defer closeServed()
+			server := httptest.NewServer(served.Handler())
+			defer server.Close()
+			caller, closeCaller := NewExchanger(own, accept)
+			defer closeCaller()
+			if err := caller.ExchangeWith(context.Background(), server.Listener.Addr().String()); err != nil {
+				t.Fatal(err)
+			}
+			for _, d := range []*Directory{own, other} {
+				if version, document := d.Document(); version != 7 || len(document) != 1 || document[0] != 7 {
+					t.Errorf("version %d", version)
+				}
+				if len(d.Members(RoleAgent)) != 1 {
+					t.Error("the member did not travel")
+				}
+			}
+		})
+	}
+}
+
+func TestABadDocumentOfAnotherIsNotTaken(t *testing.T) {
+	d := NewDirectory()
+	e, closeExchanger := NewExchanger(d, accept)
+	defer closeExchanger()
+	other := NewDirectory()
+	other.SetDocument(9, []byte("broken"))
+	e.take(other.view(0, true))
+	if version, _ := d.Document(); version != 0 {
+		t.Fatalf("version %d", version)
+	}
+}
+
+func TestRecordsThatCannotBeRead(t *testing.T) {
+	for _, bad := range []string{"", "{", "[]", `{"name":"a"}`, `{"address":"b"}`} {
+		if m, err := ParseMember([]byte(bad)); err == nil {
+			t.Errorf("%q is read as %v", bad, m)
+		}
+	}
+	want := agentOf(3)
+	if got, err := ParseMember(want.Encode()); err != nil || got != want {
+		t.Errorf("%v %v", got, err)
+	}
+}
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -53,7 +53,9 @@
 
 // Announce answers a process that tells of itself; it serves the twirp interface.
 func (e *Exchanger) Announce(_ context.Context, view *clusterpb.View) (*clusterpb.View, error) {
-	e.directory.addMembers(view)
+	for _, m := range membersOf(view) {
+		e.directory.HearMember(m)
+	}
 	return e.directory.view(0, false), nil
 }
 
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -13,7 +13,6 @@
 // agent is what the dispatcher knows of an agent and its worker.
 type agent struct {
 	id     AgentID
-	zone   string
 	record worker.Record
 	load   runner.Load
 	silent bool
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,7 +58,7 @@
 	case StateAsked:
 		e.Done(d.stateOf(e.Job))
 	case AgentUp:
-		d.agents[e.Agent] = &agent{id: e.Agent, zone: e.Zone}
+		d.agents[e.Agent] = &agent{id: e.Agent}
 		d.emit(Note{Decision: DecisionAgentUp, Agent: e.Agent})
 	case AgentSilent:
 		if a, ok := d.agents[e.Agent]; ok && !a.silent {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -99,10 +99,7 @@
 )
 
 // AgentUp opens a session with an agent.
-type AgentUp struct {
-	Agent AgentID
-	Zone  string
-}
+type AgentUp struct{ Agent AgentID }
 
 // AgentSilent says that nothing was heard from an agent for some time.
 type AgentSilent struct{ Agent AgentID }
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -91,7 +91,7 @@
 }
 
 func outcomeOf(t *testing.T, name string) runner.Outcome {
-	for o := runner.OutcomeStarted; o <= runner.OutcomeProgress; o++ {
+	for o := runner.OutcomeStarted; o <= runner.OutcomeLost; o++ {
 		if o.String() == name {
 			return o
 		}
--- a/internal/frontend/agents.go
+++ b/internal/frontend/agents.go
@@ -21,6 +21,8 @@
 	// redialPause lies between two tries to reach an agent, and grows to redialLimit.
 	redialPause = 100 * time.Millisecond
 	redialLimit = 800 * time.Millisecond
+	// giveUpAfter is how long an agent is not reached before it is given up.
+	giveUpAfter = 10 * time.Minute
 	// silenceInterval is the time between two looks for silent agents.
 	silenceInterval = 50 * time.Millisecond
 	// suspectAfter is the silence from which an agent gets no new tasks.
@@ -101,11 +103,17 @@
 // keepSession opens a session with an agent, again and again.
 func (f *Frontend) keepSession(ctx context.Context, m cluster.Member) {
 	pause := redialPause
+	reached := time.Now()
 	for ctx.Err() == nil {
 		toAgent, err := session.Dial(ctx, m.Address, f.self.Name)
 		if err == nil {
 			pause = redialPause
 			err = f.serveSession(ctx, m, toAgent)
+			reached = time.Now()
+		}
+		if time.Since(reached) > giveUpAfter {
+			f.forgetAgent(m)
+			return
 		}
 		_ = level.Debug(f.logger).Log("msg", "no session", "agent", m.Name, "err", err)
 		select {
@@ -116,6 +124,15 @@
 	}
 }
 
+// forgetAgent gives up an agent that was not reached for long: its machine is gone. One that lives announces itself.
+func (f *Frontend) forgetAgent(m cluster.Member) {
+	_ = level.Info(f.logger).Log("msg", "agent given up", "agent", m.Name, "address", m.Address, "not_reached_for", giveUpAfter)
+	if err := f.store.RemoveMember(m); err != nil {
+		_ = level.Warn(f.logger).Log("msg", "unable to remove the agent's record", "agent", m.Name, "err", err)
+	}
+	f.directory.ForgetMember(time.Now(), m)
+}
+
 func (f *Frontend) serveSession(ctx context.Context, m cluster.Member, toAgent *session.ToAgent) error {
 	s := &agentSession{frontend: f, id: dispatch.AgentID(m.Name), toAgent: toAgent}
 	s.Heard()
@@ -124,7 +141,7 @@
 	f.mu.Lock()
 	f.sessions[s.id] = s
 	f.mu.Unlock()
-	f.post(dispatch.AgentUp{Agent: s.id, Zone: m.Zone})
+	f.post(dispatch.AgentUp{Agent: s.id})
 	err := toAgent.Serve(s)
 	f.mu.Lock()
 	delete(f.sessions, s.id)
--- a/internal/frontend/news.go
+++ b/internal/frontend/news.go
@@ -23,6 +23,8 @@
 	Watch() (document []byte, members []cluster.Member, ok bool, err error)
 	// PutMember writes a member's record.
 	PutMember(cluster.Member) error
+	// RemoveMember removes a member's record if it is still of the incarnation given.
+	RemoveMember(cluster.Member) error
 }
 
 const (
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -199,18 +199,16 @@
 	OutcomeStopped
 	// OutcomeLost says that the run has surely ended with its worker's life or lease.
 	OutcomeLost
-	// OutcomeProgress tells how far a run has come.
-	OutcomeProgress
 )
 
 // IsEnd reports whether the run has surely ended, or surely never began.
 func (o Outcome) IsEnd() bool {
-	return o != OutcomeStarted && o != OutcomeProgress
+	return o != OutcomeStarted
 }
 
 // String returns the outcome as it is logged.
 func (o Outcome) String() string {
-	names := [...]string{"unknown", "started", "not_started", "done", "failed", "stopped", "lost", "progress"}
+	names := [...]string{"unknown", "started", "not_started", "done", "failed", "stopped", "lost"}
 	if o < 0 || int(o) >= len(names) {
 		return names[0]
 	}
@@ -224,6 +222,4 @@
 	Outcome    Outcome
 	Reason     string
 	Checkpoint string
-	Elapsed    time.Duration
-	Percent    int
 }
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -239,7 +239,7 @@
 		return
 	}
 	switch e.Update.Outcome {
-	case OutcomeStarted, OutcomeProgress:
+	case OutcomeStarted:
 		return
 	case OutcomeNotStarted:
 		if s.worker.done[e.Update.Name] > 0 {
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -76,13 +76,13 @@
 func packUpdate(u runner.Update) *sessionpb.FromAgent {
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Update{Update: &sessionpb.Update{
 		Task: u.Name, Run: u.Run, Outcome: sessionpb.Outcome(u.Outcome), Reason: u.Reason,
-		Checkpoint: u.Checkpoint, ElapsedMs: millis(u.Elapsed), Percent: count(u.Percent),
+		Checkpoint: u.Checkpoint,
 	}}}
 }
 
 func unpackUpdate(u *sessionpb.Update) runner.Update {
 	return runner.Update{
 		Name: u.Task, Run: u.Run, Outcome: runner.Outcome(u.Outcome), Reason: u.Reason,
-		Checkpoint: u.Checkpoint, Elapsed: duration(u.ElapsedMs), Percent: int(u.Percent),
+		Checkpoint: u.Checkpoint,
 	}
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -77,7 +77,7 @@
 	}
 	record := worker.Record{ID: "i", Service: "s", Zone: "z", Capacity: worker.Room{CPU: 1, Memory: 2, GPU: 3}, Labels: []string{"a"}}
 	load := runner.Load{Used: worker.Room{CPU: 7}, Accepts: true, Leaving: true, Slowness: 1.5, FailureRate: 0.25}
-	update := runner.Update{Name: "j.0.0.1", Run: 3, Outcome: runner.OutcomeFailed, Reason: "r", Checkpoint: "c", Elapsed: time.Second, Percent: 5}
+	update := runner.Update{Name: "j.0.0.1", Run: 3, Outcome: runner.OutcomeFailed, Reason: "r", Checkpoint: "c"}
 	server.Carry(runner.SendWorker{Session: opened.Session, Record: record})
 	server.Carry(runner.SendLoad{Session: opened.Session, Handled: 9, Load: load})
 	server.Carry(runner.SendUpdate{Session: opened.Session, Update: update})
