--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -27,18 +27,18 @@
 )
 
 // runPlatform runs an entry or an agent on the users' platform until it is told to stop. SIGHUP reads the
-// settings file again and says whether it is good; a restart takes it into use.
+// settings file again: seeds and log level are taken into use, the rest at the next start.
 func runPlatform(s streams, path string, role settings.Role) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	loaded, err := settings.LoadFor(path, role)
 	if err != nil {
 		return err
 	}
 	ring, flush := logging.NewRing(s.out)
 	defer flush()
-	logger := logging.New(ring, logging.Level(loaded.LogLevel), loaded.Name)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	logger, setLevel := logging.NewAdjustable(ring, logging.Level(loaded.LogLevel), loaded.Name)
 	metrics := metric.NewSet()
 	metrics.Publish("sailhead")
 	closeMetrics, err := serveMetrics(loaded, ring)
@@ -46,7 +46,7 @@
 		return err
 	}
 	defer closeMetrics()
-	stop, err := startOnPlatform(loaded, logger, metrics)
+	p, err := startOnPlatform(loaded, logger, metrics)
 	if err != nil {
 		_ = level.Error(logger).Log("msg", "unable to start", "err", err)
 		return err
@@ -56,10 +56,20 @@
 			_ = level.Info(logger).Log("msg", "stopping", "signal", received)
 			break
 		}
-		_, err := settings.LoadFor(path, role)
+		reloaded, err := settings.LoadFor(path, role)
 		_ = level.Info(logger).Log("msg", "settings read again", "err", err)
+		if err == nil {
+			setLevel(logging.Level(reloaded.LogLevel))
+			p.setSeeds(seedsOf(reloaded))
+		}
 	}
-	return stop()
+	return p.stop()
+}
+
+// onPlatform is a started process on the users' platform.
+type onPlatform struct {
+	stop     func() error
+	setSeeds func([]string)
 }
 
 // serveMetrics shows the counters and histograms of the process, and how many lines of the log were dropped.
@@ -82,7 +92,7 @@
 // droppedLines names the counter of the log's lines that were dropped.
 const droppedLines = "log_lines_dropped"
 
-func startOnPlatform(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
+func startOnPlatform(s settings.Settings, logger log.Logger, metrics *metric.Set) (onPlatform, error) {
 	if s.Role == settings.RolePlatformEntry {
 		return startPlatformEntry(s, logger, metrics)
 	}
@@ -124,10 +134,10 @@
 	pollPause  = 20 * time.Millisecond
 )
 
-func startPlatformEntry(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
+func startPlatformEntry(s settings.Settings, logger log.Logger, metrics *metric.Set) (onPlatform, error) {
 	listeners, err := listen(s.CallerAddress, s.ReadyAddress, s.PeerAddress)
 	if err != nil {
-		return nil, err
+		return onPlatform{}, err
 	}
 	store, closeStore := platform.NewStore(string(s.PlatformAddress))
 	configurations := &platform.Configurations{}
@@ -136,13 +146,13 @@
 	}, configurations, platform.NewNews(store), logger, metrics)
 	closeReady := platform.NewReadiness(listeners[1], entry)
 	ingress := platform.NewIngress(listeners[0], configurations.Current, entry)
-	return func() error {
+	return onPlatform{setSeeds: entry.SetSeeds, stop: func() error {
 		err := stopEntry(entry, ingress)
 		closeReady()
 		closeEntry()
 		closeStore()
 		return err
-	}, nil
+	}}, nil
 }
 
 // stopEntry stops an entry as planned: every request that arrives is answered. Once the balancer sends no more
@@ -164,10 +174,10 @@
 	return ingress.Shutdown(ctx)
 }
 
-func startPlatformAgent(s settings.Settings, logger log.Logger, metrics *metric.Set) (func() error, error) {
+func startPlatformAgent(s settings.Settings, logger log.Logger, metrics *metric.Set) (onPlatform, error) {
 	listeners, err := listen(s.HeartbeatAddress, s.PeerAddress)
 	if err != nil {
-		return nil, err
+		return onPlatform{}, err
 	}
 	store, closeStore := platform.NewStore(string(s.PlatformAddress))
 	worker, closeWorker := platform.NewWorker(string(s.BackendAddress))
@@ -176,11 +186,11 @@
 		Limits: runner.DefaultLimits(s.HoldTime, s.StopTime), StopTimeout: s.StopTimeout, Ring: s.Ring,
 	}, worker, platform.NewNews(store), logger, metrics)
 	closeHeartbeats := platform.NewHeartbeats(listeners[0], agent)
-	return func() error {
+	return onPlatform{setSeeds: agent.SetSeeds, stop: func() error {
 		err := closeAgent()
 		closeHeartbeats()
 		closeWorker()
 		closeStore()
 		return err
-	}, nil
+	}}, nil
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -73,6 +73,7 @@
 	cancel         context.CancelFunc
 	duties         sync.WaitGroup
 	leaving        atomic.Bool
+	seeds          atomic.Pointer[[]string]
 	nextWaiter     atomic.Uint64
 
 	mu       sync.Mutex
@@ -102,6 +103,7 @@
 	f.others = logging.NewLimited(level.Info(f.logger), otherLines)
 	f.answerTimes = metrics.Times("answer_time")
 	f.queueTimes = metrics.Times("queue_time")
+	f.SetSeeds(settings.Seeds)
 	f.context, f.cancel = context.WithCancel(context.Background())
 	exchanger, closeExchanger := cluster.NewExchanger(f.directory, configurations.Accept)
 	f.exchanger = exchanger
@@ -119,6 +121,11 @@
 	}
 }
 
+// SetSeeds takes other entries to learn from into use.
+func (f *Frontend) SetSeeds(seeds []string) {
+	f.seeds.Store(&seeds)
+}
+
 // Knows reports whether so many entries are known, this one among them.
 func (f *Frontend) Knows(entries int) bool {
 	return len(f.directory.Members(cluster.RoleEntry)) >= entries
--- a/internal/frontend/news.go
+++ b/internal/frontend/news.go
@@ -133,7 +133,7 @@
 	for _, m := range f.directory.Members(cluster.RoleEntry) {
 		addresses = append(addresses, m.Address)
 	}
-	addresses = append(addresses, f.settings.Seeds...)
+	addresses = append(addresses, *f.seeds.Load()...)
 	var others []string
 	for _, address := range addresses {
 		if address != f.self.Address {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -29,6 +29,17 @@
 	return log.With(logger, "time", log.DefaultTimestampUTC, "process", process)
 }
 
+// NewAdjustable returns the root logger of a process and a function that changes the least severity.
+func NewAdjustable(out io.Writer, least Level, process string) (log.Logger, func(Level)) {
+	swap := new(log.SwapLogger)
+	root := log.NewLogfmtLogger(log.NewSyncWriter(out))
+	set := func(least Level) {
+		swap.Swap(level.NewFilter(root, level.Allow(level.ParseDefault(string(least), level.InfoValue()))))
+	}
+	set(least)
+	return log.With(swap, "time", log.DefaultTimestampUTC, "process", process), set
+}
+
 // Part returns the logger of one part; each of its lines carries the part's prefix.
 func Part(logger log.Logger, part string) log.Logger {
 	return log.With(logger, "part", part)
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 )
 
 func TestAFullRingDropsCountsAndTells(t *testing.T) {
@@ -72,3 +73,15 @@
 		_ = logger.Log("msg", "answered", "job", "5c0e7a21d94b36f8", "kind", "r1", "age", "12ms", "detail", "completed")
 	}
 }
+
+func TestTheLevelChangesWhileTheProcessRuns(t *testing.T) {
+	var out bytes.Buffer
+	logger, setLevel := NewAdjustable(&out, LevelInfo, "process")
+	part := Part(logger, "entry")
+	_ = level.Debug(part).Log("msg", "first")
+	setLevel(LevelDebug)
+	_ = level.Debug(part).Log("msg", "second")
+	if text := out.String(); strings.Contains(text, "first") || !strings.Contains(text, "second") || !strings.Contains(text, "part=entry") {
+		t.Fatal(text)
+	}
+}
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -62,13 +62,16 @@
 
 // put writes a record, and tries until that is done.
 func (s *Sidecar) put(member cluster.Member) bool {
-	for {
+	began := time.Now()
+	for tries := 1; ; tries++ {
 		err := s.store.PutMember(member)
 		if err == nil {
-			_ = level.Info(s.logger).Log("msg", "registered in the store", "worker", lifeOf(member.Worker))
+			_ = level.Info(s.logger).Log("msg", "registered in the store", "worker", lifeOf(member.Worker), "tries", tries, "after", time.Since(began).Round(time.Millisecond))
 			return true
 		}
-		_ = level.Warn(s.logger).Log("msg", "unable to register in the store", "err", err)
+		if tries == 1 {
+			_ = level.Warn(s.logger).Log("msg", "dependency lost", "dependency", "store", "err", err)
+		}
 		select {
 		case <-s.context.Done():
 			return false
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -72,6 +73,7 @@
 	logger    log.Logger
 	metrics   *metric.Set
 	events    chan runner.Event
+	seeds     atomic.Pointer[[]string]
 	context   context.Context
 	cancel    context.CancelFunc
 	duties    sync.WaitGroup
@@ -104,6 +106,7 @@
 	}
 	s.runTimes = metrics.Times("run_time")
 	s.startTimes = metrics.Times("start_time")
+	s.SetSeeds(settings.Seeds)
 	s.context, s.cancel = context.WithCancel(context.Background())
 	exchanger, closeExchanger := cluster.NewExchanger(cluster.NewDirectory(), refuseDocument)
 	s.exchanger = exchanger
@@ -123,6 +126,11 @@
 	}
 }
 
+// SetSeeds takes other entries to announce this agent to into use.
+func (s *Sidecar) SetSeeds(seeds []string) {
+	s.seeds.Store(&seeds)
+}
+
 // refuseDocument takes no configuration: agents need none.
 func refuseDocument([]byte) (uint64, error) {
 	return 0, errors.New("sidecar: agents take no configuration")
@@ -243,8 +251,9 @@
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
-		if _, entries := s.counts(); entries == 0 && len(s.settings.Seeds) > 0 {
-			seed := s.settings.Seeds[rand.IntN(len(s.settings.Seeds))]
+		if _, entries := s.counts(); entries == 0 && len(*s.seeds.Load()) > 0 {
+			seeds := *s.seeds.Load()
+			seed := seeds[rand.IntN(len(seeds))]
 			if err := s.exchanger.AnnounceTo(s.context, seed, s.self); err != nil {
 				_ = level.Debug(s.logger).Log("msg", "unable to announce", "err", err)
 			}
