--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,8 +8,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"sailhead/internal/runner"
 )
 
 // Limits bound what a dispatcher holds.
@@ -154,10 +152,6 @@
 }
 
 // comeBack spreads a pause, so that the return is no burst.
-func (d *Dispatcher) comeBack(pause time.Duration) time.Duration {
-	return pause + time.Duration(d.random.Int64N(int64(pause)+1))
-}
-
 // enqueue puts a job among those with tasks to place: begun ones first, then by priority and arrival.
 func (d *Dispatcher) enqueue(j *job) {
 	if slices.Contains(d.waiting, j) {
@@ -190,95 +184,11 @@
 	}
 }
 
-func (d *Dispatcher) callerLeft(now time.Time, e CallerLeft) {
-	j, ok := d.jobs[e.Job]
-	if !ok {
-		return
-	}
-	j.waiters = slices.DeleteFunc(j.waiters, func(w Waiter) bool { return w == e.Waiter })
-	if len(j.waiters) > 0 {
-		return
-	}
-	d.note(now, j, DecisionLeft, "")
-	d.drop(now, j)
-}
-
-func (d *Dispatcher) cancel(now time.Time, e Cancelled) {
-	j, ok := d.jobs[e.Job]
-	if ok {
-		d.finish(now, j, Interrupted{Reason: "the job was cancelled"})
-	}
-	e.Done(ok)
-}
-
 // drop forgets a job and stops its tasks.
-func (d *Dispatcher) drop(now time.Time, j *job) {
-	delete(d.jobs, j.ID)
-	d.dequeue(j)
-	for _, t := range j.tasks {
-		switch {
-		case t.state == taskSent:
-			d.ending[t.name] = ending{agent: t.agent}
-			d.emit(StopTask{Agent: t.agent, Name: t.name})
-		case t.state == taskPending && now.Before(t.settled):
-			d.ending[t.name] = ending{agent: t.agent, settled: t.settled}
-		}
-	}
-}
-
 // finish answers a job at once and stops what it still runs.
-func (d *Dispatcher) finish(now time.Time, j *job, answer Answer) {
-	d.emit(Reply{Waiters: j.waiters, Answer: answer})
-	d.note(now, j, DecisionAnswered, describe(answer))
-	d.drop(now, j)
-}
-
 // giveUp answers a job that will not be done.
-func (d *Dispatcher) giveUp(now time.Time, j *job, reason string) {
-	if j.mayHaveBegun() {
-		d.finish(now, j, Interrupted{Reason: reason})
-		return
-	}
-	d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.comeBack(time.Second)})
-}
-
-func (d *Dispatcher) agentDown(now time.Time, id AgentID) {
-	if _, ok := d.agents[id]; !ok {
-		return
-	}
-	delete(d.agents, id)
-	d.emit(Note{Decision: DecisionAgentDown, Agent: id})
-	for name, last := range d.ending {
-		if last.agent == id && last.settled.IsZero() {
-			d.ending[name] = ending{agent: id, settled: now.Add(settleTime)}
-		}
-	}
-	for _, j := range d.jobsInOrder() {
-		for _, t := range j.tasks {
-			if t.state == taskSent && t.agent == id {
-				j.begun = true
-				d.lose(now, j, t, settleTime)
-			}
-		}
-	}
-}
-
 // ending is a run of a dropped job that may go on.
-type ending struct {
-	agent AgentID
-	// settled is when the run has surely ended; nothing while its agent is to tell.
-	settled time.Time
-}
-
 // forgetEnded forgets the runs of dropped jobs that have surely ended.
-func (d *Dispatcher) forgetEnded(now time.Time) {
-	for name, last := range d.ending {
-		if !last.settled.IsZero() && !now.Before(last.settled) {
-			delete(d.ending, name)
-		}
-	}
-}
-
 // jobsInOrder returns the jobs in a fixed order.
 func (d *Dispatcher) jobsInOrder() []*job {
 	jobs := make([]*job, 0, len(d.jobs))
@@ -290,133 +200,9 @@
 }
 
 // lose makes a task pending again after a pause.
-func (d *Dispatcher) lose(now time.Time, j *job, t *task, pause time.Duration) {
-	t.state = taskPending
-	t.settled = now.Add(pause)
-	d.enqueue(j)
-}
-
-func (d *Dispatcher) updateRun(now time.Time, e RunUpdated) {
-	if last, ok := d.ending[e.Update.Name]; ok && last.agent == e.Agent {
-		if e.Update.Outcome.IsEnd() {
-			delete(d.ending, e.Update.Name)
-		}
-		return
-	}
-	j, t := d.find(e.Update.Name)
-	if t == nil || t.state != taskSent || t.agent != e.Agent {
-		return
-	}
-	t.run = max(t.run, e.Update.Run)
-	if e.Update.Outcome != runner.OutcomeNotStarted {
-		j.begun = true
-	}
-	if e.Update.Outcome.IsEnd() {
-		d.noteEnd(now, j, t, e)
-	}
-	switch e.Update.Outcome {
-	case runner.OutcomeDone:
-		t.state = taskDone
-		j.open[t.step]--
-		if j.isDone() {
-			d.finish(now, j, Completed{})
-			return
-		}
-		d.enqueue(j)
-	case runner.OutcomeFailed:
-		d.fail(now, j, t, e.Agent)
-	case runner.OutcomeNotStarted:
-		d.lose(now, j, t, 0)
-	case runner.OutcomeStopped, runner.OutcomeLost:
-		t.checkpoint = e.Update.Checkpoint
-		d.lose(now, j, t, 0)
-	}
-}
-
 // extraAttempts is how many runs may fail beyond the limit on workers whose runs fail anyway.
-const extraAttempts = 3
-
 // fail counts a failed run and lets the task run again elsewhere, or ends the job.
-func (d *Dispatcher) fail(now time.Time, j *job, t *task, id AgentID) {
-	t.failures++
-	t.avoid = append(t.avoid, id)
-	allowed := max(j.Kind.Attempts, 1)
-	if a, ok := d.agents[id]; ok && !a.isSound() {
-		allowed += extraAttempts
-	}
-	if t.failures >= allowed {
-		d.finish(now, j, Failed{})
-		return
-	}
-	d.lose(now, j, t, 0)
-}
-
 // find returns the job and the task of a task's name.
-func (d *Dispatcher) find(name string) (*job, *task) {
-	for i := range name {
-		if name[i] == '.' {
-			if j, ok := d.jobs[name[:i]]; ok {
-				return j, j.task(name)
-			}
-			break
-		}
-	}
-	return nil, nil
-}
-
 // expire refuses what waits too long and gives up what is worth nothing any more.
-func (d *Dispatcher) expire(now time.Time) {
-	for _, j := range slices.Clone(d.waiting) {
-		if !j.mayHaveBegun() && now.After(j.refuseAt()) {
-			d.giveUp(now, j, "no worker has room in time: "+d.describeRoom(j))
-		}
-	}
-	for _, j := range d.jobsInOrder() {
-		switch {
-		case now.After(j.finalAt()):
-			d.giveUp(now, j, "the job's time is over")
-		case !d.leaving.IsZero() && now.After(d.leaving):
-			d.giveUp(now, j, "the entry stops")
-		}
-	}
-}
-
-func (d *Dispatcher) note(now time.Time, j *job, decision Decision, detail string) {
-	d.emit(Note{Decision: decision, Job: j.ID, Kind: j.Kind.Name, Age: now.Sub(j.arrived), Detail: detail})
-}
-
-func (d *Dispatcher) noteEnd(now time.Time, j *job, t *task, e RunUpdated) {
-	d.emit(Note{
-		Decision: DecisionEnded, Job: j.ID, Task: t.name, Run: e.Update.Run, Agent: e.Agent, Kind: j.Kind.Name,
-		Age: now.Sub(j.arrived), Detail: e.Update.Outcome.String() + " " + e.Update.Reason,
-	})
-}
-
 // describeRoom tells what a refusal rests on.
-func (d *Dispatcher) describeRoom(j *job) string {
-	var accepting, free int
-	for _, a := range d.agents {
-		if a.accepts(j.Kind.Service) {
-			accepting++
-			free += max(a.room().CPU, 0)
-		}
-	}
-	return fmt.Sprintf("tasks=%d needs_cpu=%d agents=%d accepting=%d free_cpu=%d waiting=%d",
-		len(j.tasks), j.Steps[0].Needs.CPU, len(d.agents), accepting, free, len(d.waiting))
-}
-
 // describe returns an answer as it is logged.
-func describe(answer Answer) string {
-	switch a := answer.(type) {
-	case Completed:
-		return "completed"
-	case Failed:
-		return "failed"
-	case NotRun:
-		return "not_run: " + a.Reason
-	case Interrupted:
-		return "interrupted: " + a.Reason
-	default:
-		return "unknown"
-	}
-}
--- /dev/null
+++ b/internal/dispatch/runs.go
@@ -0,0 +1,116 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"time"
+
+	"sailhead/internal/runner"
+)
+
+func (d *Dispatcher) agentDown(now time.Time, id AgentID) {
+	if _, ok := d.agents[id]; !ok {
+		return
+	}
+	delete(d.agents, id)
+	d.emit(Note{Decision: DecisionAgentDown, Agent: id})
+	for name, last := range d.ending {
+		if last.agent == id && last.settled.IsZero() {
+			d.ending[name] = ending{agent: id, settled: now.Add(settleTime)}
+		}
+	}
+	for _, j := range d.jobsInOrder() {
+		for _, t := range j.tasks {
+			if t.state == taskSent && t.agent == id {
+				j.begun = true
+				d.lose(now, j, t, settleTime)
+			}
+		}
+	}
+}
+
+type ending struct {
+	agent AgentID
+	// settled is when the run has surely ended; nothing while its agent is to tell.
+	settled time.Time
+}
+
+func (d *Dispatcher) forgetEnded(now time.Time) {
+	for name, last := range d.ending {
+		if !last.settled.IsZero() && !now.Before(last.settled) {
+			delete(d.ending, name)
+		}
+	}
+}
+
+func (d *Dispatcher) lose(now time.Time, j *job, t *task, pause time.Duration) {
+	t.state = taskPending
+	t.settled = now.Add(pause)
+	d.enqueue(j)
+}
+
+func (d *Dispatcher) updateRun(now time.Time, e RunUpdated) {
+	if last, ok := d.ending[e.Update.Name]; ok && last.agent == e.Agent {
+		if e.Update.Outcome.IsEnd() {
+			delete(d.ending, e.Update.Name)
+		}
+		return
+	}
+	j, t := d.find(e.Update.Name)
+	if t == nil || t.state != taskSent || t.agent != e.Agent {
+		return
+	}
+	t.run = max(t.run, e.Update.Run)
+	if e.Update.Outcome != runner.OutcomeNotStarted {
+		j.begun = true
+	}
+	if e.Update.Outcome.IsEnd() {
+		d.noteEnd(now, j, t, e)
+	}
+	switch e.Update.Outcome {
+	case runner.OutcomeDone:
+		t.state = taskDone
+		j.open[t.step]--
+		if j.isDone() {
+			d.finish(now, j, Completed{})
+			return
+		}
+		d.enqueue(j)
+	case runner.OutcomeFailed:
+		d.fail(now, j, t, e.Agent)
+	case runner.OutcomeNotStarted:
+		d.lose(now, j, t, 0)
+	case runner.OutcomeStopped, runner.OutcomeLost:
+		t.checkpoint = e.Update.Checkpoint
+		d.lose(now, j, t, 0)
+	}
+}
+
+const extraAttempts = 3
+
+func (d *Dispatcher) fail(now time.Time, j *job, t *task, id AgentID) {
+	t.failures++
+	t.avoid = append(t.avoid, id)
+	allowed := max(j.Kind.Attempts, 1)
+	if a, ok := d.agents[id]; ok && !a.isSound() {
+		allowed += extraAttempts
+	}
+	if t.failures >= allowed {
+		d.finish(now, j, Failed{})
+		return
+	}
+	d.lose(now, j, t, 0)
+}
+
+func (d *Dispatcher) find(name string) (*job, *task) {
+	for i := range name {
+		if name[i] == '.' {
+			if j, ok := d.jobs[name[:i]]; ok {
+				return j, j.task(name)
+			}
+			break
+		}
+	}
+	return nil, nil
+}
