Keep each comment with what it describes; move a job up once it has begun

A job that began in part stayed where it was in the queue, which is searched by halves: it is put in again.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -9,6 +9,7 @@
 	"time"
 )
 
+// comeBack spreads a pause, so that the return is no burst.
 func (d *Dispatcher) comeBack(pause time.Duration) time.Duration {
 	return pause + time.Duration(d.random.Int64N(int64(pause)+1))
 }
@@ -34,6 +35,7 @@
 	e.Done(ok)
 }
 
+// drop forgets a job and stops its tasks.
 func (d *Dispatcher) drop(now time.Time, j *job) {
 	delete(d.jobs, j.ID)
 	d.dequeue(j)
@@ -48,12 +50,14 @@
 	}
 }
 
+// finish answers a job at once and stops what it still runs.
 func (d *Dispatcher) finish(now time.Time, j *job, answer Answer) {
 	d.emit(Reply{Waiters: j.waiters, Answer: answer})
 	d.note(now, j, DecisionAnswered, describe(answer))
 	d.drop(now, j)
 }
 
+// giveUp answers a job that will not be done.
 func (d *Dispatcher) giveUp(now time.Time, j *job, reason string) {
 	if j.mayHaveBegun() {
 		d.finish(now, j, Interrupted{Reason: reason})
@@ -62,6 +66,7 @@
 	d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.comeBack(time.Second)})
 }
 
+// expire refuses what waits too long and gives up what is worth nothing any more.
 func (d *Dispatcher) expire(now time.Time) {
 	for _, j := range slices.Clone(d.waiting) {
 		if !j.mayHaveBegun() && now.After(j.refuseAt()) {
@@ -89,6 +94,7 @@
 	})
 }
 
+// describeRoom tells what a refusal rests on.
 func (d *Dispatcher) describeRoom(j *job) string {
 	var accepting, free int
 	for _, a := range d.agents {
@@ -101,6 +107,7 @@
 		len(j.tasks), j.Steps[0].Needs.CPU, len(d.agents), accepting, free, len(d.waiting))
 }
 
+// describe returns an answer as it is logged.
 func describe(answer Answer) string {
 	switch a := answer.(type) {
 	case Completed:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,7 +151,6 @@
 	}
 }
 
-// comeBack spreads a pause, so that the return is no burst.
 // enqueue puts a job among those with tasks to place: begun ones first, then by priority and arrival.
 func (d *Dispatcher) enqueue(j *job) {
 	if slices.Contains(d.waiting, j) {
@@ -184,11 +183,6 @@
 	}
 }
 
-// drop forgets a job and stops its tasks.
-// finish answers a job at once and stops what it still runs.
-// giveUp answers a job that will not be done.
-// ending is a run of a dropped job that may go on.
-// forgetEnded forgets the runs of dropped jobs that have surely ended.
 // jobsInOrder returns the jobs in a fixed order.
 func (d *Dispatcher) jobsInOrder() []*job {
 	jobs := make([]*job, 0, len(d.jobs))
@@ -198,11 +192,3 @@
 	slices.SortFunc(jobs, func(a, b *job) int { return a.arrived.Compare(b.arrived) })
 	return jobs
 }
-
-// lose makes a task pending again after a pause.
-// extraAttempts is how many runs may fail beyond the limit on workers whose runs fail anyway.
-// fail counts a failed run and lets the task run again elsewhere, or ends the job.
-// find returns the job and the task of a task's name.
-// expire refuses what waits too long and gives up what is worth nothing any more.
-// describeRoom tells what a refusal rests on.
-// describe returns an answer as it is logged.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,6 +33,9 @@
 			d.send(now, j, p.task, p.agent)
 		}
 		if len(plan) < len(tasks) {
+			// A job that has begun moves up.
+			d.dequeue(j)
+			d.enqueue(j)
 			return
 		}
 		d.dequeueUnlessSettling(now, j)
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -30,12 +30,14 @@
 	}
 }
 
+// ending is a run of a dropped job that may go on.
 type ending struct {
 	agent AgentID
 	// settled is when the run has surely ended; nothing while its agent is to tell.
 	settled time.Time
 }
 
+// forgetEnded forgets the runs of dropped jobs that have surely ended.
 func (d *Dispatcher) forgetEnded(now time.Time) {
 	for name, last := range d.ending {
 		if !last.settled.IsZero() && !now.Before(last.settled) {
@@ -44,6 +46,7 @@
 	}
 }
 
+// lose makes a task pending again after a pause.
 func (d *Dispatcher) lose(now time.Time, j *job, t *task, pause time.Duration) {
 	t.state = taskPending
 	t.settled = now.Add(pause)
@@ -87,8 +90,10 @@
 	}
 }
 
+// extraAttempts is how many runs may fail beyond the limit on workers whose runs fail anyway.
 const extraAttempts = 3
 
+// fail counts a failed run and lets the task run again elsewhere, or ends the job.
 func (d *Dispatcher) fail(now time.Time, j *job, t *task, id AgentID) {
 	t.failures++
 	t.avoid = append(t.avoid, id)
@@ -103,6 +108,7 @@
 	d.lose(now, j, t, 0)
 }
 
+// find returns the job and the task of a task's name.
 func (d *Dispatcher) find(name string) (*job, *task) {
 	for i := range name {
 		if name[i] == '.' {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -10,6 +10,7 @@
 	"sailhead/internal/worker"
 )
 
+// dropWaiting refuses the tasks that have waited for too long.
 func (r *Runner) dropWaiting(now time.Time) {
 	for _, t := range slices.Clone(r.queue) {
 		if now.Sub(t.arrived) > t.MaxWait {
@@ -19,6 +20,7 @@
 	}
 }
 
+// fill starts waiting tasks while there is room, the most urgent first.
 func (r *Runner) fill(now time.Time) {
 	if len(r.queue) == 0 || r.refusal(now) != "" || now.Before(r.life.fullUntil) {
 		r.bounce()
@@ -39,6 +41,7 @@
 	r.bounce()
 }
 
+// bounce refuses at once the tasks that found no room and must not wait.
 func (r *Runner) bounce() {
 	for _, t := range slices.Clone(r.queue) {
 		if t.MaxWait == 0 && !t.again {
@@ -67,6 +70,7 @@
 	})
 }
 
+// requeue lets a task run again, first in the queue.
 func (r *Runner) requeue(t *task) {
 	t.state = stateQueued
 	t.again = true
@@ -75,6 +79,7 @@
 	r.markLoad()
 }
 
+// current returns the task of an answer if it is about the present run at the present life.
 func (r *Runner) current(lifeID, name string, run uint32) (*task, bool) {
 	if r.life == nil || r.life.record.ID != lifeID {
 		return nil, false
@@ -124,10 +129,12 @@
 	}
 }
 
+// raiseFence takes a fencing token above one that the worker has seen.
 func (r *Runner) raiseFence() {
 	r.fence += fenceStep
 }
 
+// heed takes in what any answer says of the worker itself.
 func (r *Runner) heed(now time.Time, lifeID string, result any) {
 	if r.life == nil || r.life.record.ID != lifeID {
 		return
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -157,11 +157,3 @@
 		r.emit(SendUpdate{Session: id, Update: update})
 	}
 }
-
-// dropWaiting refuses the tasks that have waited for too long.
-// fill starts waiting tasks while there is room, the most urgent first.
-// bounce refuses at once the tasks that found no room and must not wait.
-// requeue lets a task run again, first in the queue.
-// current returns the task of an answer if it is about the present run at the present life.
-// raiseFence takes a fencing token above one that the worker has seen.
-// heed takes in what any answer says of the worker itself.
