--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -24,9 +24,8 @@
 
 // New returns the root logger of a process.
 func New(out io.Writer, least Level, process string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(out))
-	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(string(least), level.InfoValue())))
-	return log.With(logger, "time", log.DefaultTimestampUTC, "process", process)
+	logger, _ := NewAdjustable(out, least, process)
+	return logger
 }
 
 // NewAdjustable returns the root logger of a process and a function that changes the least severity.
