Keep a pause between calls to a worker that ends its connections

Cause: a hold that waits was sent again as soon as the one before had failed. The same loop stood in listings for runs in doubt and in stops. Ruled out: reset connections (one burst at 4 s, three entries), restarts of agents (none).

--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -12,19 +12,27 @@
 // hold prolongs what runs: by calls that do not wait, several in the time of a lease, and beside them by
 // one that waits for an end.
 func (r *Runner) hold(now time.Time) {
-	pause := idlePause
-	if len(r.active()) > 0 {
-		pause = holdPause
-	}
-	if now.Sub(r.life.held) >= pause {
+	if now.Sub(r.life.held) >= r.holdPause() {
 		r.list(now)
 	}
-	if !r.life.waiting && len(r.active()) > 0 {
+	if !r.life.waiting && r.hasActive() && !now.Before(r.life.waitAfter) {
 		r.life.waiting = true
 		r.callHold(now, holdWait)
 	}
 }
 
+// holdPause returns the time between two calls to hold that do not wait.
+func (r *Runner) holdPause() time.Duration {
+	switch {
+	case r.isInDoubt():
+		return retryPause
+	case r.hasActive():
+		return holdPause
+	default:
+		return idlePause
+	}
+}
+
 // list asks for the worker's lists at once.
 func (r *Runner) list(now time.Time) {
 	r.life.held = now
@@ -47,6 +55,9 @@
 	}
 	if e.Waited {
 		r.life.waiting = false
+		if _, isListing := e.Result.(worker.Listing); !isListing {
+			r.life.waitAfter = now.Add(holdPause)
+		}
 	}
 	switch result := e.Result.(type) {
 	case worker.Listing:
@@ -56,9 +67,6 @@
 		r.list(now)
 	case worker.Unanswered:
 		r.checkUnlisted(now, e.Asked)
-		if !e.Waited && r.isInDoubt() && !r.life.isSilent(now) {
-			r.list(now)
-		}
 	default:
 		r.heed(now, e.Life, e.Result)
 	}
@@ -209,6 +217,13 @@
 	}
 }
 
+// repeatStop repeats a stop that was not answered, unless that was told at once: the next tick repeats it then.
+func (r *Runner) repeatStop(now time.Time, t *task) {
+	if t.state == stateStopping && t.stopAnswered.IsZero() && now.Sub(t.stopping) >= retryPause && !r.life.isSilent(now) {
+		r.callStop(now, t)
+	}
+}
+
 func (r *Runner) stopAnswered(now time.Time, e StopAnswered) {
 	t, ok := r.current(e.Life, e.Name, e.Run)
 	switch e.Result.(type) {
@@ -224,8 +239,8 @@
 			r.callStop(now, t)
 		}
 	case worker.Unanswered:
-		if ok && t.state == stateStopping && t.stopAnswered.IsZero() && !r.life.isSilent(now) {
-			r.callStop(now, t)
+		if ok {
+			r.repeatStop(now, t)
 		}
 	default:
 		r.heed(now, e.Life, e.Result)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -47,6 +47,9 @@
 	silence = 300 * time.Millisecond
 	// repeatPause is the time between two calls to stop the same run.
 	repeatPause = 40 * time.Millisecond
+	// retryPause is the shortest time between two calls of which the first was not answered: a worker that ends
+	// its connections would be called without end.
+	retryPause = 20 * time.Millisecond
 	// unhealthyTime is how long a worker that refused a call as unhealthy gets no tasks.
 	unhealthyTime = 400 * time.Millisecond
 	// loadPause is the shortest time between two loads to a session.
@@ -90,8 +93,9 @@
 	granted time.Time
 	// held is when a hold was last sent.
 	held time.Time
-	// waiting is set while a hold waits at the worker.
-	waiting bool
+	// waiting is set while a hold waits at the worker, and waitAfter is when the next may.
+	waiting   bool
+	waitAfter time.Time
 	// clock is the worker's clock, as read at clockRead.
 	clock     time.Duration
 	clockRead time.Time
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -132,6 +132,11 @@
 	return active
 }
 
+// hasActive reports whether a task may be at the worker.
+func (r *Runner) hasActive() bool {
+	return len(r.tasks) > len(r.queue)
+}
+
 func (r *Runner) unqueue(t *task) {
 	if at := slices.Index(r.queue, t); at >= 0 {
 		r.queue = slices.Delete(r.queue, at, at+1)
