Handle the events that wait together, and plan without allocating for each worker

Cause: an entry looked at every worker for each load that came while a job waited. Change: Handle takes all events that wait in the ring (64 at most) and places once; agents are kept in order; a plan uses one slice of candidates.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -18,8 +18,9 @@
 	silent bool
 	// number is the number of the last start.
 	number uint64
-	// sent are the starts that the load does not count yet.
-	sent []sentStart
+	// sent are the starts that the load does not count yet, and sentRoom is what they need in all.
+	sent     []sentStart
+	sentRoom worker.Room
 }
 
 // sentStart is a start on its way to an agent.
@@ -30,11 +31,7 @@
 
 // room is what is free at the worker, as far as is known here.
 func (a *agent) room() worker.Room {
-	room := a.record.Capacity.Minus(a.load.Used)
-	for _, each := range a.sent {
-		room = room.Minus(each.needs)
-	}
-	return room
+	return a.record.Capacity.Minus(a.load.Used).Minus(a.sentRoom)
 }
 
 // seeLoad takes in a load and forgets the starts that it counts.
@@ -44,6 +41,8 @@
 	for _, each := range a.sent {
 		if each.number > handled {
 			kept = append(kept, each)
+		} else {
+			a.sentRoom = a.sentRoom.Minus(each.needs)
 		}
 	}
 	a.sent = kept
@@ -53,6 +52,7 @@
 func (a *agent) sends(needs worker.Room) uint64 {
 	a.number++
 	a.sent = append(a.sent, sentStart{number: a.number, needs: needs})
+	a.sentRoom = a.sentRoom.Plus(needs)
 	return a.number
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -24,6 +25,10 @@
 	// waiting are the jobs with tasks to place, in the order of their placement.
 	waiting []*job
 	agents  map[AgentID]*agent
+	// ordered are the agents in the order of their names.
+	ordered []*agent
+	// candidates is used by each plan anew.
+	candidates []candidate
 	// ending are the tasks of jobs that were dropped, until their runs have surely ended: the same job may come
 	// again before that.
 	ending map[string]ending
@@ -43,9 +48,19 @@
 	}
 }
 
-// Handle takes in an event and returns its effects in order.
-func (d *Dispatcher) Handle(now time.Time, event Event) []Effect {
+// Handle takes in events, places what waits, and returns the effects in order. Events that came together are best
+// handled together: each placement looks at every worker.
+func (d *Dispatcher) Handle(now time.Time, events ...Event) []Effect {
 	d.effects = nil
+	for _, event := range events {
+		d.take(now, event)
+	}
+	d.place(now)
+	return d.effects
+}
+
+// take takes in one event.
+func (d *Dispatcher) take(now time.Time, event Event) {
 	switch e := event.(type) {
 	case Submitted:
 		d.submit(now, e)
@@ -56,7 +71,7 @@
 	case StateAsked:
 		e.Done(d.stateOf(e.Job))
 	case AgentUp:
-		d.agents[e.Agent] = &agent{id: e.Agent}
+		d.addAgent(&agent{id: e.Agent})
 		d.emit(Note{Decision: DecisionAgentUp, Agent: e.Agent})
 	case AgentSilent:
 		if a, ok := d.agents[e.Agent]; ok && !a.silent {
@@ -85,8 +100,25 @@
 		d.forgetEnded(now)
 		d.moveStuck(now)
 	}
-	d.place(now)
-	return d.effects
+}
+
+// addAgent takes up an agent in place of an earlier one of the same name.
+func (d *Dispatcher) addAgent(a *agent) {
+	d.removeAgent(a.id)
+	d.agents[a.id] = a
+	at, _ := slices.BinarySearchFunc(d.ordered, a.id, compareAgent)
+	d.ordered = slices.Insert(d.ordered, at, a)
+}
+
+func (d *Dispatcher) removeAgent(id AgentID) {
+	delete(d.agents, id)
+	if at, ok := slices.BinarySearchFunc(d.ordered, id, compareAgent); ok {
+		d.ordered = slices.Delete(d.ordered, at, at+1)
+	}
+}
+
+func compareAgent(a *agent, id AgentID) int {
+	return strings.Compare(string(a.id), string(id))
 }
 
 // Counts returns the numbers of jobs under way, of those that wait for placement, and of agents in session.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -80,20 +80,16 @@
 type candidate struct {
 	agent *agent
 	room  worker.Room
-	// planned counts the tasks of each step that the plan sends there.
-	planned map[int]int
 }
 
 // plan finds room for as many of the tasks as there is, on as few workers as possible: a job suffers from
 // each worker that fails, so fewer jobs suffer the fewer workers each of them has.
 func (d *Dispatcher) plan(j *job, tasks []*task) []placement {
-	candidates := d.candidates(j)
+	d.gatherCandidates(j)
 	var plan []placement
 	for len(tasks) > 0 {
 		group := sameStep(tasks)
-		step := j.Steps[group[0].step]
-		placed := d.planGroup(j, step, group, candidates)
-		plan = append(plan, placed...)
+		plan = d.planGroup(j, group, plan)
 		tasks = tasks[len(group):]
 	}
 	return plan
@@ -109,29 +105,24 @@
 	return tasks
 }
 
-// candidates returns the agents whose workers serve the job, in random order.
-func (d *Dispatcher) candidates(j *job) []*candidate {
-	var candidates []*candidate
-	for _, a := range d.agents {
+// gatherCandidates notes the agents whose workers serve the job, in random order.
+func (d *Dispatcher) gatherCandidates(j *job) {
+	d.candidates = d.candidates[:0]
+	for _, a := range d.ordered {
 		if a.accepts(j.Kind.Service) {
-			candidates = append(candidates, &candidate{agent: a, room: a.room(), planned: make(map[int]int)})
+			d.candidates = append(d.candidates, candidate{agent: a, room: a.room()})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *candidate) int {
-		if a.agent.id < b.agent.id {
-			return -1
-		}
-		return 1
+	d.random.Shuffle(len(d.candidates), func(i, k int) {
+		d.candidates[i], d.candidates[k] = d.candidates[k], d.candidates[i]
 	})
-	d.random.Shuffle(len(candidates), func(i, k int) { candidates[i], candidates[k] = candidates[k], candidates[i] })
-	return candidates
 }
 
-// planGroup places equal tasks of one step.
-func (d *Dispatcher) planGroup(j *job, step Step, group []*task, candidates []*candidate) []placement {
-	var plan []placement
+// planGroup adds places for equal tasks of one step to a plan.
+func (d *Dispatcher) planGroup(j *job, group []*task, plan []placement) []placement {
+	step := j.Steps[group[0].step]
 	for len(group) > 0 {
-		best, count := d.best(j, step, group, candidates)
+		best, count := d.best(j, step, group, plan)
 		if count == 0 {
 			return plan
 		}
@@ -139,22 +130,22 @@
 			plan = append(plan, placement{task: t, agent: best.agent})
 		}
 		best.room = best.room.Minus(step.Needs.Times(count))
-		best.planned[group[0].step] += count
 		group = group[count:]
 	}
 	return plan
 }
 
 // best returns the worker that takes most of the tasks, sound ones and the step's rack first.
-func (d *Dispatcher) best(j *job, step Step, group []*task, candidates []*candidate) (best *candidate, count int) {
+func (d *Dispatcher) best(j *job, step Step, group []*task, plan []placement) (best *candidate, count int) {
 	var bestRank int
-	for _, c := range candidates {
+	for i := range d.candidates {
+		c := &d.candidates[i]
 		if step.Label != "" && !c.agent.record.HasLabel(step.Label) {
 			continue
 		}
 		fits := step.Needs.Count(c.room, len(group))
 		if step.PerWorker > 0 {
-			fits = min(fits, step.PerWorker-j.countAt(c.agent.id, group[0].step)-c.planned[group[0].step])
+			fits = min(fits, step.PerWorker-j.countAt(c.agent, group[0].step, plan))
 		}
 		if fits <= 0 {
 			continue
@@ -167,11 +158,16 @@
 	return best, count
 }
 
-// countAt counts the tasks of a step at an agent.
-func (j *job) countAt(id AgentID, step int) int {
+// countAt counts the tasks of a step that are at an agent or planned for it.
+func (j *job) countAt(a *agent, step int, plan []placement) int {
 	count := 0
 	for _, t := range j.tasks {
-		if t.step == step && t.state == taskSent && t.agent == id {
+		if t.step == step && t.state == taskSent && t.agent == a.id {
+			count++
+		}
+	}
+	for _, p := range plan {
+		if p.task.step == step && p.agent == a {
 			count++
 		}
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"sailhead/internal/runner"
@@ -13,7 +14,7 @@
 	if _, ok := d.agents[id]; !ok {
 		return
 	}
-	delete(d.agents, id)
+	d.removeAgent(id)
 	d.emit(Note{Decision: DecisionAgentDown, Agent: id})
 	for name, last := range d.ending {
 		if last.agent == id && last.settled.IsZero() {
@@ -110,13 +111,9 @@
 
 // find returns the job and the task of a task's name.
 func (d *Dispatcher) find(name string) (*job, *task) {
-	for i := range name {
-		if name[i] == '.' {
-			if j, ok := d.jobs[name[:i]]; ok {
-				return j, j.task(name)
-			}
-			break
-		}
+	id, _, _ := strings.Cut(name, ".")
+	if j, ok := d.jobs[id]; ok {
+		return j, j.task(name)
 	}
 	return nil, nil
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -135,22 +135,40 @@
 func (f *Frontend) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	events := make([]dispatch.Event, 0, batchSize)
 	for {
-		var event dispatch.Event
+		events = events[:0]
 		select {
 		case <-f.context.Done():
 			return
-		case event = <-f.events:
+		case event := <-f.events:
+			events = f.gather(append(events, event))
 		case <-ticker.C:
-			event = dispatch.Ticked{}
+			events = append(events, dispatch.Ticked{})
 		}
-		for _, effect := range f.dispatcher.Handle(time.Now(), event) {
+		for _, effect := range f.dispatcher.Handle(time.Now(), events...) {
 			f.carry(effect)
 		}
 		f.publish()
 	}
 }
 
+// batchSize is the largest number of events that are handled together.
+const batchSize = 64
+
+// gather adds the events that wait in the ring, up to the size of a batch.
+func (f *Frontend) gather(events []dispatch.Event) []dispatch.Event {
+	for len(events) < batchSize {
+		select {
+		case event := <-f.events:
+			events = append(events, event)
+		default:
+			return events
+		}
+	}
+	return events
+}
+
 // publish lets other goroutines see the dispatcher's counts.
 func (f *Frontend) publish() {
 	jobs, _, agents := f.dispatcher.Counts()
