Take only callers with less time than any grants for those that come back; say so in refusals

Cause: a caller with under 0.6 of its kind's usual patience was taken for one that comes back, and served only while a quarter of the room was free. Change: less than the kind's own timeout is asked for besides. A refusal tells overdue and patience. A test failed first.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -103,8 +103,8 @@
 			free += max(a.room().CPU, 0)
 		}
 	}
-	return fmt.Sprintf("tasks=%d needs_cpu=%d agents=%d accepting=%d free_cpu=%d waiting=%d",
-		len(j.tasks), j.Steps[0].Needs.CPU, len(d.agents), accepting, free, len(d.waiting))
+	return fmt.Sprintf("tasks=%d needs_cpu=%d agents=%d accepting=%d free_cpu=%d waiting=%d overdue=%t patience=%s",
+		len(j.tasks), j.Steps[0].Needs.CPU, len(d.agents), accepting, free, len(d.waiting), j.overdue, j.Patience)
 }
 
 // describe returns an answer as it is logged.
--- a/internal/dispatch/patience.go
+++ b/internal/dispatch/patience.go
@@ -18,6 +18,12 @@
 // connection has less time left than others, which tells how long ago it came first.
 type patience map[string]time.Duration
 
+// grantsLess reports whether the caller has less time left than any caller of its kind grants at first. Callers grant
+// short jobs less time than long ones, so less than usual alone does not tell.
+func (j *job) grantsLess() bool {
+	return j.Kind.Timeout <= 0 || j.Patience < j.Kind.Timeout
+}
+
 // isOverdue reports whether a job's caller has come back so late that its job is worth nothing any more. The
 // usual patience is learned from the callers that have not come back.
 func (p patience) isOverdue(j *job) bool {
@@ -28,7 +34,7 @@
 	// A caller grants a kind's time at least.
 	usual := max(p[j.Kind.Name], j.Kind.Timeout)
 	if float64(left) < returnedShare*float64(usual) {
-		return usual-left > finalFactor*j.objective-j.chain()
+		return j.grantsLess() && usual-left > finalFactor*j.objective-j.chain()
 	}
 	weight := fallWeight
 	if left > usual {
--- a/internal/dispatch/patience_test.go
+++ b/internal/dispatch/patience_test.go
@@ -36,3 +36,23 @@
 		t.Fatal("a caller that does not say how long it waits is taken for one that comes back")
 	}
 }
+
+func TestCallersOfShortJobsAreNotTakenForThoseThatComeBack(t *testing.T) {
+	p := make(patience)
+	ask := func(expected, left time.Duration) bool {
+		return p.isOverdue(newJob(time.Time{}, Submitted{Job: Job{
+			Kind:     Kind{Name: "k", Stretch: 1.6, Target: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond},
+			Patience: left,
+			Steps:    []Step{{Count: 2, Expected: expected}},
+		}}))
+	}
+	for range 50 {
+		ask(900*time.Millisecond, 5500*time.Millisecond)
+	}
+	if ask(240*time.Millisecond, 3*time.Second) {
+		t.Fatal("a caller that grants a short job less time than others grant long ones is taken for one that comes back")
+	}
+	if !ask(240*time.Millisecond, 1400*time.Millisecond) {
+		t.Fatal("a caller with less time than any grants is taken for a new one")
+	}
+}
