--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -22,6 +22,7 @@
 
 func TestRun(t *testing.T) {
 	good := write(t, `{"role": "agent", "name": "w", "peer_address": "127.0.0.1:1", "backend_address": "127.0.0.1:2"}`)
+	log := write(t, "level=info time=2026-08-25T10:00:01Z process=entry-1 part=entry msg=answered job=aa detail=completed\n")
 	bad := write(t, "{\n\"role\": \"agent\",\n\"slotz\": 8}")
 	for _, test := range []struct {
 		name string
@@ -47,6 +48,11 @@
 		{"dump of nothing", []string{"dump-settings"}, exitFailure, "", "either a file or --role"},
 		{"demo out of range", []string{"demo", "--agents", "0"}, exitFailure, "", "--agents 0 is not within 1 to 64"},
 		{"unknown policy", []string{"measure", "--policy", "best"}, exitFailure, "", `unknown policy "best"`},
+		{"time line of logs", []string{"timeline", "--job", "aa", log}, exitOK, "10:00:01.000000  entry-1  answered  job=aa detail=completed", ""},
+		{"time line of an unknown job", []string{"timeline", "--job", "bb", log}, exitFailure, "", "no line of the logs names the job bb"},
+		{"time line of a missing log", []string{"timeline", "/nothing"}, exitFailure, "", "unable to open a log"},
+		{"a job without logs", []string{"timeline", "--job", "aa"}, exitFailure, "", "--job needs log files"},
+		{"a submission in logs", []string{"timeline", "--submission", "aa", log}, exitFailure, "", "with log files use --job"},
 		{"bad time", []string{"timeline", "--since", "soon"}, exitFailure, "", `--since "soon" is neither a span`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -5,23 +5,34 @@
 
 import (
 	"context"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"sailhead/internal/operator"
+	"sailhead/internal/timeline"
 )
 
 // timelineCommand shows the events of all processes.
 type timelineCommand struct {
 	operatorOptions
-	Submission string `arg:"--submission" placeholder:"KEY" help:"only events of the submission"`
-	Worker     string `arg:"--worker" placeholder:"WORKER" help:"only events of the worker"`
-	Since      string `arg:"--since" placeholder:"TIME" help:"only events since the time, such as 30s ago or 2006-01-02T15:04:05Z"`
-	Until      string `arg:"--until" placeholder:"TIME" help:"only events until the time"`
+	Submission string   `arg:"--submission" placeholder:"KEY" help:"only events of the submission"`
+	Worker     string   `arg:"--worker" placeholder:"WORKER" help:"only events of the worker"`
+	Since      string   `arg:"--since" placeholder:"TIME" help:"only events since the time, such as 30s ago or 2006-01-02T15:04:05Z"`
+	Until      string   `arg:"--until" placeholder:"TIME" help:"only events until the time"`
+	Job        string   `arg:"--job" placeholder:"ID" help:"with log files: only what explains the job"`
+	Logs       []string `arg:"positional" placeholder:"LOG" help:"log files of processes on the users' platform, - for standard input; none asks the running processes"`
 }
 
 func (c *timelineCommand) run(s streams) error {
+	if c.Job != "" && len(c.Logs) == 0 {
+		return errors.New("cli: --job needs log files")
+	}
+	if len(c.Logs) > 0 && (c.Submission != "" || c.Worker != "") {
+		return errors.New("cli: --submission and --worker ask running processes; with log files use --job")
+	}
 	now := time.Now()
 	since, err := parseTime("--since", c.Since, now)
 	if err != nil {
@@ -31,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	if len(c.Logs) > 0 {
+		return c.mergeLogs(s, since, until)
+	}
 	session, cleanup, err := c.open()
 	if err != nil {
 		return err
@@ -47,6 +61,50 @@
 	return c.write(s.out, result)
 }
 
+// mergeLogs shows the lines of log files in the order of their clocks.
+func (c *timelineCommand) mergeLogs(s streams, since, until time.Time) error {
+	var lines []timeline.Line
+	for _, name := range c.Logs {
+		read, err := readLog(s, name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	lines = timeline.Between(lines, since, until)
+	if c.Job != "" {
+		if lines = timeline.FollowJob(lines, c.Job); len(lines) == 0 {
+			return errors.Errorf("cli: no line of the logs names the job %s", c.Job)
+		}
+	}
+	return c.write(s.out, logTable(lines))
+}
+
+func readLog(s streams, name string) ([]timeline.Line, error) {
+	if name == "-" {
+		return timeline.ReadLogs(s.in)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "cli: unable to open a log")
+	}
+	defer func() { _ = file.Close() }()
+	return timeline.ReadLogs(file)
+}
+
+// logTable returns lines as a table.
+func logTable(lines []timeline.Line) operator.Table {
+	t := operator.Table{Columns: []string{"time", "process", "event", "fields"}}
+	for _, line := range lines {
+		var fields []string
+		for _, f := range line.Fields {
+			fields = append(fields, f.Name+"="+f.Value)
+		}
+		t.Rows = append(t.Rows, []string{line.Time.UTC().Format("15:04:05.000000"), line.Process, line.Message, strings.Join(fields, " ")})
+	}
+	return t
+}
+
 // parseTime reads a point in time or a span before now; an empty text is no bound.
 func parseTime(option, text string, now time.Time) (time.Time, error) {
 	if text == "" {
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -53,10 +54,52 @@
 // finish answers a job at once and stops what it still runs.
 func (d *Dispatcher) finish(now time.Time, j *job, answer Answer) {
 	d.emit(Reply{Waiters: j.waiters, Answer: answer})
-	d.note(now, j, DecisionAnswered, describe(answer))
+	d.emit(Note{
+		Decision: DecisionAnswered, Job: j.ID, Kind: j.Kind.Name, Age: now.Sub(j.arrived), Outcome: outcomeOf(answer),
+		Detail: describe(answer) + j.describeSlowest(now, answer),
+	})
 	d.drop(now, j)
 }
 
+// slowestTasks is how many tasks a note of an answer names.
+const slowestTasks = 3
+
+// describeSlowest names the tasks that a job waited for to the end, with their runs, if the job was not done within
+// its objective. Times count from the job's arrival.
+func (j *job) describeSlowest(now time.Time, answer Answer) string {
+	if _, isRefusal := answer.(NotRun); isRefusal || now.Sub(j.arrived) <= j.objective {
+		return ""
+	}
+	tasks := slices.Clone(j.tasks)
+	slices.SortStableFunc(tasks, func(a, b *task) int { return b.endedBy(now).Compare(a.endedBy(now)) })
+	var described strings.Builder
+	fmt.Fprintf(&described, " (objective=%s waited for", j.objective.Round(time.Millisecond))
+	for _, t := range tasks[:min(len(tasks), slowestTasks)] {
+		fmt.Fprintf(&described, " [%s]", j.describeTask(t))
+	}
+	return described.String() + ")"
+}
+
+// describeTask tells where a task stands and where its latest run was.
+func (j *job) describeTask(t *task) string {
+	if t.run == 0 {
+		return fmt.Sprintf("%s not placed", t.name)
+	}
+	text := fmt.Sprintf("%s run=%d at %s placed=%s", t.name, t.run, t.agent, t.placed.Sub(j.arrived).Round(time.Millisecond))
+	if t.state == taskDone {
+		return text + fmt.Sprintf(" done=%s", t.ended.Sub(j.arrived).Round(time.Millisecond))
+	}
+	return text + fmt.Sprintf(" failures=%d moved=%d", t.failures, t.moved)
+}
+
+// endedBy is when the task was done, or now if it is not.
+func (t *task) endedBy(now time.Time) time.Time {
+	if t.state == taskDone {
+		return t.ended
+	}
+	return now
+}
+
 // giveUp answers a job that will not be done.
 func (d *Dispatcher) giveUp(now time.Time, j *job, reason string) {
 	if j.mayHaveBegun() {
@@ -107,18 +150,30 @@
 		len(j.tasks), j.Steps[0].Needs.CPU, len(d.agents), accepting, free, len(d.waiting), j.overdue, j.Patience)
 }
 
+// outcomeOf returns the word for an answer.
+func outcomeOf(answer Answer) Outcome {
+	switch answer.(type) {
+	case Completed:
+		return OutcomeCompleted
+	case Failed:
+		return OutcomeFailed
+	case NotRun:
+		return OutcomeNotRun
+	case Interrupted:
+		return OutcomeInterrupted
+	default:
+		return outcomeUnknown
+	}
+}
+
 // describe returns an answer as it is logged.
 func describe(answer Answer) string {
 	switch a := answer.(type) {
-	case Completed:
-		return "completed"
-	case Failed:
-		return "failed"
 	case NotRun:
-		return "not_run: " + a.Reason
+		return string(outcomeOf(answer)) + ": " + a.Reason
 	case Interrupted:
-		return "interrupted: " + a.Reason
+		return string(outcomeOf(answer)) + ": " + a.Reason
 	default:
-		return "unknown"
+		return string(outcomeOf(answer))
 	}
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -180,8 +180,10 @@
 	Agent    AgentID
 	Kind     string
 	// Age is the time since the job came.
-	Age    time.Duration
-	Detail string
+	Age time.Duration
+	// Outcome is what a job's answer says; nothing for other decisions.
+	Outcome Outcome
+	Detail  string
 }
 
 func (Reply) isEffect()     {}
@@ -208,6 +210,18 @@
 	DecisionAccepts   Decision = "accepts"
 )
 
+// Outcome is the word for an answer in logs and metrics.
+type Outcome string
+
+// The outcomes of jobs.
+const (
+	OutcomeCompleted   Outcome = "completed"
+	OutcomeFailed      Outcome = "failed"
+	OutcomeNotRun      Outcome = "not_run"
+	OutcomeInterrupted Outcome = "interrupted"
+	outcomeUnknown     Outcome = "unknown"
+)
+
 // Answer is the final answer to a job: Completed, Failed, NotRun or Interrupted.
 type Answer interface{ isAnswer() }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -30,8 +30,10 @@
 	// settled is when the latest run has surely ended.
 	settled  time.Time
 	failures int
-	// placed is when the latest run was sent, and moved how often a run was stopped to run elsewhere.
+	// placed is when the latest run was sent, ended when the task was done, and moved how often a run was stopped to
+	// run elsewhere.
 	placed     time.Time
+	ended      time.Time
 	moved      int
 	avoid      []AgentID
 	checkpoint string
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -75,6 +75,7 @@
 	switch e.Update.Outcome {
 	case runner.OutcomeDone:
 		t.state = taskDone
+		t.ended = now
 		j.open[t.step]--
 		if j.isDone() {
 			d.finish(now, j, Completed{})
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -23,6 +23,8 @@
 	dispatcher *Dispatcher
 	waiter     Waiter
 	numbers    map[AgentID]uint64
+	// tells is set while answers' notes are printed too.
+	tells bool
 }
 
 func TestScripts(t *testing.T) {
@@ -49,6 +51,7 @@
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	current = t
 	agent := AgentID(text(d, "agent"))
+	s.tells = d.HasArg("notes")
 	switch d.Cmd {
 	case "agent":
 		agent = AgentID(d.CmdArgs[0].Key)
@@ -61,7 +64,7 @@
 		return s.submit(d)
 	case "run":
 		return s.handle(RunUpdated{Agent: agent, Update: runner.Update{
-			Name: d.CmdArgs[0].Key, Run: uint32(number(d, "run", 1)), Outcome: outcomeOf(t, d.CmdArgs[1].Key),
+			Name: d.CmdArgs[0].Key, Run: uint32(number(d, "run", 1)), Outcome: endingOf(t, d.CmdArgs[1].Key),
 		}})
 	case "wait":
 		s.now = s.now.Add(time.Duration(number(d, "ms", 0)) * time.Millisecond)
@@ -90,7 +93,7 @@
 	return value
 }
 
-func outcomeOf(t *testing.T, name string) runner.Outcome {
+func endingOf(t *testing.T, name string) runner.Outcome {
 	for o := runner.OutcomeStarted; o <= runner.OutcomeLost; o++ {
 		if o.String() == name {
 			return o
@@ -128,7 +131,7 @@
 	return s.handle(Submitted{Job: job, Waiter: s.waiter})
 }
 
-// handle gives the dispatcher an event and prints the effects but notes.
+// handle gives the dispatcher an event and prints the effects; of notes only those of answers, if asked.
 func (s *script) handle(event Event) string {
 	var out strings.Builder
 	for _, effect := range s.dispatcher.Handle(s.now, event) {
@@ -140,6 +143,10 @@
 			fmt.Fprintf(&out, "stop %s at %s\n", e.Name, e.Agent)
 		case Reply:
 			fmt.Fprintf(&out, "reply to %v: %s\n", e.Waiters, describe(e.Answer))
+		case Note:
+			if s.tells && e.Decision == DecisionAnswered {
+				fmt.Fprintf(&out, "note %s after %s: %s\n", e.Job, e.Age, e.Detail)
+			}
 		}
 	}
 	return out.String()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,7 +9,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -226,9 +225,8 @@
 func (f *Frontend) record(n dispatch.Note) {
 	switch n.Decision {
 	case dispatch.DecisionAnswered:
-		outcome, _, _ := strings.Cut(n.Detail, ":")
-		f.metrics.Add(metric.JobsPrefix+outcome, 1)
-		f.answerTimes.Record(n.Kind+" "+outcome, n.Age)
+		f.metrics.Add(metric.JobsPrefix+string(n.Outcome), 1)
+		f.answerTimes.Record(n.Kind+" "+string(n.Outcome), n.Age)
 	case dispatch.DecisionPlaced:
 		f.metrics.Add(metric.TasksStarted, 1)
 		if n.Run == 1 {
@@ -245,7 +243,8 @@
 	case n.Decision == dispatch.DecisionPlaced, n.Decision == dispatch.DecisionTaken,
 		n.Decision == dispatch.DecisionEnded && n.Detail == "done ":
 		return level.Debug(f.logger)
-	case n.Decision == dispatch.DecisionAnswered && n.Detail == "completed":
+	case n.Outcome == dispatch.OutcomeCompleted && n.Detail == string(n.Outcome):
+		// Completed within its objective: others tell why not.
 		return f.successes
 	default:
 		return f.others
