Keep jobs that must be kept: shards under claims of the store, written before they are told

Jobs are dealt by hash over 16 shards; an entry owns a shard by a claim that lives by its lease, and the claim's revision is the fencing token of every write. Accepted jobs, ends of tasks and ends of jobs are written in batches, one commit at a time over all shards; a 2xx, a shown end and the worker's leave to forget an end come after the write. A commit without an answer is tried again and read back. A new owner reads the batches, has the earlier owner give the shard up (or waits for its lease), and goes on 2.5 s later; agents keep ends until one has noted them.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 GO ?= go
 VERSION ?= dev
-GENERATED := internal/peer/peerpb internal/session/sessionpb internal/cluster/clusterpb
+GENERATED := internal/peer/peerpb internal/session/sessionpb internal/cluster/clusterpb internal/keep/keeppb
 
 .PHONY: all build demo measure test tools format vet generated generate spec unit
 
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -143,6 +143,7 @@
 	configurations := &platform.Configurations{}
 	entry, closeEntry := frontend.New(frontend.Settings{
 		Name: s.Name, Zone: s.Zone, Peers: listeners[2], Seeds: seedsOf(s), StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs,
+		Keep: platform.NewKeptJobs(store), StoreWrites: s.StoreWrites,
 	}, configurations, platform.NewNews(store), logger, metrics)
 	closeReady := platform.NewReadiness(listeners[1], entry)
 	ingress := platform.NewIngress(listeners[0], configurations.Current, entry)
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -112,12 +112,13 @@
 // expire refuses what waits too long and gives up what is worth nothing any more.
 func (d *Dispatcher) expire(now time.Time) {
 	for _, j := range slices.Clone(d.waiting) {
-		if !j.mayHaveBegun() && now.After(j.refuseAt()) {
+		if !j.isKept && !j.mayHaveBegun() && now.After(j.refuseAt()) {
 			d.giveUp(now, j, "no worker has room in time: "+d.describeRoom(j))
 		}
 	}
 	for _, j := range d.jobsInOrder() {
 		switch {
+		case j.isKept:
 		case now.After(j.finalAt()):
 			d.giveUp(now, j, "the job's time is over")
 		case !d.leaving.IsZero() && now.After(d.leaving):
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -68,10 +68,17 @@
 		d.callerLeft(now, e)
 	case Cancelled:
 		d.cancel(now, e)
+	case Kept:
+		d.takeKept(now, e)
+	case Dropped:
+		d.dropKept(now, e.Jobs)
+	case TaskEnded:
+		d.endKept(now, e)
 	case StateAsked:
 		e.Done(d.stateOf(e.Job))
 	case AgentUp:
 		d.addAgent(&agent{id: e.Agent})
+		d.agentBack(now, e.Agent)
 		d.emit(Note{Decision: DecisionAgentUp, Agent: e.Agent})
 	case AgentSilent:
 		if a, ok := d.agents[e.Agent]; ok && !a.silent {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -203,6 +203,7 @@
 	DecisionMoved     Decision = "moved"
 	DecisionAnswered  Decision = "answered"
 	DecisionLeft      Decision = "caller_left"
+	DecisionDropped   Decision = "dropped"
 	DecisionAgentUp   Decision = "agent_up"
 	DecisionSilent    Decision = "agent_silent"
 	DecisionAgentDown Decision = "agent_down"
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -48,6 +48,8 @@
 	objective time.Duration
 	tasks     []*task
 	open      []int
+	// isKept is set if the job must be kept: it has no waiters and runs until it is done.
+	isKept bool
 	// overdue is set if the caller seems to have come back so late that the job is worth nothing any more.
 	overdue bool
 	// begun is set once a task may have run.
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -55,7 +55,7 @@
 	}
 	expected := j.Steps[t.step].Expected
 	limit := max(time.Duration(stuckStretch*float64(expected)), leastStuck)
-	return now.Sub(t.placed) > limit && now.Add(expected).Before(j.finalAt())
+	return now.Sub(t.placed) > limit && (j.isKept || now.Add(expected).Before(j.finalAt()))
 }
 
 // hasSoundRoom reports whether a sound worker, other than the task's own, has room for it.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,6 +18,9 @@
 		return
 	}
 	for _, j := range slices.Clone(d.waiting) {
+		if j.isKept && !d.leaving.IsZero() {
+			continue
+		}
 		if j.overdue && !j.offered && d.freeShare(j.Kind.Service) < overdueShare {
 			continue
 		}
@@ -199,7 +202,7 @@
 	number := a.sends(step.Needs)
 	d.emit(StartTask{Agent: a.id, Number: number, Task: runner.Task{
 		Name: t.name, Run: t.run, Payload: j.Payload, Needs: step.Needs, Checkpoint: t.checkpoint,
-		Expected: step.Expected, Priority: j.Kind.Priority,
+		Expected: step.Expected, Priority: j.Kind.Priority, IsKept: j.isKept,
 	}})
 	d.emit(Note{Decision: DecisionPlaced, Job: j.ID, Task: t.name, Run: t.run, Agent: a.id, Kind: j.Kind.Name, Age: now.Sub(j.arrived)})
 }
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -25,7 +25,7 @@
 		for _, t := range j.tasks {
 			if t.state == taskSent && t.agent == id {
 				j.begun = true
-				d.lose(now, j, t, settleTime)
+				d.lose(now, j, t, j.settleTimeOf())
 			}
 		}
 	}
@@ -66,12 +66,16 @@
 		return
 	}
 	t.run = max(t.run, e.Update.Run)
-	if e.Update.Outcome != runner.OutcomeNotStarted {
-		j.begun = true
-	}
 	if e.Update.Outcome.IsEnd() {
 		d.noteEnd(now, j, t, e)
 	}
+	if j.isKept {
+		d.updateKept(now, j, t, e)
+		return
+	}
+	if e.Update.Outcome != runner.OutcomeNotStarted {
+		j.begun = true
+	}
 	switch e.Update.Outcome {
 	case runner.OutcomeDone:
 		t.state = taskDone
@@ -110,10 +114,15 @@
 	d.lose(now, j, t, 0)
 }
 
+// JobOf returns the job of a task's name.
+func JobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // find returns the job and the task of a task's name.
 func (d *Dispatcher) find(name string) (*job, *task) {
-	id, _, _ := strings.Cut(name, ".")
-	if j, ok := d.jobs[id]; ok {
+	if j, ok := d.jobs[JobOf(name)]; ok {
 		return j, j.task(name)
 	}
 	return nil, nil
--- a/internal/frontend/agents.go
+++ b/internal/frontend/agents.go
@@ -12,6 +12,7 @@
 
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
+	"sailhead/internal/keep"
 	"sailhead/internal/runner"
 	"sailhead/internal/session"
 	"sailhead/internal/worker"
@@ -61,6 +62,10 @@
 
 // Update hands on what became of a run.
 func (s *agentSession) Update(update runner.Update) {
+	if update.Unnoted {
+		s.frontend.postKeep(keep.TaskEnded{Agent: s.id, Update: update})
+		return
+	}
 	s.frontend.post(dispatch.RunUpdated{Agent: s.id, Update: update})
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -18,6 +18,7 @@
 
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
+	"sailhead/internal/keep"
 	"sailhead/internal/logging"
 	"sailhead/internal/metric"
 	"sailhead/internal/session"
@@ -35,8 +36,11 @@
 	StopTimeout time.Duration
 	// Ring is how many events may wait.
 	Ring int
-	// Jobs is the largest number of jobs under way.
+	// Jobs is the largest number of jobs under way, and as many again that must be kept.
 	Jobs int
+	// Keep is where the jobs lie that must be kept, and StoreWrites how many writes a second all entries may make there.
+	Keep        KeepStore
+	StoreWrites int
 }
 
 // Configurations checks the operators' configuration.
@@ -65,9 +69,12 @@
 	answerTimes    *metric.Times
 	queueTimes     *metric.Times
 	dispatcher     *dispatch.Dispatcher
+	keeper         *keep.Keeper
+	owners         *keep.Owners
 	logger         log.Logger
 	metrics        *metric.Set
 	events         chan dispatch.Event
+	keepEvents     chan keep.Event
 	context        context.Context
 	cancel         context.CancelFunc
 	duties         sync.WaitGroup
@@ -75,11 +82,18 @@
 	seeds          atomic.Pointer[[]string]
 	nextWaiter     atomic.Uint64
 
-	mu       sync.Mutex
-	waiters  map[dispatch.Waiter]chan dispatch.Answer
-	sessions map[dispatch.AgentID]*agentSession
-	agents   int
-	jobs     int
+	mu      sync.Mutex
+	waiters map[dispatch.Waiter]chan dispatch.Answer
+	// keptWaiters are the requests that wait for the keeper; claims and ownerAddresses tell who owns the shards, and
+	// keptSeen that jobs that must be kept were ever known.
+	keptWaiters    map[keep.Waiter]chan keep.Answer
+	claims         [keep.Shards]*keep.Claim
+	ownerAddresses []string
+	keptSeen       bool
+	sessions       map[dispatch.AgentID]*agentSession
+	agents         int
+	jobs           int
+	shards         int
 }
 
 // New starts an entry. The clean-up ends it at once; Leave comes before.
@@ -94,9 +108,15 @@
 		directory:  cluster.NewDirectory(),
 		dispatcher: dispatch.New(dispatch.Limits{Jobs: settings.Jobs}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		events:     make(chan dispatch.Event, settings.Ring),
+		keepEvents: make(chan keep.Event, settings.Ring),
 		waiters:    make(map[dispatch.Waiter]chan dispatch.Answer),
 		sessions:   make(map[dispatch.AgentID]*agentSession),
+
+		keptWaiters: make(map[keep.Waiter]chan keep.Answer),
 	}
+	f.keeper = f.newKeeper()
+	owners, closeOwners := keep.NewOwners()
+	f.owners = owners
 	f.dependencies = newDependencies(f.logger)
 	f.successes = logging.NewLimited(level.Info(f.logger), successLines)
 	f.others = logging.NewLimited(level.Info(f.logger), otherLines)
@@ -106,7 +126,7 @@
 	f.context, f.cancel = context.WithCancel(context.Background())
 	exchanger, closeExchanger := cluster.NewExchanger(f.directory, configurations.Accept)
 	f.exchanger = exchanger
-	closePeers := servePeers(settings.Peers, exchanger)
+	closePeers := servePeers(settings.Peers, exchanger, f)
 	f.directory.AddMember(f.self)
 	for _, duty := range []func(){f.run, f.connect, f.watchSilence, f.followStore, f.register, f.exchange} {
 		f.duties.Go(duty)
@@ -116,6 +136,7 @@
 		f.cancel()
 		closePeers()
 		closeExchanger()
+		closeOwners()
 		f.duties.Wait()
 	}
 }
@@ -137,21 +158,39 @@
 	events := make([]dispatch.Event, 0, batchSize)
 	for {
 		events = events[:0]
+		var kept keep.Event
 		select {
 		case <-f.context.Done():
 			return
 		case event := <-f.events:
 			events = f.gather(append(events, event))
+		case kept = <-f.keepEvents:
 		case <-ticker.C:
 			events = append(events, dispatch.Ticked{})
+			kept = keep.Ticked{KeptRuns: f.dispatcher.KeptRuns()}
+		}
+		// A process that was frozen gives up what it may own no longer before it acts on what waits.
+		f.carryKept(f.keeper.Expire(time.Now()))
+		if len(events) > 0 {
+			f.dispatch(events...)
+		}
+		if kept != nil {
+			f.keep(kept)
 		}
-		for _, effect := range f.dispatcher.Handle(time.Now(), events...) {
-			f.carry(effect)
+		if kept != nil && f.keeper.IsActive() {
+			f.publishOwners()
 		}
 		f.publish()
 	}
 }
 
+// dispatch gives the dispatcher events and does what it wants done.
+func (f *Frontend) dispatch(events ...dispatch.Event) {
+	for _, effect := range f.dispatcher.Handle(time.Now(), events...) {
+		f.carry(effect)
+	}
+}
+
 // batchSize is the largest number of events that are handled together.
 const batchSize = 64
 
@@ -179,6 +218,7 @@
 	}
 	f.jobs = jobs
 	f.agents = agents
+	f.shards, _ = f.keeper.Counts()
 }
 
 // carry does what the dispatcher wants done.
@@ -194,6 +234,10 @@
 		if s := f.session(e.Agent); s != nil {
 			s.Stop(e.Name)
 		}
+	case dispatch.KeepEnd:
+		f.keep(keep.TaskEnded{Agent: e.Agent, Update: e.Update})
+	case dispatch.TellBegun:
+		f.keep(keep.JobBegun{Job: e.Job})
 	case dispatch.Note:
 		f.log(e)
 	}
--- a/internal/frontend/news.go
+++ b/internal/frontend/news.go
@@ -12,21 +12,34 @@
 	"github.com/go-kit/log/level"
 
 	"sailhead/internal/cluster"
+	"sailhead/internal/keep"
 )
 
 // Store is the platform's store as an entry sees it.
 type Store interface {
-	// Read returns the configuration, nothing if there is none, and the members.
-	Read() (document []byte, members []cluster.Member, err error)
+	// Read returns what the store holds.
+	Read() (News, error)
 	// Watch waits for changes since the last reading and returns what is new; ok is false if the
 	// store has forgotten them, so that it must be read anew.
-	Watch() (document []byte, members []cluster.Member, ok bool, err error)
+	Watch() (news News, ok bool, err error)
 	// PutMember writes a member's record.
 	PutMember(cluster.Member) error
 	// RemoveMember removes a member's record if it is still of the incarnation given.
 	RemoveMember(cluster.Member) error
 }
 
+// News is what an entry learns from the store.
+type News struct {
+	// Document is the configuration; nothing if there is none, or none that is new.
+	Document []byte
+	Members  []cluster.Member
+	// Claims are the claims of shards, and Gone those that are there no longer.
+	Claims []keep.Claim
+	Gone   []keep.ClaimGone
+	// HasKept is set if there were ever jobs that must be kept.
+	HasKept bool
+}
+
 const (
 	// storePause lies between two calls to a store that does not answer.
 	storePause = 200 * time.Millisecond
@@ -35,8 +48,11 @@
 	headerTimeout    = 5 * time.Second
 )
 
-func servePeers(listener net.Listener, exchanger *cluster.Exchanger) func() {
-	server := &http.Server{Handler: exchanger.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+func servePeers(listener net.Listener, exchanger *cluster.Exchanger, asked keep.Asked) func() {
+	mux := http.NewServeMux()
+	mux.Handle(keep.PathPrefix, keep.NewServer(asked))
+	mux.Handle("/", exchanger.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	return func() { _ = server.Close() }
 }
@@ -55,7 +71,8 @@
 func (f *Frontend) followStore() {
 	current := false
 	for f.context.Err() == nil {
-		document, members, err := f.nextNews(&current)
+		wasCurrent := current
+		news, err := f.nextNews(&current)
 		f.dependencies.note("store", err)
 		if err != nil {
 			if !f.pause(storePause) {
@@ -63,43 +80,76 @@
 			}
 			continue
 		}
-		f.takeNews(document, members)
+		f.takeNews(news)
+		f.takeClaims(news)
+		if current && !wasCurrent {
+			f.postKeep(keep.StoreRead{Kept: news.HasKept})
+		}
+	}
+}
+
+// takeClaims hands what the store says of the shards to the keeper.
+func (f *Frontend) takeClaims(news News) {
+	for _, claim := range news.Claims {
+		f.postKeep(keep.ClaimSeen{Claim: claim})
+	}
+	for _, gone := range news.Gone {
+		f.postKeep(gone)
+	}
+	if !news.HasKept {
+		return
+	}
+	f.mu.Lock()
+	first := !f.keptSeen
+	f.keptSeen = true
+	f.mu.Unlock()
+	if first {
+		f.postKeep(keep.OwnerWanted{})
 	}
 }
 
 // nextNews reads the store if its history is not known, and waits for changes otherwise.
-func (f *Frontend) nextNews(current *bool) ([]byte, []cluster.Member, error) {
+func (f *Frontend) nextNews(current *bool) (News, error) {
 	if !*current {
-		document, members, err := f.store.Read()
+		news, err := f.store.Read()
 		*current = err == nil
-		return document, members, err
+		return news, err
 	}
-	document, members, ok, err := f.store.Watch()
+	news, ok, err := f.store.Watch()
 	if err == nil {
 		*current = ok
 	}
-	return document, members, err
+	return news, err
 }
 
-func (f *Frontend) takeNews(document []byte, members []cluster.Member) {
-	for _, m := range members {
+func (f *Frontend) takeNews(news News) {
+	for _, m := range news.Members {
 		if f.directory.AddMember(m) {
 			_ = level.Info(f.logger).Log("msg", "member", "name", m.Name, "role", m.Role, "address", m.Address)
 		}
 	}
-	if len(document) == 0 {
+	f.postKeep(keep.EntriesSeen{Names: f.entryNames()})
+	if len(news.Document) == 0 {
 		return
 	}
-	version, err := f.configurations.Accept(document)
+	version, err := f.configurations.Accept(news.Document)
 	if err != nil {
 		_ = level.Error(f.logger).Log("msg", "unable to use the configuration", "err", err)
 		return
 	}
-	if f.directory.SetDocument(version, document) {
+	if f.directory.SetDocument(version, news.Document) {
 		_ = level.Info(f.logger).Log("msg", "configuration", "version", version, "from", "store")
 	}
 }
 
+func (f *Frontend) entryNames() []string {
+	var names []string
+	for _, m := range f.directory.Members(cluster.RoleEntry) {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // register writes this entry's record to the store, and tries until that is done.
 func (f *Frontend) register() {
 	for f.context.Err() == nil {
--- a/internal/frontend/submit.go
+++ b/internal/frontend/submit.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"sailhead/internal/dispatch"
+	"sailhead/internal/keep"
 	"sailhead/internal/metric"
 )
 
@@ -87,12 +88,6 @@
 	})
 }
 
-// Pending counts the accepted jobs of a kind of which no task has begun. A job that need not be kept is
-// accepted by its final answer, so there is none.
-func (f *Frontend) Pending(string) int {
-	return 0
-}
-
 // Rejected logs a request that was answered without being taken.
 func (f *Frontend) Rejected(path string, status int, reason string) {
 	f.metrics.Add(metric.RequestsRejected, 1)
@@ -119,6 +114,7 @@
 	f.leaving.Store(true)
 	until := time.Now().Add(f.settings.StopTimeout - stopMargin)
 	f.post(dispatch.LeaveAsked{Until: until})
+	f.postKeep(keep.LeaveAsked{Until: until.Add(-leaveMargin)})
 	_ = level.Info(f.logger).Log("msg", "stopping", "within", f.settings.StopTimeout)
 	return until
 }
@@ -127,5 +123,5 @@
 func (f *Frontend) IsIdle() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.jobs == 0 && len(f.waiters) == 0
+	return f.jobs == 0 && len(f.waiters) == 0 && f.shards == 0 && len(f.keptWaiters) == 0
 }
--- /dev/null
+++ b/internal/keep/owners.go
@@ -0,0 +1,137 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package keep
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/keep/keeppb"
+)
+
+// PathPrefix begins the paths at which Server is served.
+const PathPrefix = keeppb.KeepPathPrefix
+
+const (
+	// ownerTimeout bounds a request to an owner, which may have to wait for the store.
+	ownerTimeout = 1500 * time.Millisecond
+	dialTimeout  = 250 * time.Millisecond
+	idleTimeout  = 10 * time.Second
+	// ownerConnections is the number of connections to one owner that are kept.
+	ownerConnections = 8
+)
+
+// Owners calls the owners of shards at other entries.
+type Owners struct {
+	client *http.Client
+}
+
+// NewOwners returns a client of other entries. The clean-up closes its connections.
+func NewOwners() (*Owners, func()) {
+	transport := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: ownerConnections, DisableCompression: true,
+	}
+	return &Owners{client: &http.Client{Transport: transport, Timeout: ownerTimeout}}, transport.CloseIdleConnections
+}
+
+func (o *Owners) at(address string) keeppb.Keep {
+	return keeppb.NewKeepProtobufClient("http://"+address, o.client)
+}
+
+// Submit hands a job to the owner at an address.
+func (o *Owners) Submit(ctx context.Context, address string, job dispatch.Job) Answer {
+	return toAnswer(o.at(address).Submit(ctx, PackJob(job)))
+}
+
+// State asks the owner at an address for the state of a job.
+func (o *Owners) State(ctx context.Context, address, id string) Answer {
+	return toAnswer(o.at(address).State(ctx, &keeppb.JobRequest{Id: id}))
+}
+
+// Cancel asks the owner at an address to end a job.
+func (o *Owners) Cancel(ctx context.Context, address, id string) Answer {
+	return toAnswer(o.at(address).Cancel(ctx, &keeppb.JobRequest{Id: id}))
+}
+
+// Pending asks the entry at an address for its number of jobs that have not begun; 0 if it does not answer.
+func (o *Owners) Pending(ctx context.Context, address, kind string) int {
+	answer, err := o.at(address).Pending(ctx, &keeppb.PendingRequest{Kind: kind})
+	if err != nil {
+		return 0
+	}
+	return int(answer.Jobs)
+}
+
+// Surrender asks the entry at an address to give a shard up, and reports whether it surely has, or has ended.
+func (o *Owners) Surrender(ctx context.Context, address string, shard Shard, token Token) bool {
+	_, err := o.at(address).Surrender(ctx, &keeppb.SurrenderRequest{Shard: uint32(shard), Token: int64(token)})
+	return err == nil || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// toAnswer returns an owner's answer. A request that was surely not sent is one to nobody.
+func toAnswer(answer *keeppb.Answer, err error) Answer {
+	var dial *net.OpError
+	switch {
+	case err == nil:
+		return UnpackAnswer(answer)
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return NotOwner{}
+	default:
+		return InDoubt{Reason: "the owner of the job does not answer"}
+	}
+}
+
+// Asked serves what other entries ask of an owner.
+type Asked interface {
+	// AskHere posts an event with a waiter and returns the answer.
+	AskHere(ctx context.Context, event func(Waiter) Event) Answer
+	// PendingHere counts the jobs of a kind that are owned here and have not begun.
+	PendingHere(ctx context.Context, kind string) int
+	// SurrenderHere gives a shard up, and returns once nothing more is started for it.
+	SurrenderHere(ctx context.Context, shard Shard, token Token)
+}
+
+// Server serves the twirp interface of owners.
+type Server struct{ asked Asked }
+
+// NewServer returns the handler of what other entries ask.
+func NewServer(asked Asked) http.Handler {
+	return keeppb.NewKeepServer(&Server{asked: asked})
+}
+
+// Submit takes a job from another entry.
+func (s *Server) Submit(ctx context.Context, packed *keeppb.Job) (*keeppb.Answer, error) {
+	job := UnpackJob(packed)
+	return PackAnswer(s.asked.AskHere(ctx, func(w Waiter) Event { return Submitted{Job: job, Waiter: w} })), nil
+}
+
+// State tells the state of a job.
+func (s *Server) State(ctx context.Context, r *keeppb.JobRequest) (*keeppb.Answer, error) {
+	return PackAnswer(s.asked.AskHere(ctx, func(w Waiter) Event { return StateAsked{Job: r.Id, Waiter: w} })), nil
+}
+
+// Cancel ends a job.
+func (s *Server) Cancel(ctx context.Context, r *keeppb.JobRequest) (*keeppb.Answer, error) {
+	return PackAnswer(s.asked.AskHere(ctx, func(w Waiter) Event { return CancelAsked{Job: r.Id, Waiter: w} })), nil
+}
+
+// Pending counts jobs that have not begun.
+func (s *Server) Pending(ctx context.Context, r *keeppb.PendingRequest) (*keeppb.PendingResponse, error) {
+	return &keeppb.PendingResponse{Jobs: uint32(s.asked.PendingHere(ctx, r.Kind))}, nil
+}
+
+// Surrender gives a shard up.
+func (s *Server) Surrender(ctx context.Context, r *keeppb.SurrenderRequest) (*keeppb.SurrenderResponse, error) {
+	if r.Shard < Shards {
+		s.asked.SurrenderHere(ctx, Shard(r.Shard), Token(r.Token))
+	}
+	return &keeppb.SurrenderResponse{}, nil
+}
--- /dev/null
+++ b/internal/keep/record.go
@@ -0,0 +1,133 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package keep
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/keep/keeppb"
+	"sailhead/internal/worker"
+)
+
+// PackJob returns a job as it is kept.
+func PackJob(j dispatch.Job) *keeppb.Job {
+	packed := &keeppb.Job{
+		Id: j.ID, Kind: j.Kind.Name, Service: j.Kind.Service, Payload: j.Payload, Stretch: j.Kind.Stretch,
+		Priority: uint32(max(j.Kind.Priority, 0)), Attempts: uint32(max(j.Kind.Attempts, 0)),
+		TargetMs: uint32(max(j.Kind.Target.Milliseconds(), 0)),
+	}
+	for _, s := range j.Steps {
+		step := &keeppb.Step{
+			Count: uint32(s.Count), Cpu: uint32(s.Needs.CPU), Memory: uint32(s.Needs.Memory), Gpu: uint32(s.Needs.GPU),
+			ExpectedMs: uint32(s.Expected.Milliseconds()), Label: s.Label, Rack: s.Rack, PerWorker: uint32(s.PerWorker),
+		}
+		for _, earlier := range s.After {
+			step.After = append(step.After, uint32(earlier))
+		}
+		packed.Steps = append(packed.Steps, step)
+	}
+	return packed
+}
+
+// UnpackJob returns a job that was kept.
+func UnpackJob(packed *keeppb.Job) dispatch.Job {
+	j := dispatch.Job{ID: packed.Id, Payload: packed.Payload, Kind: dispatch.Kind{
+		Name: packed.Kind, Service: packed.Service, Priority: int(packed.Priority), Attempts: int(packed.Attempts),
+		Stretch: packed.Stretch, Target: time.Duration(packed.TargetMs) * time.Millisecond,
+	}}
+	for _, s := range packed.Steps {
+		step := dispatch.Step{
+			Count: int(s.Count), Needs: worker.Room{CPU: int(s.Cpu), Memory: int(s.Memory), GPU: int(s.Gpu)},
+			Expected: time.Duration(s.ExpectedMs) * time.Millisecond, Label: s.Label, Rack: s.Rack, PerWorker: int(s.PerWorker),
+		}
+		for _, earlier := range s.After {
+			step.After = append(step.After, int(earlier))
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
+
+// taskNames returns the names of a job's tasks in the order of their numbers.
+func taskNames(j dispatch.Job) []string {
+	var names []string
+	for i, step := range j.Steps {
+		for k := range step.Count {
+			names = append(names, fmt.Sprintf("%s.0.%d.%d", j.ID, i, k))
+		}
+	}
+	return names
+}
+
+// encodeBatch returns the records of one commit as they lie in the store.
+func encodeBatch(records []*keeppb.Record) []byte {
+	data, err := proto.Marshal(&keeppb.Batch{Records: records})
+	if err != nil {
+		// Only texts that are no UTF-8 cannot be encoded; callers' bodies are JSON, whose texts always are.
+		panic(fmt.Sprintf("keep: unable to encode a batch: %s", err))
+	}
+	return data
+}
+
+func decodeBatch(data []byte) ([]*keeppb.Record, error) {
+	var batch keeppb.Batch
+	if err := proto.Unmarshal(data, &batch); err != nil {
+		return nil, errors.Wrap(err, "keep: unable to read a batch")
+	}
+	return batch.Records, nil
+}
+
+var stateToPB = map[State]keeppb.State{
+	StateQueued: keeppb.State_STATE_QUEUED, StateRunning: keeppb.State_STATE_RUNNING,
+	StateCompleted: keeppb.State_STATE_COMPLETED, StateFailed: keeppb.State_STATE_FAILED,
+	StateCancelled: keeppb.State_STATE_CANCELLED,
+}
+
+func stateFromPB(packed keeppb.State) State {
+	for state, each := range stateToPB {
+		if each == packed {
+			return state
+		}
+	}
+	return StateQueued
+}
+
+// PackAnswer returns an answer as entries tell it each other.
+func PackAnswer(answer Answer) *keeppb.Answer {
+	switch a := answer.(type) {
+	case Known:
+		return &keeppb.Answer{Status: keeppb.Status_STATUS_KNOWN, State: stateToPB[a.State]}
+	case Unknown:
+		return &keeppb.Answer{Status: keeppb.Status_STATUS_UNKNOWN}
+	case NotOwner:
+		return &keeppb.Answer{Status: keeppb.Status_STATUS_NOT_OWNER}
+	case Refused:
+		return &keeppb.Answer{Status: keeppb.Status_STATUS_REFUSED, Reason: a.Reason}
+	case InDoubt:
+		return &keeppb.Answer{Status: keeppb.Status_STATUS_IN_DOUBT, Reason: a.Reason}
+	default:
+		return &keeppb.Answer{Status: keeppb.Status_STATUS_IN_DOUBT, Reason: "no answer"}
+	}
+}
+
+// UnpackAnswer returns the answer that another entry told.
+func UnpackAnswer(packed *keeppb.Answer) Answer {
+	switch packed.Status {
+	case keeppb.Status_STATUS_KNOWN:
+		return Known{State: stateFromPB(packed.State)}
+	case keeppb.Status_STATUS_UNKNOWN:
+		return Unknown{}
+	case keeppb.Status_STATUS_NOT_OWNER:
+		return NotOwner{}
+	case keeppb.Status_STATUS_REFUSED:
+		return Refused{Reason: packed.Reason}
+	default:
+		return InDoubt{Reason: packed.Reason}
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -38,6 +38,8 @@
 	Sessions         = "sessions"
 	RunsPrefix       = "runs_"
 	CallsUnanswered  = "calls_unanswered"
+	JobsKept         = "jobs_kept"
+	Commits          = "commits"
 )
 
 // NewSet returns a set of counters that is not published.
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -28,6 +28,8 @@
 	// Expected is the usual time of the task.
 	Expected time.Duration
 	Priority int
+	// IsKept is set if the end must not be forgotten before the owner has noted it.
+	IsKept bool
 }
 
 // Event is what happens to a runner; the types below are all there are.
@@ -61,6 +63,12 @@
 	Name    string
 }
 
+// EndNoted says that an owner has noted the end of a run for good.
+type EndNoted struct {
+	Name string
+	Run  uint32
+}
+
 // WorkerSeen is a heartbeat of the worker.
 type WorkerSeen struct{ Record worker.Record }
 
@@ -105,6 +113,7 @@
 func (PongHeard) isEvent()      {}
 func (StartAsked) isEvent()     {}
 func (StopAsked) isEvent()      {}
+func (EndNoted) isEvent()       {}
 func (WorkerSeen) isEvent()     {}
 func (WorkerRecalled) isEvent() {}
 func (WorkerLeft) isEvent()     {}
@@ -222,4 +231,6 @@
 	Outcome    Outcome
 	Reason     string
 	Checkpoint string
+	// Unnoted is set if the update goes to every entry, as nobody has noted the end yet.
+	Unnoted bool
 }
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -15,7 +15,7 @@
 	if now.Sub(r.life.held) >= r.holdPause() {
 		r.list(now)
 	}
-	if !r.life.waiting && r.hasActive() && !now.Before(r.life.waitAfter) {
+	if !r.life.waiting && r.hasActive() && !now.Before(r.life.waitAfter) && len(r.life.unnoted) == 0 {
 		r.life.waiting = true
 		r.callHold(now, holdWait)
 	}
@@ -24,6 +24,8 @@
 // holdPause returns the time between two calls to hold that do not wait.
 func (r *Runner) holdPause() time.Duration {
 	switch {
+	case len(r.life.unnoted) > 0:
+		return unnotedPause
 	case r.isInDoubt():
 		return retryPause
 	case r.hasActive():
@@ -40,7 +42,7 @@
 }
 
 func (r *Runner) callHold(now time.Time, wait time.Duration) {
-	hold := worker.Hold{Fence: r.fence, LastSeen: r.life.lastSeen, Wait: wait}
+	hold := worker.Hold{Fence: r.fence, LastSeen: r.life.acknowledged(), Wait: wait}
 	// A silent worker may still be carrying out what it does not answer: without new leases its runs lapse.
 	if !r.life.isSilent(now) {
 		hold.Until = r.until(now)
@@ -125,8 +127,12 @@
 	r.life.ended = now
 	t, ok := r.tasks[end.Name]
 	if !ok || t.Run != end.Run || t.state == stateQueued {
+		r.keepOrphan(now, end)
 		return
 	}
+	if t.IsKept && isOutcome(end.Ending) {
+		r.keepEnd(now, end)
+	}
 	t.Checkpoint = end.Checkpoint
 	r.health.ended(t, end.Ending, now)
 	switch {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -81,10 +81,14 @@
 // life is one life of the worker.
 type life struct {
 	record worker.Record
+	// began is when this process heard of the life.
+	began time.Time
 	// used is what the runs that may be there take.
 	used worker.Room
-	// lastSeen is the number of the last end that was taken note of.
+	// lastSeen is the number of the last end that was taken in.
 	lastSeen uint64
+	// unnoted are the ends that the worker must not forget yet, by their numbers.
+	unnoted map[uint64]*unnotedEnd
 	// ended is when the last end was taken note of.
 	ended time.Time
 	// answered is when a hold that was answered was last asked for.
@@ -131,6 +135,8 @@
 		r.askStart(now, e)
 	case StopAsked:
 		r.askStop(now, e)
+	case EndNoted:
+		r.noted(e.Name, e.Run)
 	case WorkerSeen:
 		r.seeWorker(now, e.Record)
 	case WorkerRecalled:
@@ -183,6 +189,7 @@
 	}
 	r.repeatStops(now)
 	r.lookAtHealth(now)
+	r.retell(now)
 	r.hold(now)
 	r.expireLease(now)
 }
@@ -225,7 +232,10 @@
 		r.addPast(r.life.record.ID)
 	}
 	r.endLife("another life of the worker began")
-	r.life = &life{record: record, answered: now, foreign: make(map[string]time.Time)}
+	r.life = &life{
+		record: record, began: now, answered: now,
+		foreign: make(map[string]time.Time), unnoted: make(map[uint64]*unnotedEnd),
+	}
 	r.health = health{}
 	r.readClock(record.Clock, now)
 	r.describeWorker()
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -32,6 +32,7 @@
 	if r.life != nil {
 		r.emit(SendWorker{Session: s.id, Record: r.life.record})
 	}
+	r.tellUnnoted(s)
 	r.ping(now, s)
 }
 
@@ -143,6 +144,8 @@
 		return "the worker's clock is unknown"
 	case now.Before(r.life.unhealthyUntil):
 		return "the worker is unhealthy"
+	case len(r.life.unnoted) >= mostUnnoted:
+		return "too many ends wait for being noted"
 	case len(r.life.foreign) > 0:
 		return "the worker still runs tasks of an earlier agent"
 	default:
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -71,6 +71,8 @@
 		s.post(runner.PongHeard{Session: id, Sent: s.started.Add(time.Duration(message.Pong.Time))})
 	case *sessionpb.FromEntry_Start:
 		s.post(runner.StartAsked{Session: id, Number: message.Start.Number, Task: unpackStart(message.Start)})
+	case *sessionpb.FromEntry_Noted:
+		s.post(runner.EndNoted{Name: message.Noted.Task, Run: message.Noted.Run})
 	case *sessionpb.FromEntry_Stop:
 		s.post(runner.StopAsked{Session: id, Name: message.Stop.Task})
 	}
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -31,7 +31,7 @@
 	return &sessionpb.FromEntry{Message: &sessionpb.FromEntry_Start{Start: &sessionpb.Start{
 		Number: number, Task: t.Name, Run: t.Run, Payload: t.Payload,
 		Cpu: count(t.Needs.CPU), Memory: count(t.Needs.Memory), Gpu: count(t.Needs.GPU),
-		Checkpoint: t.Checkpoint, WaitMs: millis(t.MaxWait), ExpectedMs: millis(t.Expected), Priority: count(t.Priority),
+		Checkpoint: t.Checkpoint, WaitMs: millis(t.MaxWait), ExpectedMs: millis(t.Expected), Priority: count(t.Priority), Kept: t.IsKept,
 	}}}
 }
 
@@ -39,7 +39,7 @@
 	return runner.Task{
 		Name: s.Task, Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint,
 		Needs:   worker.Room{CPU: int(s.Cpu), Memory: int(s.Memory), GPU: int(s.Gpu)},
-		MaxWait: duration(s.WaitMs), Expected: duration(s.ExpectedMs), Priority: int(s.Priority),
+		MaxWait: duration(s.WaitMs), Expected: duration(s.ExpectedMs), Priority: int(s.Priority), IsKept: s.Kept,
 	}
 }
 
@@ -76,13 +76,13 @@
 func packUpdate(u runner.Update) *sessionpb.FromAgent {
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Update{Update: &sessionpb.Update{
 		Task: u.Name, Run: u.Run, Outcome: sessionpb.Outcome(u.Outcome), Reason: u.Reason,
-		Checkpoint: u.Checkpoint,
+		Checkpoint: u.Checkpoint, Unnoted: u.Unnoted,
 	}}}
 }
 
 func unpackUpdate(u *sessionpb.Update) runner.Update {
 	return runner.Update{
 		Name: u.Task, Run: u.Run, Outcome: runner.Outcome(u.Outcome), Reason: u.Reason,
-		Checkpoint: u.Checkpoint,
+		Checkpoint: u.Checkpoint, Unnoted: u.Unnoted,
 	}
 }
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -71,6 +71,11 @@
 	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Stop{Stop: &sessionpb.Stop{Task: name}}})
 }
 
+// Noted tells the agent that the end of a run is kept.
+func (s *ToAgent) Noted(name string, run uint32) {
+	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Noted{Noted: &sessionpb.Noted{Task: name, Run: run}}})
+}
+
 // Close ends the session at once.
 func (s *ToAgent) Close() {
 	s.connection.close()
--- a/internal/settings/option.go
+++ b/internal/settings/option.go
@@ -150,6 +150,8 @@
 			value: func(s *Settings) any { return &s.ReadyAddress }},
 		{Name: "jobs", Help: "Largest number of jobs under way at an entry.", Roles: platformEntries, Default: 4096, Min: 1, Max: 1_000_000,
 			value: func(s *Settings) any { return &s.Jobs }},
+		{Name: "store_writes", Help: "Writes to the platform's store that all entries together may make in a second.", Roles: platformEntries, Default: 400, Min: 1, Max: 1_000_000,
+			value: func(s *Settings) any { return &s.StoreWrites }},
 		{Name: "heartbeat_address", Help: "Address at which the worker beside the agent reports.", Roles: platformAgents, IsRequired: true, Default: Address(""),
 			value: func(s *Settings) any { return &s.HeartbeatAddress }},
 		{Name: "hold_time", Help: "Longest lease that the worker grants.", Roles: platformAgents,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,7 @@
 	HeartbeatAddress Address
 	MetricsAddress   Address
 	Jobs             int
+	StoreWrites      int
 	HoldTime         time.Duration
 	StopTime         time.Duration
 
