Know a job's end also where the record of its acceptance is removed

Cause: a batch goes once nothing in it counts; the acceptance of an ended job counts no more, and a new owner that met the end alone passed it over: the job was unknown after a failover (410 for a completed job). Ruled out: lost ends (the stand-in's list and the last_seen of each hold were printed), commits that hang.

--- a/internal/keep/shard.go
+++ b/internal/keep/shard.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sailhead/internal/dispatch"
 	"sailhead/internal/keep/keeppb"
 )
 
@@ -154,10 +155,15 @@
 			return j
 		}
 	case *keeppb.Record_Ended:
-		if j, ok := s.jobs[r.Ended.Id]; ok {
-			s.end(now, j, stateFromPB(r.Ended.State), at)
-			return j
+		j, ok := s.jobs[r.Ended.Id]
+		if !ok {
+			// The batch that held its acceptance is removed already.
+			j = newJob(dispatch.Job{ID: r.Ended.Id})
+			s.jobs[j.id] = j
+			s.open++
 		}
+		s.end(now, j, stateFromPB(r.Ended.State), at)
+		return j
 	}
 	return nil
 }
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -74,8 +74,10 @@
 		s.number++
 		return s.handle(StartAsked{Session: session, Number: s.number, Task: Task{
 			Name: first, Run: run, Needs: worker.Room{CPU: number(t, d, "cpu", 1000)}, Expected: 100 * time.Millisecond,
-			MaxWait: time.Duration(number(t, d, "wait", 0)) * time.Millisecond,
+			MaxWait: time.Duration(number(t, d, "wait", 0)) * time.Millisecond, IsKept: d.HasArg("kept"),
 		}})
+	case "noted":
+		return s.handle(EndNoted{Name: first, Run: run})
 	case "stop":
 		return s.handle(StopAsked{Session: session, Name: first})
 	case "started":
@@ -146,7 +148,11 @@
 			}
 			fmt.Fprintf(&out, "call hold lease=%s last=%d wait=%s\n", lease, e.Hold.LastSeen, e.Hold.Wait)
 		case SendUpdate:
-			fmt.Fprintf(&out, "tell %d: %s run=%d %s %s\n", e.Session, e.Update.Name, e.Update.Run, e.Update.Outcome, e.Update.Reason)
+			unnoted := ""
+			if e.Update.Unnoted {
+				unnoted = " unnoted"
+			}
+			fmt.Fprintf(&out, "tell %d: %s run=%d %s %s%s\n", e.Session, e.Update.Name, e.Update.Run, e.Update.Outcome, e.Update.Reason, unnoted)
 		case CloseSession:
 			fmt.Fprintf(&out, "close %d: %s\n", e.Session, e.Reason)
 		}
