--- /dev/null
+++ b/internal/keep/random_test.go
@@ -0,0 +1,502 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package keep
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/runner"
+)
+
+var (
+	schedules = flag.Int("schedules", 40, "number of random schedules")
+	first     = flag.Uint64("first", 0, "seed of the first random schedule")
+)
+
+// fakeStore is the platform's store as its page tells it: one revision for all keys, leases, answers that get lost, and
+// writes that are carried out late.
+type fakeStore struct {
+	now      time.Time
+	revision int64
+	leases   map[Lease]time.Time
+	claims   map[Shard]Claim
+	batches  map[Shard]map[Sequence][]byte
+}
+
+func newFakeStore(now time.Time) *fakeStore {
+	s := &fakeStore{now: now, leases: make(map[Lease]time.Time), claims: make(map[Shard]Claim), batches: make(map[Shard]map[Sequence][]byte)}
+	for shard := range Shard(Shards) {
+		s.batches[shard] = make(map[Sequence][]byte)
+	}
+	return s
+}
+
+func (s *fakeStore) expire(now time.Time) {
+	s.now = now
+	for id, ends := range s.leases {
+		if now.After(ends) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *fakeStore) endLease(id Lease) {
+	delete(s.leases, id)
+	for shard, claim := range s.claims {
+		if claim.Lease == id {
+			s.revision++
+			delete(s.claims, shard)
+		}
+	}
+}
+
+func (s *fakeStore) lease(id Lease, ttl time.Duration) LeaseResult {
+	if id == 0 {
+		s.revision++
+		id = Lease(s.revision)
+	} else if _, ok := s.leases[id]; !ok {
+		return LeaseOver{}
+	}
+	s.leases[id] = s.now.Add(ttl)
+	return LeaseGranted{Lease: id, Time: ttl}
+}
+
+func (s *fakeStore) claim(c Claim) ClaimResult {
+	_, taken := s.claims[c.Shard]
+	if _, ok := s.leases[c.Lease]; !ok || taken {
+		return ClaimLost{}
+	}
+	s.revision++
+	c.Token = Token(s.revision)
+	s.claims[c.Shard] = c
+	return ClaimWon{Token: c.Token}
+}
+
+func (s *fakeStore) commit(c Commit) CommitResult {
+	var deposed CommitDeposed
+	for _, part := range c.Parts {
+		if _, ok := s.batches[part.Shard][part.Sequence]; ok {
+			return CommitDone{}
+		}
+		if s.claims[part.Shard].Token != part.Token {
+			deposed.Shards = append(deposed.Shards, part.Shard)
+		}
+	}
+	if len(deposed.Shards) > 0 {
+		return deposed
+	}
+	s.revision++
+	for _, part := range c.Parts {
+		s.batches[part.Shard][part.Sequence] = part.Data
+		for _, sequence := range part.Remove {
+			delete(s.batches[part.Shard], sequence)
+		}
+		if part.Releases {
+			delete(s.claims, part.Shard)
+		}
+	}
+	return CommitDone{}
+}
+
+func (s *fakeStore) load(shard Shard) []StoredBatch {
+	var batches []StoredBatch
+	for _, sequence := range slices.Sorted(maps.Keys(s.batches[shard])) {
+		batches = append(batches, StoredBatch{Sequence: sequence, Data: s.batches[shard][sequence]})
+	}
+	return batches
+}
+
+// fakeEntry is a keeper with what it has been told to run.
+type fakeEntry struct {
+	name    string
+	keeper  *Keeper
+	alive   bool
+	frozen  bool
+	seen    int64
+	claimed map[Shard]bool
+	// active are the jobs that the dispatcher may run, from a time on.
+	active map[string]time.Time
+	// inbox are events on their way.
+	inbox []delayed
+}
+
+type delayed struct {
+	at    time.Time
+	event Event
+}
+
+// schedule plays three keepers against one store on virtual time.
+type schedule struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     time.Time
+	store   *fakeStore
+	entries []*fakeEntry
+	// late are writes that the store carries out later.
+	late []func()
+	next int
+	// promised are the jobs whose acceptance was told, with their tasks' ends that were noted.
+	promised map[string]map[string]bool
+	ended    map[string]State
+	asked    map[Waiter]string
+	jobs     map[string]dispatch.Job
+	calm     bool
+}
+
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	now := time.Unix(1_000_000, 0)
+	s := &schedule{
+		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: now, store: newFakeStore(now),
+		promised: make(map[string]map[string]bool), ended: make(map[string]State), asked: make(map[Waiter]string),
+		jobs: make(map[string]dispatch.Job),
+	}
+	for i := range 3 {
+		e := &fakeEntry{name: fmt.Sprintf("entry-%d", i)}
+		s.entries = append(s.entries, e)
+		s.start(e)
+	}
+	return s
+}
+
+func (s *schedule) chance(share float64) bool { return s.random.Float64() < share }
+
+func (s *schedule) start(e *fakeEntry) {
+	e.keeper = New(Claim{Owner: e.name, Address: e.name, Incarnation: s.now.UnixNano()}, Limits{Jobs: 4096, StatusTime: time.Minute, LeaseTime: 6 * time.Second, Commits: 200})
+	e.alive, e.frozen, e.seen = true, false, 0
+	e.active, e.claimed, e.inbox = make(map[string]time.Time), make(map[Shard]bool), nil
+	s.give(e, EntriesSeen{Names: []string{"entry-0", "entry-1", "entry-2"}})
+	s.give(e, StoreRead{Kept: true})
+}
+
+// post lets an event arrive after some time, as what other goroutines and processes answer does.
+func (s *schedule) post(e *fakeEntry, event Event) {
+	e.inbox = append(e.inbox, delayed{at: s.now.Add(time.Duration(s.random.IntN(30)) * time.Millisecond), event: event})
+}
+
+func (s *schedule) give(e *fakeEntry, event Event) {
+	for _, effect := range e.keeper.Handle(s.now, event) {
+		s.carry(e, effect)
+	}
+}
+
+// outcome is what becomes of a call to the store.
+type outcome int
+
+const (
+	answered outcome = iota
+	unanswered
+	refused
+	postponed
+)
+
+func (s *schedule) outcome() outcome {
+	switch {
+	case s.calm || s.chance(0.8):
+		return answered
+	case s.chance(0.4):
+		return unanswered
+	case s.chance(0.5):
+		return refused
+	default:
+		return postponed
+	}
+}
+
+func (s *schedule) carry(e *fakeEntry, effect Effect) {
+	switch effect := effect.(type) {
+	case CallLease:
+		asked := s.now
+		var result LeaseResult = LeaseUnknown{}
+		if out := s.outcome(); out == answered || out == unanswered {
+			if granted := s.store.lease(effect.Lease, effect.Time); out == answered {
+				result = granted
+			}
+		}
+		s.post(e, LeaseAnswered{Asked: asked, Result: result})
+	case EndLease:
+		s.store.endLease(effect.Lease)
+	case CallClaim:
+		s.post(e, ClaimAnswered{Shard: effect.Claim.Shard, Lease: effect.Claim.Lease, Result: s.callClaim(effect.Claim)})
+	case Load:
+		s.post(e, Loaded{Shard: effect.Shard, Token: effect.Token, Batches: s.store.load(effect.Shard)})
+	case Commit:
+		s.post(e, Committed{Number: effect.Number, Result: s.callCommit(effect)})
+	case CallSurrender:
+		s.surrender(e, effect)
+	case Reply:
+		s.reply(effect)
+	case ToDispatcher:
+		s.dispatch(e, effect.Event)
+	case NoteEnd:
+		if tasks, ok := s.promised[dispatch.JobOf(effect.Name)]; ok {
+			tasks[effect.Name] = true
+		}
+	}
+}
+
+func (s *schedule) callClaim(c Claim) ClaimResult {
+	switch s.outcome() {
+	case answered:
+		return s.store.claim(c)
+	case unanswered:
+		s.store.claim(c)
+	case postponed:
+		s.late = append(s.late, func() { s.store.claim(c) })
+	case refused:
+		return ClaimLost{}
+	}
+	return ClaimUnknown{}
+}
+
+func (s *schedule) callCommit(c Commit) CommitResult {
+	switch s.outcome() {
+	case answered:
+		return s.store.commit(c)
+	case unanswered:
+		s.store.commit(c)
+	case postponed:
+		s.late = append(s.late, func() { s.store.commit(c) })
+	}
+	return CommitUnknown{}
+}
+
+// surrender asks the earlier owner: a frozen one does not answer, one that has ended refuses the connection.
+func (s *schedule) surrender(e *fakeEntry, call CallSurrender) {
+	for _, other := range s.entries {
+		if other.name != call.Address {
+			continue
+		}
+		isSure := !other.alive || !other.frozen
+		if other.alive && !other.frozen {
+			s.give(other, SurrenderAsked{Shard: call.Shard, Token: call.Token, Done: func() {}})
+		}
+		s.post(e, Surrendered{Shard: call.Shard, Token: call.Token, IsSure: isSure})
+	}
+}
+
+func (s *schedule) reply(r Reply) {
+	id, ok := s.asked[r.Waiter]
+	if !ok {
+		return
+	}
+	delete(s.asked, r.Waiter)
+	known, isKnown := r.Answer.(Known)
+	if _, isUnknown := r.Answer.(Unknown); isUnknown && s.promised[id] != nil {
+		s.t.Errorf("job %s was accepted and is not known", id)
+	}
+	if !isKnown {
+		return
+	}
+	if s.promised[id] == nil {
+		s.promised[id] = make(map[string]bool)
+	}
+	if was, hasEnded := s.ended[id]; hasEnded && was != known.State {
+		s.t.Errorf("job %s was shown as %d and is shown as %d", id, was, known.State)
+	}
+	if known.State.IsEnd() {
+		s.ended[id] = known.State
+	}
+}
+
+func (s *schedule) dispatch(e *fakeEntry, event dispatch.Event) {
+	switch event := event.(type) {
+	case dispatch.Kept:
+		from := s.now
+		if event.NotBefore.After(from) {
+			from = event.NotBefore
+		}
+		e.active[event.Job.ID] = from
+		for name := range s.promised[event.Job.ID] {
+			if !slices.Contains(event.Done, name) {
+				s.t.Errorf("task %s was noted as done, and is to run again at %s", name, e.name)
+			}
+		}
+		if state, hasEnded := s.ended[event.Job.ID]; hasEnded {
+			s.t.Errorf("job %s was shown as %d, and is to run again at %s", event.Job.ID, state, e.name)
+		}
+	case dispatch.Dropped:
+		for _, id := range event.Jobs {
+			delete(e.active, id)
+		}
+	}
+}
+
+// watch tells the entries of the claims, as the store's watch does.
+func (s *schedule) watch(e *fakeEntry) {
+	if e.seen == s.store.revision || !s.calm && s.chance(0.7) {
+		return
+	}
+	e.seen = s.store.revision
+	claimed := make(map[Shard]bool)
+	for _, shard := range slices.Sorted(maps.Keys(s.store.claims)) {
+		claimed[shard] = true
+		s.give(e, ClaimSeen{Claim: s.store.claims[shard]})
+	}
+	for shard := range e.claimed {
+		if !claimed[shard] {
+			s.give(e, ClaimGone{Shard: shard, Token: Token(e.seen)})
+		}
+	}
+	e.claimed = claimed
+}
+
+func (s *schedule) step() {
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.store.expire(s.now)
+	if len(s.late) > 0 && s.chance(0.1) {
+		s.late[0]()
+		s.late = s.late[1:]
+	}
+	for _, e := range s.entries {
+		if !e.alive || e.frozen {
+			continue
+		}
+		for _, effect := range e.keeper.Expire(s.now) {
+			s.carry(e, effect)
+		}
+		s.deliver(e)
+		s.watch(e)
+		s.give(e, Ticked{})
+		s.work(e)
+	}
+	s.checkOwners()
+}
+
+func (s *schedule) deliver(e *fakeEntry) {
+	var waiting, due []delayed
+	for _, d := range e.inbox {
+		if d.at.After(s.now) {
+			waiting = append(waiting, d)
+		} else {
+			due = append(due, d)
+		}
+	}
+	e.inbox = waiting
+	for _, d := range due {
+		s.give(e, d.event)
+	}
+}
+
+// work ends tasks of active jobs, and submits and asks.
+func (s *schedule) work(e *fakeEntry) {
+	for _, id := range slices.Sorted(maps.Keys(e.active)) {
+		if s.now.Before(e.active[id]) || !s.chance(0.2) {
+			continue
+		}
+		for _, name := range taskNames(s.jobs[id]) {
+			outcome := runner.OutcomeDone
+			s.give(e, TaskEnded{Agent: "a", Update: runner.Update{Name: name, Run: 1, Outcome: outcome}})
+		}
+		if len(taskNames(s.jobs[id])) > 0 {
+			delete(e.active, id)
+		}
+	}
+	if !s.calm && s.chance(0.1) {
+		s.next++
+		id := fmt.Sprintf("%016x", s.next)
+		s.jobs[id] = dispatch.Job{ID: id, Kind: dispatch.Kind{Name: "k", Attempts: 2}, Steps: []dispatch.Step{{Count: 2}}}
+		s.submit(e, id)
+	}
+	// Jobs that ended long ago may be forgotten.
+	if s.next > 0 && s.chance(0.1) && s.now.Sub(time.Unix(1_000_000, 0)) < 15*time.Second {
+		id := fmt.Sprintf("%016x", 1+s.random.IntN(s.next))
+		if s.chance(0.3) {
+			s.submit(e, id)
+		} else {
+			waiter := Waiter(s.random.Uint64())
+			s.asked[waiter] = id
+			s.give(e, StateAsked{Job: id, Waiter: waiter})
+		}
+	}
+}
+
+func (s *schedule) submit(e *fakeEntry, id string) {
+	waiter := Waiter(s.random.Uint64())
+	s.asked[waiter] = id
+	s.give(e, Submitted{Job: s.jobs[id], Waiter: waiter})
+}
+
+// checkOwners checks that no job may run at two entries that are not frozen.
+func (s *schedule) checkOwners() {
+	runs := make(map[string]string)
+	for _, e := range s.entries {
+		if !e.alive || e.frozen {
+			continue
+		}
+		for id, from := range e.active {
+			if s.now.Before(from) {
+				continue
+			}
+			if other, ok := runs[id]; ok {
+				s.t.Errorf("at %s job %s may run at %s and %s", s.now.Sub(time.Unix(1_000_000, 0)), id, other, e.name)
+			}
+			runs[id] = e.name
+		}
+	}
+}
+
+// trouble kills, freezes and starts entries.
+func (s *schedule) trouble() {
+	e := s.entries[s.random.IntN(len(s.entries))]
+	switch {
+	case !e.alive:
+		s.start(e)
+	case e.frozen:
+		e.frozen = false
+	case s.chance(0.5):
+		e.alive = false
+	default:
+		e.frozen = true
+	}
+}
+
+func TestRandomSchedulesLoseNothingAndRunNothingAtTwoOwners(t *testing.T) {
+	for seed := *first; seed < *first+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed)
+		for range 1200 {
+			s.step()
+			if s.chance(0.006) {
+				s.trouble()
+			}
+		}
+		s.calm = true
+		for _, e := range s.entries {
+			if e.frozen {
+				e.frozen = false
+			}
+			if !e.alive {
+				s.start(e)
+			}
+		}
+		for range 2500 {
+			s.step()
+		}
+		s.checkEnds()
+		if t.Failed() {
+			t.Fatalf("schedule %d", seed)
+		}
+	}
+}
+
+// checkEnds checks that every accepted job has ended.
+func (s *schedule) checkEnds() {
+	for _, id := range slices.Sorted(maps.Keys(s.promised)) {
+		var state State
+		for _, e := range s.entries {
+			if known, ok := e.keeper.stateOf(id).(Known); ok {
+				state = known.State
+			}
+		}
+		if state != StateCompleted && s.ended[id] != StateCompleted {
+			s.t.Errorf("job %s was accepted and is in state %d in the end", id, state)
+		}
+	}
+}
