--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -30,10 +30,11 @@
 
 func (d *Dispatcher) cancel(now time.Time, e Cancelled) {
 	j, ok := d.jobs[e.Job]
-	if ok {
+	isOwn := ok && !j.isKept
+	if isOwn {
 		d.finish(now, j, Interrupted{Reason: "the job was cancelled"})
 	}
-	e.Done(ok)
+	e.Done(isOwn)
 }
 
 // drop forgets a job and stops its tasks.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -133,11 +133,11 @@
 	return len(d.jobs), len(d.waiting), len(d.agents)
 }
 
-// stateOf returns how far a job is.
+// stateOf returns how far a job is. Of jobs that must be kept others tell.
 func (d *Dispatcher) stateOf(id string) JobState {
 	j, ok := d.jobs[id]
 	switch {
-	case !ok:
+	case !ok || j.isKept:
 		return JobUnknown
 	case j.begun:
 		return JobBegun
@@ -162,7 +162,10 @@
 }
 
 func (d *Dispatcher) submit(now time.Time, e Submitted) {
-	if j, ok := d.jobs[e.Job.ID]; ok {
+	if j, ok := d.jobs[e.Job.ID]; ok && j.isKept {
+		d.emit(Reply{Waiters: []Waiter{e.Waiter}, Answer: NotRun{Reason: "the job is kept already", RetryAfter: d.comeBack(time.Second)}})
+		return
+	} else if ok {
 		j.waiters = append(j.waiters, e.Waiter)
 		d.note(now, j, DecisionJoined, "")
 		return
