--- a/internal/frontend/kept.go
+++ b/internal/frontend/kept.go
@@ -85,7 +85,7 @@
 	switch e := effect.(type) {
 	case keep.CallLease:
 		asked := time.Now()
-		f.postKeep(keep.LeaseAnswered{Asked: asked, Result: f.settings.Keep.Lease(e.Lease, e.Time)})
+		f.postKeep(keep.LeaseAnswered{Lease: e.Lease, Asked: asked, Result: f.settings.Keep.Lease(e.Lease, e.Time)})
 	case keep.EndLease:
 		f.settings.Keep.EndLease(e.Lease)
 	case keep.CallClaim:
--- a/internal/keep/event.go
+++ b/internal/keep/event.go
@@ -120,8 +120,9 @@
 	Token Token
 }
 
-// LeaseAnswered is what became of asking for a lease, or of renewing it, at a time.
+// LeaseAnswered is what became of asking for a lease, or of renewing the one named, at a time.
 type LeaseAnswered struct {
+	Lease  Lease
 	Asked  time.Time
 	Result LeaseResult
 }
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -233,6 +233,14 @@
 
 func (k *Keeper) leaseAnswered(e LeaseAnswered) {
 	k.lease.waiting = false
+	result, isGranted := e.Result.(LeaseGranted)
+	if e.Lease != k.lease.id {
+		// The lease was given up meanwhile. Its claims would live on with it, and nobody would own the shards.
+		if isGranted {
+			k.emit(EndLease{Lease: result.Lease})
+		}
+		return
+	}
 	switch result := e.Result.(type) {
 	case LeaseGranted:
 		k.lease.unknown = false
@@ -253,6 +261,7 @@
 }
 
 func (k *Keeper) loseLease(reason string) {
+	k.emit(EndLease{Lease: k.lease.id})
 	k.lease.id = 0
 	for _, s := range k.shards {
 		if s.state != unowned {
--- a/internal/keep/random_test.go
+++ b/internal/keep/random_test.go
@@ -220,7 +220,7 @@
 				result = granted
 			}
 		}
-		s.post(e, LeaseAnswered{Asked: asked, Result: result})
+		s.post(e, LeaseAnswered{Lease: effect.Lease, Asked: asked, Result: result})
 	case EndLease:
 		s.store.endLease(effect.Lease)
 	case CallClaim:
