--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -149,13 +149,30 @@
 	ingress := platform.NewIngress(listeners[0], configurations.Current, entry)
 	return onPlatform{setSeeds: entry.SetSeeds, stop: func() error {
 		err := stopEntry(entry, ingress)
-		closeReady()
-		closeEntry()
-		closeStore()
+		closeWithin(closeTime, closeReady, closeEntry, closeStore)
 		return err
 	}}, nil
 }
 
+// closeTime is how long the last clean-ups of a planned stop may take: a call to a store that does not answer is not
+// waited for, as the process ends anyway.
+const closeTime = 150 * time.Millisecond
+
+// closeWithin runs clean-ups in order and waits for them up to a time.
+func closeWithin(limit time.Duration, cleanups ...func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, cleanup := range cleanups {
+			cleanup()
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(limit):
+	}
+}
+
 // stopEntry stops an entry as planned: every request that arrives is answered. Once the balancer sends no more
 // connections and no job is under way there is no reason to wait. Where no entry is ready the balancer goes on
 // sending, and this one goes on serving to the end.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -90,6 +90,8 @@
 	claims         [keep.Shards]*keep.Claim
 	ownerAddresses []string
 	keptSeen       bool
+	// storeHeard is when the store last told its changes.
+	storeHeard time.Time
 	sessions       map[dispatch.AgentID]*agentSession
 	agents         int
 	jobs           int
--- a/internal/frontend/kept.go
+++ b/internal/frontend/kept.go
@@ -223,10 +223,16 @@
 		func(ctx context.Context, address string) keep.Answer { return f.owners.Cancel(ctx, address, id) })
 }
 
-// Keeps reports whether there may be jobs that must be kept.
+// newsTime is how long what the store said holds: a watch is answered sooner.
+const newsTime = 2500 * time.Millisecond
+
+// Keeps reports whether there may be jobs that must be kept: also if the store was not heard lately.
 func (f *Frontend) Keeps() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if time.Since(f.storeHeard) > newsTime {
+		return true
+	}
 	for _, claim := range f.claims {
 		if claim != nil {
 			return true
--- a/internal/frontend/news.go
+++ b/internal/frontend/news.go
@@ -90,6 +90,9 @@
 
 // takeClaims hands what the store says of the shards to the keeper.
 func (f *Frontend) takeClaims(news News) {
+	f.mu.Lock()
+	f.storeHeard = time.Now()
+	f.mu.Unlock()
 	for _, claim := range news.Claims {
 		f.postKeep(keep.ClaimSeen{Claim: claim})
 	}
