--- a/internal/dispatch/kept.go
+++ b/internal/dispatch/kept.go
@@ -163,15 +163,15 @@
 	return settleTime
 }
 
-// KeptRuns counts the tasks of jobs that must be kept that are at agents.
-func (d *Dispatcher) KeptRuns() int {
+// KeptRuns counts the tasks of jobs that must be kept of which a run may go on, or may have ended unheard.
+func (d *Dispatcher) KeptRuns(now time.Time) int {
 	count := 0
 	for _, j := range d.jobs {
 		if !j.isKept {
 			continue
 		}
 		for _, t := range j.tasks {
-			if t.state == taskSent {
+			if t.state == taskSent || t.state == taskPending && now.Before(t.settled) {
 				count++
 			}
 		}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -169,7 +169,7 @@
 		case kept = <-f.keepEvents:
 		case <-ticker.C:
 			events = append(events, dispatch.Ticked{})
-			kept = keep.Ticked{KeptRuns: f.dispatcher.KeptRuns()}
+			kept = keep.Ticked{KeptRuns: f.dispatcher.KeptRuns(time.Now())}
 		}
 		// A process that was frozen gives up what it may own no longer before it acts on what waits.
 		f.carryKept(f.keeper.Expire(time.Now()))
--- a/internal/frontend/kept.go
+++ b/internal/frontend/kept.go
@@ -241,24 +241,46 @@
 	return f.keptSeen
 }
 
-// Pending counts the accepted jobs of a kind of which no task has begun, at all owners. A job that need not be kept is
-// accepted by its final answer, so it is never among them.
-func (f *Frontend) Pending(ctx context.Context, kind string) int {
+// Pending counts the accepted jobs of a kind of which no task has begun, at all owners; ok is false if an owner is not
+// known or does not answer. A job that need not be kept is accepted by its final answer, so it is never among them.
+func (f *Frontend) Pending(ctx context.Context, kind string) (jobs int, ok bool) {
 	if !f.Keeps() {
-		return 0
+		return 0, true
 	}
-	f.mu.Lock()
-	addresses := f.ownerAddresses
-	f.mu.Unlock()
-	counts := make(chan int, len(addresses))
+	addresses, ok := f.allOwners()
+	if !ok {
+		return 0, false
+	}
+	type count struct {
+		jobs int
+		ok   bool
+	}
+	counts := make(chan count, len(addresses))
 	for _, address := range addresses {
-		go func() { counts <- f.owners.Pending(ctx, address, kind) }()
+		go func() {
+			jobs, ok := f.owners.Pending(ctx, address, kind)
+			counts <- count{jobs: jobs, ok: ok}
+		}()
 	}
 	total := f.PendingHere(ctx, kind)
 	for range addresses {
-		total += <-counts
+		each := <-counts
+		total += each.jobs
+		ok = ok && each.ok
+	}
+	return total, ok
+}
+
+// allOwners returns the addresses of the other entries that own shards; ok is false if a shard has no owner.
+func (f *Frontend) allOwners() (addresses []string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, claim := range f.claims {
+		if claim == nil {
+			return nil, false
+		}
 	}
-	return total
+	return f.ownerAddresses, true
 }
 
 // PendingHere counts the jobs of a kind that are owned here and have not begun.
--- a/internal/keep/owners.go
+++ b/internal/keep/owners.go
@@ -61,13 +61,13 @@
 	return toAnswer(o.at(address).Cancel(ctx, &keeppb.JobRequest{Id: id}))
 }
 
-// Pending asks the entry at an address for its number of jobs that have not begun; 0 if it does not answer.
-func (o *Owners) Pending(ctx context.Context, address, kind string) int {
+// Pending asks the entry at an address for its number of jobs that have not begun; ok is false if it does not answer.
+func (o *Owners) Pending(ctx context.Context, address, kind string) (jobs int, ok bool) {
 	answer, err := o.at(address).Pending(ctx, &keeppb.PendingRequest{Kind: kind})
 	if err != nil {
-		return 0
+		return 0, false
 	}
-	return int(answer.Jobs)
+	return int(answer.Jobs), true
 }
 
 // Surrender asks the entry at an address to give a shard up, and reports whether it surely has, or has ended.
