--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,7 +34,6 @@
 	PlatformStandin *daemonCommand   `arg:"subcommand:platform-standin" help:"take the platform's place in trials"`
 	BackendStandin  *daemonCommand   `arg:"subcommand:backend-standin" help:"take a backend server's place in trials"`
 	Demo            *demoCommand     `arg:"subcommand:demo" help:"run a whole small system in this process"`
-	Measure         *measureCommand  `arg:"subcommand:measure" help:"measure the decisions under load on virtual time"`
 	Operate         *operateCommand  `arg:"subcommand:operate" help:"ask what runs where and change the configuration"`
 	Timeline        *timelineCommand `arg:"subcommand:timeline" help:"show the events of all processes in order"`
 	CheckSettings   *checkCommand    `arg:"subcommand:check-settings" help:"check a settings file"`
@@ -106,8 +105,6 @@
 		return runDaemon(s, c.BackendStandin.Settings, settings.RoleBackendStandin)
 	case c.Demo != nil:
 		return c.Demo.run(s)
-	case c.Measure != nil:
-		return c.Measure.run(s)
 	case c.Operate != nil:
 		return c.Operate.run(s)
 	case c.Timeline != nil:
--- a/internal/dispatch/kept.go
+++ b/internal/dispatch/kept.go
@@ -109,10 +109,10 @@
 	}
 	switch e.Update.Outcome {
 	case runner.OutcomeDone:
-		d.emit(KeepEnd{Agent: e.Agent, Update: e.Update})
+		d.emit(KeepEnd(e))
 		d.doneKept(now, j, t)
 	case runner.OutcomeFailed:
-		d.emit(KeepEnd{Agent: e.Agent, Update: e.Update})
+		d.emit(KeepEnd(e))
 		t.failures++
 		t.avoid = append(t.avoid, e.Agent)
 		if t.failures >= max(j.Kind.Attempts, 1) {
