Let kept tasks wait for an agent that has not heard its worker, and for a worker that is silent

A task that must be kept waits for the agent to accept work again, and at the agent 7 s longer than its lease; a new owner waits for agents without a session.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,6 +27,8 @@
 	agents  map[AgentID]*agent
 	// ordered are the agents in the order of their names.
 	ordered []*agent
+	// known is how many agents there are, also those without a session.
+	known int
 	// candidates is used by each plan anew.
 	candidates []candidate
 	// ending are the tasks of jobs that were dropped, until their runs have surely ended: the same job may come
@@ -70,6 +72,8 @@
 		d.cancel(now, e)
 	case Kept:
 		d.takeKept(now, e)
+	case AgentsKnown:
+		d.known = e.Agents
 	case Dropped:
 		d.dropKept(now, e.Jobs)
 	case TaskEnded:
@@ -78,7 +82,6 @@
 		e.Done(d.stateOf(e.Job))
 	case AgentUp:
 		d.addAgent(&agent{id: e.Agent})
-		d.agentBack(now, e.Agent)
 		d.emit(Note{Decision: DecisionAgentUp, Agent: e.Agent})
 	case AgentSilent:
 		if a, ok := d.agents[e.Agent]; ok && !a.silent {
@@ -97,7 +100,7 @@
 			d.emit(Note{Decision: DecisionWorker, Agent: e.Agent, Detail: e.Record.ID})
 		}
 	case LoadSeen:
-		d.seeLoad(e)
+		d.seeLoad(now, e)
 	case RunUpdated:
 		d.updateRun(now, e)
 	case LeaveAsked:
@@ -150,7 +153,7 @@
 	d.effects = append(d.effects, effect)
 }
 
-func (d *Dispatcher) seeLoad(e LoadSeen) {
+func (d *Dispatcher) seeLoad(now time.Time, e LoadSeen) {
 	a, ok := d.agents[e.Agent]
 	if !ok {
 		return
@@ -158,6 +161,9 @@
 	if a.load.Accepts != e.Load.Accepts {
 		d.emit(Note{Decision: DecisionAccepts, Agent: e.Agent, Detail: fmt.Sprint(e.Load.Accepts)})
 	}
+	if e.Load.Accepts && !a.load.Accepts {
+		d.agentBack(now, e.Agent)
+	}
 	a.seeLoad(e.Handled, e.Load)
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -50,6 +50,8 @@
 	open      []int
 	// isKept is set if the job must be kept: it has no waiters and runs until it is done.
 	isKept bool
+	// restored is when the runs of a kept job's earlier owner have ended; nothing if it had none.
+	restored time.Time
 	// overdue is set if the caller seems to have come back so late that the job is worth nothing any more.
 	overdue bool
 	// begun is set once a task may have run.
--- a/internal/dispatch/kept.go
+++ b/internal/dispatch/kept.go
@@ -30,6 +30,11 @@
 	Failed bool
 }
 
+// AgentsKnown tells how many agents there are, also those without a session.
+type AgentsKnown struct{ Agents int }
+
+func (AgentsKnown) isEvent() {}
+
 func (Kept) isEvent()      {}
 func (Dropped) isEvent()   {}
 func (TaskEnded) isEvent() {}
@@ -57,6 +62,9 @@
 	}
 	j := newJob(now, Submitted{Job: e.Job})
 	j.isKept = true
+	if !e.NotBefore.IsZero() {
+		j.restored = e.NotBefore
+	}
 	j.waiters = nil
 	for _, t := range j.tasks {
 		t.failures = e.Failures[t.name]
@@ -140,8 +148,14 @@
 	d.enqueue(j)
 }
 
-// agentBack lets the tasks that were lost with an agent's session run again soon: the agent tells at once of the ends
-// that nobody has noted.
+// awaitsAgents reports whether a job of an earlier owner waits for agents without a session: one of them may know of an
+// end that nobody has noted. Those that stay away are not waited for longer than for an agent that was lost.
+func (d *Dispatcher) awaitsAgents(now time.Time, j *job) bool {
+	return !j.restored.IsZero() && len(d.agents) < d.known && now.Before(j.restored.Add(keptSettleTime-settleTime))
+}
+
+// agentBack lets the tasks that were lost with an agent's session run again soon: the agent has heard its worker, and
+// tells at once of the ends that nobody has noted.
 func (d *Dispatcher) agentBack(now time.Time, id AgentID) {
 	for _, j := range d.jobs {
 		if !j.isKept {
--- a/internal/dispatch/kept_test.go
+++ b/internal/dispatch/kept_test.go
@@ -58,14 +58,18 @@
 func TestATaskOfAKeptJobWaitsForItsAgentToComeBack(t *testing.T) {
 	d, now := newKept("a", "b")
 	from := started(d.Handle(now, keptJob("j1", 1)))["j1.0.0.0"]
-	other := map[AgentID]AgentID{"a": "b", "b": "a"}[from]
 	d.Handle(now, AgentDown{Agent: from})
 	if starts := started(d.Handle(now.Add(2*time.Second), Ticked{})); len(starts) > 0 {
 		t.Fatalf("started %v while the agent may come back", starts)
 	}
 	now = now.Add(2 * time.Second)
-	d.Handle(now, AgentUp{Agent: from})
-	if starts := started(d.Handle(now.Add(settleTime), Ticked{})); starts["j1.0.0.0"] != other {
+	d.Handle(now, AgentUp{Agent: from}, LoadSeen{Agent: from})
+	if starts := started(d.Handle(now.Add(settleTime), Ticked{})); len(starts) > 0 {
+		t.Fatalf("started %v although the agent has not heard its worker", starts)
+	}
+	now = now.Add(settleTime)
+	d.Handle(now, LoadSeen{Agent: from, Load: runner.Load{Accepts: true}})
+	if starts := started(d.Handle(now.Add(settleTime), Ticked{})); len(starts) != 1 {
 		t.Fatalf("started %v after the agent has come back", starts)
 	}
 }
@@ -98,3 +102,27 @@
 		t.Fatalf("a third run: %v", starts)
 	}
 }
+
+func TestAJobOfAnEarlierOwnerWaitsForAgentsWithoutASession(t *testing.T) {
+	d, now := newKept("a")
+	d.Handle(now, AgentsKnown{Agents: 2})
+	fresh := keptJob("fresh", 1)
+	if starts := started(d.Handle(now, fresh)); len(starts) != 1 {
+		t.Fatalf("a new job waits: %v", starts)
+	}
+	taken := keptJob("taken", 1)
+	taken.NotBefore = now.Add(time.Second)
+	d.Handle(now, taken)
+	if starts := started(d.Handle(now.Add(3*time.Second), Ticked{})); len(starts) > 0 {
+		t.Fatalf("started %v although an agent has no session", starts)
+	}
+	if starts := started(d.Handle(now.Add(3*time.Second), AgentUp{Agent: "b"})); starts["taken.0.0.0"] != "a" {
+		t.Fatalf("started %v with all agents there", starts)
+	}
+	left := keptJob("left", 1)
+	left.NotBefore = now.Add(3 * time.Second)
+	d.Handle(now.Add(3*time.Second), AgentDown{Agent: "b"}, left)
+	if starts := started(d.Handle(now.Add(3*time.Second+keptSettleTime), Ticked{})); len(starts) != 1 {
+		t.Fatalf("started %v after the time in which the agent may come back", starts)
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,7 +18,7 @@
 		return
 	}
 	for _, j := range slices.Clone(d.waiting) {
-		if j.isKept && !d.leaving.IsZero() {
+		if j.isKept && (!d.leaving.IsZero() || d.awaitsAgents(now, j)) {
 			continue
 		}
 		if j.overdue && !j.offered && d.freeShare(j.Kind.Service) < overdueShare {
--- a/internal/frontend/agents.go
+++ b/internal/frontend/agents.go
@@ -83,6 +83,7 @@
 		for _, m := range f.directory.Members(cluster.RoleAgent) {
 			current[m.Name] = m
 		}
+		f.post(dispatch.AgentsKnown{Agents: len(current)})
 		for name, d := range dials {
 			if current[name].Address != d.member.Address || current[name].Incarnation != d.member.Incarnation {
 				d.stop()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -92,10 +92,10 @@
 	keptSeen       bool
 	// storeHeard is when the store last told its changes.
 	storeHeard time.Time
-	sessions       map[dispatch.AgentID]*agentSession
-	agents         int
-	jobs           int
-	shards         int
+	sessions   map[dispatch.AgentID]*agentSession
+	agents     int
+	jobs       int
+	shards     int
 }
 
 // New starts an entry. The clean-up ends it at once; Leave comes before.
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -266,11 +266,12 @@
 // expireLease gives up the runs of a worker whose leases have surely run out.
 func (r *Runner) expireLease(now time.Time) {
 	lease := r.limits.Hold + r.limits.Hold/driftDivisor + r.limits.Stop
-	if r.life.granted.IsZero() || now.Sub(r.life.granted) <= lease {
+	over := now.Sub(r.life.granted) - lease
+	if r.life.granted.IsZero() || over <= 0 {
 		return
 	}
 	for _, t := range r.active() {
-		if t.state != stateStarting {
+		if t.state != stateStarting && (!t.IsKept || over > keptSilence) {
 			r.forget(t, OutcomeLost, "the worker is silent and the run's lease has run out")
 		}
 	}
--- a/internal/runner/noted.go
+++ b/internal/runner/noted.go
@@ -19,6 +19,9 @@
 	// unnotedPause is the time between two holds while ends wait for being noted: a hold that waits would be answered
 	// at once.
 	unnotedPause = 15 * time.Millisecond
+	// keptSilence is how much longer than its lease a kept task waits for a silent worker to be heard again: its run may
+	// have been done before, and must not run again then.
+	keptSilence = 7 * time.Second
 	// orphanTime is how long the ends of runs that an earlier process of the agent started wait for being noted.
 	orphanTime = 12 * time.Second
 )
