Never tell a task as not started that may have run before

The entry answered 503, not run, although a run had begun. Rule: a start without an answer, or an accepted one, marks the task; from then on it is told as stopped. testdata/doubt failed first (not_started). Ruled out: an end that was lost, a second entry.

--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -102,6 +102,7 @@
 	case worker.Accepted:
 		r.readClock(result.Clock, result.Received)
 		t.state = stateRunning
+		t.mayHaveRun = true
 		r.send(t.session, Update{Name: t.Name, Run: t.Run, Outcome: OutcomeStarted})
 	case worker.Outdated:
 		r.requeue(t)
@@ -122,6 +123,7 @@
 		r.forget(t, OutcomeNotStarted, "the worker does not understand the start: "+result.Reason)
 	case worker.Unanswered:
 		t.state = stateChecking
+		t.mayHaveRun = true
 		t.checkAfter = now
 		r.list(now)
 	default:
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -39,6 +39,8 @@
 	stopAnswered time.Time
 	// checkAfter makes only listings that were asked for later tell about the run.
 	checkAfter time.Time
+	// mayHaveRun is set once a run may have begun.
+	mayHaveRun bool
 	// again is set while the task is to run once more after the present run is settled.
 	again bool
 	// successor is the same task of a newer session, which waits for this one to end.
@@ -150,6 +152,9 @@
 		r.life.used = r.life.used.Minus(t.Needs)
 	}
 	r.markLoad()
+	if outcome == OutcomeNotStarted && t.mayHaveRun {
+		outcome = OutcomeStopped
+	}
 	r.send(t.session, Update{Name: t.Name, Run: t.Run, Outcome: outcome, Reason: reason, Checkpoint: t.Checkpoint})
 	if t.successor != nil {
 		r.tasks[t.Name] = t.successor
