--- a/internal/frontend/kept.go
+++ b/internal/frontend/kept.go
@@ -262,7 +262,7 @@
 			counts <- count{jobs: jobs, ok: ok}
 		}()
 	}
-	total := f.PendingHere(ctx, kind)
+	total, ok := f.PendingHere(ctx, kind)
 	for range addresses {
 		each := <-counts
 		total += each.jobs
@@ -284,16 +284,19 @@
 }
 
 // PendingHere counts the jobs of a kind that are owned here and have not begun.
-func (f *Frontend) PendingHere(ctx context.Context, kind string) int {
-	counted := make(chan int, 1)
-	f.postKeep(keep.PendingAsked{Kind: kind, Done: func(jobs int) { counted <- jobs }})
+func (f *Frontend) PendingHere(ctx context.Context, kind string) (jobs int, isComplete bool) {
+	counted := make(chan struct{})
+	f.postKeep(keep.PendingAsked{Kind: kind, Done: func(count int, complete bool) {
+		jobs, isComplete = count, complete
+		close(counted)
+	}})
 	select {
-	case jobs := <-counted:
-		return jobs
+	case <-counted:
+		return jobs, isComplete
 	case <-ctx.Done():
 	case <-f.context.Done():
 	}
-	return 0
+	return 0, false
 }
 
 // SurrenderHere gives a shard up that another entry has claimed.
--- a/internal/keep/event.go
+++ b/internal/keep/event.go
@@ -90,7 +90,8 @@
 // PendingAsked asks for the number of jobs of a kind that are owned here and of which no task has begun.
 type PendingAsked struct {
 	Kind string
-	Done func(jobs int)
+	// Done is told the number, and whether the jobs of all shards that are claimed here are known.
+	Done func(jobs int, isComplete bool)
 }
 
 // OwnerWanted makes the keeper claim shards that nobody owns.
--- a/internal/keep/owners.go
+++ b/internal/keep/owners.go
@@ -64,7 +64,7 @@
 // Pending asks the entry at an address for its number of jobs that have not begun; ok is false if it does not answer.
 func (o *Owners) Pending(ctx context.Context, address, kind string) (jobs int, ok bool) {
 	answer, err := o.at(address).Pending(ctx, &keeppb.PendingRequest{Kind: kind})
-	if err != nil {
+	if err != nil || answer.Incomplete {
 		return 0, false
 	}
 	return int(answer.Jobs), true
@@ -94,7 +94,7 @@
 	// AskHere posts an event with a waiter and returns the answer.
 	AskHere(ctx context.Context, event func(Waiter) Event) Answer
 	// PendingHere counts the jobs of a kind that are owned here and have not begun.
-	PendingHere(ctx context.Context, kind string) int
+	PendingHere(ctx context.Context, kind string) (jobs int, isComplete bool)
 	// SurrenderHere gives a shard up, and returns once nothing more is started for it.
 	SurrenderHere(ctx context.Context, shard Shard, token Token)
 }
@@ -125,7 +125,8 @@
 
 // Pending counts jobs that have not begun.
 func (s *Server) Pending(ctx context.Context, r *keeppb.PendingRequest) (*keeppb.PendingResponse, error) {
-	return &keeppb.PendingResponse{Jobs: uint32(s.asked.PendingHere(ctx, r.Kind))}, nil
+	jobs, isComplete := s.asked.PendingHere(ctx, r.Kind)
+	return &keeppb.PendingResponse{Jobs: uint32(jobs), Incomplete: !isComplete}, nil
 }
 
 // Surrender gives a shard up.
--- a/internal/keep/requests.go
+++ b/internal/keep/requests.go
@@ -102,17 +102,22 @@
 	}
 }
 
-// pending counts the jobs of a kind that are accepted and of which no task has begun.
-func (k *Keeper) pending(kind string) int {
-	count := 0
+// pending counts the jobs of a kind that are accepted and of which no task has begun. It is complete only if every shard
+// whose claim others may see as this entry's is owned.
+func (k *Keeper) pending(kind string) (count int, isComplete bool) {
+	isComplete = true
 	for _, s := range k.shards {
+		if s.state != owning {
+			isComplete = isComplete && !s.isHeld() && (s.claim == nil || s.claim.Owner != k.self.Owner)
+			continue
+		}
 		for _, j := range s.jobs {
-			if s.state == owning && j.kind == kind && j.written != 0 && !j.state.IsEnd() && !j.begun {
+			if j.kind == kind && j.written != 0 && !j.state.IsEnd() && !j.begun {
 				count++
 			}
 		}
 	}
-	return count
+	return count, isComplete
 }
 
 // taskEnded takes the end of a run in. The agent is told that it is noted once it is written.
