Keep the session with an agent's new process when its record comes; follow processes that a line names in words

Ruled out: a silent agent (its log has no word of one), unanswered starts (none). Now a ping tells the agent's incarnation. The time line followed only agents in fields of their own; the answer names them in words, so side-hall-b-1's lines were missing.

--- a/internal/frontend/agents.go
+++ b/internal/frontend/agents.go
@@ -38,8 +38,10 @@
 	id       dispatch.AgentID
 	toAgent  *session.ToAgent
 	// heard is when the agent was last heard, in nanoseconds since the epoch of the process's steady clock.
-	heard  atomic.Int64
-	silent bool
+	heard atomic.Int64
+	// incarnation is that of the agent's process; 0 until it says so.
+	incarnation atomic.Int64
+	silent      bool
 }
 
 // epoch is the origin of the times in agentSession.
@@ -50,6 +52,11 @@
 	s.heard.Store(int64(time.Since(epoch)))
 }
 
+// Incarnation notes which process of the agent the session is with.
+func (s *agentSession) Incarnation(incarnation int64) {
+	s.incarnation.Store(incarnation)
+}
+
 // Worker hands on the description of the worker.
 func (s *agentSession) Worker(record worker.Record) {
 	s.frontend.post(dispatch.WorkerSeen{Agent: s.id, Record: record})
@@ -85,7 +92,7 @@
 		}
 		f.post(dispatch.AgentsKnown{Agents: len(current)})
 		for name, d := range dials {
-			if current[name].Address != d.member.Address || current[name].Incarnation != d.member.Incarnation {
+			if f.isOutdated(d.member, current[name]) {
 				d.stop()
 				delete(dials, name)
 			}
@@ -106,6 +113,21 @@
 	}
 }
 
+// isOutdated reports whether the session with an agent must be opened anew for a later record of it. After a restart the
+// earlier record may have led to the new process already: its tasks would be lost with the session.
+func (f *Frontend) isOutdated(dialed, current cluster.Member) bool {
+	switch {
+	case current.Address != dialed.Address:
+		return true
+	case current.Incarnation == dialed.Incarnation:
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.sessions[dispatch.AgentID(dialed.Name)]
+	return !ok || s.incarnation.Load() != current.Incarnation
+}
+
 // keepSession opens a session with an agent, again and again.
 func (f *Frontend) keepSession(ctx context.Context, m cluster.Member) {
 	pause := redialPause
--- /dev/null
+++ b/internal/frontend/agents_test.go
@@ -0,0 +1,42 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package frontend
+
+import (
+	"testing"
+
+	"sailhead/internal/cluster"
+	"sailhead/internal/dispatch"
+)
+
+func TestASessionWithTheNewProcessIsKeptWhenItsRecordComes(t *testing.T) {
+	earlier := cluster.Member{Name: "agent-1", Address: "10.0.0.1:1", Incarnation: 5}
+	later := cluster.Member{Name: "agent-1", Address: "10.0.0.1:1", Incarnation: 6}
+	moved := cluster.Member{Name: "agent-1", Address: "10.0.0.2:1", Incarnation: 6}
+	for _, test := range []struct {
+		name       string
+		hasSession bool
+		with       int64
+		current    cluster.Member
+		want       bool
+	}{
+		{"the same record", true, 5, earlier, false},
+		{"a later record, session with the later process", true, 6, later, false},
+		{"a later record, session with the earlier process", true, 5, later, true},
+		{"a later record, the process has not said which it is", true, 0, later, true},
+		{"a later record, no session", false, 0, later, true},
+		{"another address", true, 6, moved, true},
+		{"the record is gone", true, 5, cluster.Member{}, true},
+	} {
+		f := &Frontend{sessions: make(map[dispatch.AgentID]*agentSession)}
+		if test.hasSession {
+			s := &agentSession{}
+			s.Incarnation(test.with)
+			f.sessions["agent-1"] = s
+		}
+		if got := f.isOutdated(earlier, test.current); got != test.want {
+			t.Errorf("%s: %t", test.name, got)
+		}
+	}
+}
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -17,6 +17,8 @@
 type Server struct {
 	listener net.Listener
 	post     func(runner.Event)
+	// incarnation is that of the agent's process, as entries know it.
+	incarnation int64
 	// started is the origin of the times in pings.
 	started time.Time
 	next    atomic.Uint64
@@ -24,10 +26,10 @@
 	open    map[runner.SessionID]*connection
 }
 
-// NewServer takes sessions on the listener and posts what entries say as events. The clean-up ends all
-// sessions.
-func NewServer(listener net.Listener, post func(runner.Event)) (*Server, func()) {
-	s := &Server{listener: listener, post: post, started: time.Now(), open: make(map[runner.SessionID]*connection)}
+// NewServer takes sessions on the listener for a process of an incarnation and posts what entries say as events. The
+// clean-up ends all sessions.
+func NewServer(listener net.Listener, incarnation int64, post func(runner.Event)) (*Server, func()) {
+	s := &Server{listener: listener, post: post, incarnation: incarnation, started: time.Now(), open: make(map[runner.SessionID]*connection)}
 	go s.accept()
 	return s, s.close
 }
@@ -82,7 +84,7 @@
 func (s *Server) Carry(effect runner.Effect) {
 	switch e := effect.(type) {
 	case runner.SendPing:
-		ping := &sessionpb.Ping{Time: int64(e.Time.Sub(s.started))}
+		ping := &sessionpb.Ping{Time: int64(e.Time.Sub(s.started)), Incarnation: s.incarnation}
 		s.send(e.Session, &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Ping{Ping: ping}})
 	case runner.SendWorker:
 		s.send(e.Session, packWorker(e.Record))
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -22,6 +22,8 @@
 type AgentHandler interface {
 	// Heard is called for every message before the others.
 	Heard()
+	// Incarnation tells which process of the agent the session is with.
+	Incarnation(int64)
 	Worker(worker.Record)
 	Load(handled uint64, load runner.Load)
 	Update(runner.Update)
@@ -50,6 +52,7 @@
 		handler.Heard()
 		switch message := m.Message.(type) {
 		case *sessionpb.FromAgent_Ping:
+			handler.Incarnation(message.Ping.Incarnation)
 			s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Pong{Pong: &sessionpb.Pong{Time: message.Ping.Time}}})
 		case *sessionpb.FromAgent_Worker:
 			handler.Worker(unpackWorker(message.Worker))
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,9 +19,13 @@
 )
 
 // heard collects what an agent says.
-type heard struct{ messages chan any }
+type heard struct {
+	messages    chan any
+	incarnation *atomic.Int64
+}
 
 func (h heard) Heard()                      {}
+func (h heard) Incarnation(n int64)         { h.incarnation.Store(n) }
 func (h heard) Worker(record worker.Record) { h.messages <- record }
 func (h heard) Load(handled uint64, load runner.Load) {
 	h.messages <- runner.SendLoad{Handled: handled, Load: load}
@@ -45,14 +50,14 @@
 		t.Fatal(err)
 	}
 	events := make(chan runner.Event, 100)
-	server, closeServer := NewServer(listener, func(e runner.Event) { events <- e })
+	server, closeServer := NewServer(listener, 77, func(e runner.Event) { events <- e })
 	t.Cleanup(closeServer)
 	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(entry.Close)
-	h := heard{messages: make(chan any, 100)}
+	h := heard{messages: make(chan any, 100), incarnation: new(atomic.Int64)}
 	go func() { _ = entry.Serve(h) }()
 	return entry, server, h, events
 }
@@ -89,11 +94,14 @@
 }
 
 func TestAnEchoTellsWhenItsPingWasSent(t *testing.T) {
-	_, server, _, events := pair(t)
+	_, server, entrySide, events := pair(t)
 	opened := next(t, events).(runner.SessionOpened)
 	sent := time.Now().Add(-time.Minute)
 	server.Carry(runner.SendPing{Session: opened.Session, Time: sent})
 	pong := next(t, events).(runner.PongHeard)
+	if got := entrySide.incarnation.Load(); got != 77 {
+		t.Errorf("incarnation %d", got)
+	}
 	if pong.Session != opened.Session || !pong.Sent.Equal(sent) {
 		t.Fatalf("%+v, sent %s", pong, sent)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -110,7 +110,7 @@
 	s.context, s.cancel = context.WithCancel(context.Background())
 	exchanger, closeExchanger := cluster.NewExchanger(cluster.NewDirectory(), refuseDocument)
 	s.exchanger = exchanger
-	sessions, closeSessions := session.NewServer(settings.Sessions, s.post)
+	sessions, closeSessions := session.NewServer(settings.Sessions, s.self.Incarnation, s.post)
 	s.sessions = sessions
 	s.duties.Go(s.run)
 	s.duties.Go(s.announce)
--- a/internal/timeline/logs.go
+++ b/internal/timeline/logs.go
@@ -97,7 +97,7 @@
 		return nil
 	}
 	sortLines(own)
-	involved := involvedIn(own)
+	involved := involvedIn(own, processesOf(lines))
 	from, to := own[0].Time.Add(-JobMargin), own[len(own)-1].Time.Add(JobMargin)
 	for _, line := range lines {
 		if line.isBelief() && !line.Time.Before(from) && !line.Time.After(to) && line.concerns(involved) {
@@ -134,13 +134,25 @@
 	return l.Value("job") == "" && l.Value("task") == "" && l.Value("path") == ""
 }
 
-// involvedIn returns the processes that wrote lines or are named in them.
-func involvedIn(lines []Line) map[string]bool {
+func processesOf(lines []Line) map[string]bool {
+	processes := make(map[string]bool)
+	for _, line := range lines {
+		processes[line.Process] = true
+	}
+	return processes
+}
+
+// involvedIn returns the processes that wrote lines, or whose names are words of their fields.
+func involvedIn(lines []Line, processes map[string]bool) map[string]bool {
 	involved := make(map[string]bool)
 	for _, line := range lines {
 		involved[line.Process] = true
-		if agent := line.Value("agent"); agent != "" {
-			involved[agent] = true
+		for _, field := range line.Fields {
+			for word := range strings.FieldsSeq(field.Value) {
+				if processes[word] {
+					involved[word] = true
+				}
+			}
 		}
 	}
 	return involved
--- a/internal/timeline/logs_test.go
+++ b/internal/timeline/logs_test.go
@@ -12,7 +12,7 @@
 const entryLog = `level=info time=2026-08-25T20:37:02.100Z process=entry-1 part=entry msg=agent_down agent=agent-2 detail=
 level=info time=2026-08-25T20:37:02.200Z process=entry-1 part=entry msg=agent_down agent=agent-9 detail=
 level=info time=2026-08-25T20:37:01.000Z process=entry-1 part=entry msg=taken job=aa kind=k age=0s detail="tasks=2"
-level=info time=2026-08-25T20:37:01.001Z process=entry-1 part=entry msg=placed job=aa kind=k age=1ms task=aa.0.0.1 run=1 agent=agent-2 detail=
+level=info time=2026-08-25T20:37:01.001Z process=entry-1 part=entry msg=placed job=aa kind=k age=1ms task=aa.0.0.1 run=1 detail="waited for [aa.0.0.1 run=1 at agent-2 placed=8ms]"
 level=info time=2026-08-25T20:37:02.500Z process=entry-1 part=entry msg=answered job=bb kind=k age=1ms detail=completed
 level=info time=2026-08-25T20:37:03.000Z process=entry-1 part=entry msg=answered job=aa kind=k age=2s detail="interrupted: the job's time is over"
 this is no line of a log
