Claim shards only for a job that must be kept, not for a question

Cause, by reading: a GET or DELETE of an unknown job while the store was silent made the entry claim shards later, on sites that keep nothing: a lease to renew and a write for each shard. TestAQuestionForAnUnknownJobClaimsNothing failed first.

--- a/internal/frontend/owners.go
+++ b/internal/frontend/owners.go
@@ -21,7 +21,6 @@
 // askOwner asks the owner of a job's shard, here or at another entry, until one answers for it.
 func (f *Frontend) askOwner(ctx context.Context, job string, here func(keep.Waiter) keep.Event, there func(context.Context, string) keep.Answer) keep.Answer {
 	deadline := time.Now().Add(ownerWait)
-	f.postKeep(keep.OwnerWanted{})
 	for {
 		var answer keep.Answer = keep.NotOwner{}
 		switch claim, ok := f.ownerOf(job); {
@@ -62,6 +61,7 @@
 // SubmitKept hands a job that must be kept to its owner and returns what it says.
 func (f *Frontend) SubmitKept(ctx context.Context, job dispatch.Job) keep.Answer {
 	f.metrics.Add(metric.JobsReceived, 1)
+	f.postKeep(keep.OwnerWanted{})
 	answer := f.askOwner(ctx, job.ID,
 		func(w keep.Waiter) keep.Event { return keep.Submitted{Job: job, Waiter: w} },
 		func(ctx context.Context, address string) keep.Answer { return f.owners.Submit(ctx, address, job) })
