Place jobs in the order of their arrival, and let a full service hold up only itself

Cause: a job that found no worker stopped the placement of all later jobs, also of other services; jobs that came in one batch were queued in reverse, and jobsByArrival had no order among them. Change: the placement remembers which services are full; jobs are numbered as they arrive, and the number decides between equal ones.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -43,8 +43,7 @@
 		return
 	}
 	j.lateRetry = d.callerTimes.observe(j)
-	d.jobs[j.ID] = j
-	d.enqueue(j)
+	d.add(j)
 	d.emit(j.decisionMade(now, DecisionAccepted{Tasks: len(j.tasks), Objective: j.objective}))
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,6 +21,8 @@
 	limits Limits
 	random *rand.Rand
 	jobs   map[string]*job
+	// lastNumber is the number of the job that arrived last.
+	lastNumber uint64
 	// waiting holds the jobs that may have tasks to place, sorted by compareJobs.
 	waiting []*job
 	// agents holds the agents in session.
@@ -124,12 +127,20 @@
 	return !d.shutdownAt.IsZero()
 }
 
-// jobsByArrival returns the jobs sorted by their arrival. Jobs that arrived at the same time are in no fixed order.
+// add adds a new job to those under way and to the waiting ones.
+func (d *Dispatcher) add(j *job) {
+	d.lastNumber++
+	j.number = d.lastNumber
+	d.jobs[j.ID] = j
+	d.enqueue(j)
+}
+
+// jobsByArrival returns the jobs in the order of their arrival.
 func (d *Dispatcher) jobsByArrival() []*job {
 	jobs := make([]*job, 0, len(d.jobs))
 	for _, j := range d.jobs {
 		jobs = append(jobs, j)
 	}
-	slices.SortFunc(jobs, func(a, b *job) int { return a.arrived.Compare(b.arrived) })
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.number, b.number) })
 	return jobs
 }
--- a/internal/dispatch/durable.go
+++ b/internal/dispatch/durable.go
@@ -28,8 +28,7 @@
 			j.open[t.step]--
 		}
 	}
-	d.jobs[j.ID] = j
-	d.enqueue(j)
+	d.add(j)
 	d.emit(j.decisionMade(now, DecisionAccepted{Tasks: len(j.tasks), Objective: j.objective, IsDurable: true}))
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -64,6 +64,8 @@
 	// waiters are the requests that wait for the answer, none for a durable job.
 	waiters []Waiter
 	arrived time.Time
+	// number counts the jobs in the order of their arrival.
+	number uint64
 	// objective is the time after the arrival within which the job should be answered.
 	objective time.Duration
 	tasks     []*task
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -12,10 +12,9 @@
 // compareJobs returns the order in which jobs are placed: negative if a comes before b.
 //
 // Inputs: whether a task of the job was ever sent, whether it is a late retry, the priority of its kind (0 is the most
-// urgent), its arrival.
+// urgent), its place in the order of arrival.
 //
-// Rule: jobs of which a task was sent, then jobs that are not late retries, then by priority, then by arrival. Jobs that
-// are equal in all four, as those submitted in one call of Handle may be, are placed last in, first out (enqueue).
+// Rule: jobs of which a task was sent, then jobs that are not late retries, then by priority, then by arrival.
 //
 // Reason: the runs of a begun job are lost work unless the rest of the job is done. For late retries see retry.go.
 //
@@ -26,7 +25,7 @@
 		compareTrueFirst(a.everSent, b.everSent),
 		compareTrueFirst(!a.lateRetry, !b.lateRetry),
 		cmp.Compare(a.Kind.Priority, b.Kind.Priority),
-		a.arrived.Compare(b.arrived),
+		cmp.Compare(a.number, b.number),
 	)
 }
 
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -18,7 +18,6 @@
 	}}
 }
 
-// The test is listed in KNOWN-RED.txt.
 func TestAJobWithoutAWorkerDoesNotBlockOtherServices(t *testing.T) {
 	d, now := newDispatcherWithAgents("a")
 	d.Handle(now, submitted("unserved", "other", 1))
@@ -28,7 +27,6 @@
 	}
 }
 
-// The test is listed in KNOWN-RED.txt.
 func TestJobsOfOneBatchArePlacedInTheirOrder(t *testing.T) {
 	d, now := newDispatcherWithAgents("a")
 	starts := started(d.Handle(now, submitted("first", "svc", 1), submitted("second", "svc", 2)))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -14,9 +14,8 @@
 //
 // Inputs: the waiting jobs in the order of compareJobs, the free resources of the workers.
 //
-// Rule: each job gets as many of the free resources as it can use. If some of its tasks found none, no later job is
-// placed: the next resources that become free are for the rest of this job. That also holds for later jobs of other
-// services, and if no worker serves the job at all.
+// Rule: each job gets as many of the free resources as it can use. If some of its tasks found none, no later job of the
+// same service is placed: the next resources that become free are for the rest of this job.
 //
 // Reason: jobs of many tasks were refused while workers had resources for some of the tasks, and later jobs waited for
 // them meanwhile. Letting later jobs pass gained nothing.
@@ -28,12 +27,14 @@
 	if len(d.agents) == 0 {
 		return
 	}
+	var full []string
 	for _, j := range slices.Clone(d.waiting) {
-		if !d.mayPlace(now, j) {
+		service := j.Kind.Service
+		if slices.Contains(full, service) || !d.mayPlace(now, j) {
 			continue
 		}
 		if !d.placeJob(now, j) {
-			return
+			full = append(full, service)
 		}
 	}
 }
