Estimate run times by a regression on the kind's latest steps and the caller's guess

Cause: the objective of a job, its refusal and expiry, the slowness of workers and stuck runs all rested on the caller's guess.

Change: internal/dispatch/estimate.go learns for each kind the run time as a linear function of the guess, both as logarithms, and the ratio of a step's longest run to its mean. Only steps whose tasks each ran once on a healthy worker are learned. Without such steps the guess is taken as before.

Ruled out: the caller's remaining time as a second input. It seems to grow with the true run time on these sites, but it shrinks when a caller comes again, and it says how long the caller waits, not how long the work is.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -36,7 +36,7 @@
 
 // admit accepts a new job or refuses it.
 func (d *Dispatcher) admit(now time.Time, e Submitted) {
-	j := newJob(now, e.Job)
+	j := newJob(now, e.Job, d.runTimes)
 	j.waiters = []Waiter{e.Waiter}
 	if reason := d.refusalReason(now, j); reason != "" {
 		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.retryAfter()})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -36,6 +36,8 @@
 	// endingRuns holds, by the task's name, the runs of dropped jobs that may not have ended. A job submitted again
 	// under the same id waits for them.
 	endingRuns map[string]endingRun
+	// runTimes is used to estimate how long tasks run.
+	runTimes runTimes
 	// callerTimes is used to detect late retries.
 	callerTimes callerTimes
 	// shutdownAt is when the process ends, zero while it is not shutting down.
@@ -51,6 +53,7 @@
 		jobs:        make(map[string]*job),
 		agents:      make(map[AgentID]*agent),
 		endingRuns:  make(map[string]endingRun),
+		runTimes:    make(runTimes),
 		callerTimes: make(callerTimes),
 	}
 }
--- a/internal/dispatch/durable.go
+++ b/internal/dispatch/durable.go
@@ -17,7 +17,7 @@
 	if _, ok := d.jobs[e.Job.ID]; ok {
 		return
 	}
-	j := newJob(now, e.Job)
+	j := newJob(now, e.Job, d.runTimes)
 	j.isDurable = true
 	j.recoveredAt = e.NotBefore
 	for _, t := range j.tasks {
@@ -59,6 +59,7 @@
 	if t.state == taskSent {
 		d.emit(StopTask{Agent: t.agent, Name: t.name})
 	}
+	t.showsRunTime = false
 	d.completeTask(now, j, t)
 }
 
--- /dev/null
+++ b/internal/dispatch/estimate.go
@@ -0,0 +1,147 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// This file estimates how long the tasks of a job will run.
+//
+// Inputs: the caller's guess of one task's time, and for each kind the guesses and the run times of the latest steps that
+// were done.
+//
+// Rule: for each kind, a linear regression of the run time on the guess, both as logarithms, over the latest steps; the
+// estimate is the run time that it gives for the guess. Without steps that were done it is the guess. The longest run of
+// a step is estimated from the mean run by their usual ratio.
+//
+// Reason: how good a guess is differs from customer to customer. The regression corrects guesses that are usually too
+// short or too long, follows those that tell jobs apart, and falls back to the kind's usual time for those that do not.
+//
+// Measured: docs/POLICIES.md, round 2.
+
+const (
+	// runTimeWeight is the weight of one step in the moving averages once there are enough; it makes them follow a change
+	// of a kind within some 50 steps. Not varied.
+	runTimeWeight = 0.02
+	// priorSteps is how many steps the assumption counts for that guesses are right. Not varied.
+	priorSteps = 4
+	// priorVariance is the variance of the logarithm of the guesses that goes with it: most guesses of a kind are within a
+	// factor of 1.5. Not varied.
+	priorVariance = 0.16
+	// minRunTime is the shortest run time that is learned, so that its logarithm is finite.
+	minRunTime = time.Millisecond
+)
+
+// stepTime is the estimate for a step.
+type stepTime struct {
+	// task is the time of one run.
+	task time.Duration
+	// longest is the time of the longest of its runs.
+	longest time.Duration
+}
+
+// runTimes holds what is known of the run times of each kind, by the kind's name.
+type runTimes map[string]*runTime
+
+// runTime is the regression for one kind. Times are logarithms of seconds.
+type runTime struct {
+	// steps is the number of steps that were learned.
+	steps int
+	// guess and actual are the averages of the guesses and of the mean run times.
+	guess  float64
+	actual float64
+	// variance is that of the guesses, covariance that of guesses and run times.
+	variance   float64
+	covariance float64
+	// unevenness is the average ratio of a step's longest run to its mean run.
+	unevenness float64
+}
+
+// estimate returns the times of a step for the caller's guess of one task's time, zero if the caller gave none.
+func (r runTimes) estimate(kind string, guess time.Duration) stepTime {
+	known, ok := r[kind]
+	if !ok {
+		return stepTime{task: guess, longest: guess}
+	}
+	task := known.task(guess)
+	return stepTime{task: task, longest: time.Duration(known.unevenness * float64(task))}
+}
+
+// observe learns from a step that was done: the guess of one task's time, the mean and the longest of its runs.
+func (r runTimes) observe(kind string, guess, mean, longest time.Duration) {
+	mean = max(mean, minRunTime)
+	known, ok := r[kind]
+	if !ok {
+		known = newRunTime(max(guess, minRunTime))
+		r[kind] = known
+	}
+	known.observe(guess, mean)
+	known.unevenness += known.weight() * (float64(longest)/float64(mean) - known.unevenness)
+}
+
+// newRunTime returns a regression that trusts guesses. It is centred on the first one.
+func newRunTime(guess time.Duration) *runTime {
+	x := logarithm(guess)
+	return &runTime{guess: x, actual: x, variance: priorVariance, covariance: priorVariance, unevenness: 1}
+}
+
+// weight returns the weight of the next step.
+func (t *runTime) weight() float64 {
+	return max(1/float64(t.steps+priorSteps), runTimeWeight)
+}
+
+func (t *runTime) observe(guess, mean time.Duration) {
+	t.steps++
+	weight, y := t.weight(), logarithm(mean)
+	toActual := y - t.actual
+	t.actual += weight * toActual
+	if guess <= 0 {
+		return
+	}
+	toGuess := logarithm(guess) - t.guess
+	t.guess += weight * toGuess
+	t.variance = (1 - weight) * (t.variance + weight*toGuess*toGuess)
+	t.covariance = (1 - weight) * (t.covariance + weight*toGuess*toActual)
+}
+
+// task returns the expected time of one run for a guess.
+func (t *runTime) task(guess time.Duration) time.Duration {
+	expected := t.actual
+	if guess > 0 {
+		expected += t.slope() * (logarithm(guess) - t.guess)
+	}
+	return time.Duration(math.Exp(expected) * float64(time.Second))
+}
+
+// slope returns by how much the run time grows with the guess: 1 if guesses tell jobs apart exactly, 0 if they do not.
+func (t *runTime) slope() float64 {
+	if t.variance <= 0 {
+		return 0
+	}
+	return min(max(t.covariance/t.variance, 0), 1)
+}
+
+func logarithm(d time.Duration) float64 {
+	return math.Log(max(d, minRunTime).Seconds())
+}
+
+// observeStep learns from a step whose tasks are all done, if each of them ran once, on a healthy worker.
+func (d *Dispatcher) observeStep(j *job, step int) {
+	var sum, longest time.Duration
+	for _, t := range j.tasks {
+		if t.step != step {
+			continue
+		}
+		if !t.showsRunTime {
+			return
+		}
+		runTime := t.ended.Sub(t.placed)
+		sum += runTime
+		longest = max(longest, runTime)
+	}
+	mean := sum / time.Duration(j.Steps[step].Count)
+	d.runTimes.observe(j.Kind.Name, j.Steps[step].Expected, mean, longest)
+}
--- /dev/null
+++ b/internal/dispatch/estimate_test.go
@@ -0,0 +1,76 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// learned returns what a kind's steps teach if a step runs for 200 ms on average and its caller's guess is off by guessError,
+// the standard deviation of its logarithm, and by the factor bias.
+func learned(guessError, bias float64) runTimes {
+	r, random := make(runTimes), rand.New(rand.NewPCG(1, 2))
+	for range 400 {
+		actual := 200 * math.Exp(0.4*random.NormFloat64())
+		guess := actual * bias * math.Exp(guessError*random.NormFloat64())
+		r.observe("kind", millis(guess), millis(actual), millis(1.2*actual))
+	}
+	return r
+}
+
+func millis(m float64) time.Duration { return time.Duration(m * float64(time.Millisecond)) }
+
+// isWithin reports whether a time differs from a number of milliseconds by less than a tenth.
+func isWithin(got time.Duration, want float64) bool {
+	return math.Abs(float64(got)/float64(millis(want))-1) < 0.1
+}
+
+func TestRunTimesCorrectTheGuesses(t *testing.T) {
+	cases := []struct {
+		name  string
+		known runTimes
+		guess float64
+		want  float64
+	}{
+		{"nothing is known of the kind", make(runTimes), 50, 50},
+		{"exact guesses are taken as they are", learned(0, 1), 400, 400},
+		{"guesses of half the time are doubled", learned(0, 0.5), 100, 200},
+		{"guesses that tell nothing are replaced by the usual time", learned(3, 1), 1000, 200},
+		{"guesses that are as uncertain as the times count half", learned(0.4, 1), 800, 400},
+		{"without a guess the usual time is expected", learned(0.4, 1), 0, 200},
+	}
+	for _, c := range cases {
+		if got := c.known.estimate("kind", millis(c.guess)).task; !isWithin(got, c.want) {
+			t.Errorf("%s: estimate %s for a guess of %.0f ms, want about %.0f ms", c.name, got, c.guess, c.want)
+		}
+	}
+}
+
+func TestTheLongestRunOfAStepIsEstimatedFromTheMean(t *testing.T) {
+	times := learned(0, 1).estimate("kind", millis(100))
+	if !isWithin(times.longest, 1.2*100) {
+		t.Errorf("longest %s for a mean of %s, want 1.2 times the mean", times.longest, times.task)
+	}
+}
+
+func TestRunTimesFollowAChange(t *testing.T) {
+	r := learned(0.4, 1)
+	for range 200 {
+		r.observe("kind", millis(200), millis(600), millis(600))
+	}
+	if got := r.estimate("kind", millis(200)).task; !isWithin(got, 600) {
+		t.Errorf("estimate %s after 200 steps of 600 ms, want about 600 ms", got)
+	}
+}
+
+func TestTimesOfZeroAreLearnedWithoutFault(t *testing.T) {
+	r := make(runTimes)
+	r.observe("kind", 0, 0, 0)
+	if got := r.estimate("kind", 0); got.task <= 0 || got.task > time.Second {
+		t.Errorf("estimate %s after a run of no time and no guess", got.task)
+	}
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -26,3 +26,9 @@
 func (a *agent) isHealthy() bool {
 	return a.load.Slowness < maxSlowness && a.load.FailureRate < maxFailureRate
 }
+
+// isAgentHealthy reports whether an agent is in session and its worker healthy.
+func (d *Dispatcher) isAgentHealthy(id AgentID) bool {
+	a, ok := d.agents[id]
+	return ok && a.isHealthy()
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -45,8 +45,9 @@
 
 // Step is a number of equal tasks of a job.
 type Step struct {
-	Count    int
-	Needs    worker.Resources
+	Count int
+	Needs worker.Resources
+	// Expected is the caller's guess of one task's time, zero if it gave none. Use job.times, which corrects it.
 	Expected time.Duration
 	// After lists the steps, by their index, that must be done before this one begins. They come earlier in the job.
 	After []int
@@ -66,6 +67,8 @@
 	arrived time.Time
 	// number counts the jobs in the order of their arrival.
 	number uint64
+	// times are the estimated times of the steps.
+	times []stepTime
 	// objective is the time after the arrival within which the job should be answered.
 	objective time.Duration
 	tasks     []*task
@@ -83,8 +86,11 @@
 	everSent bool
 }
 
-func newJob(now time.Time, submitted Job) *job {
+func newJob(now time.Time, submitted Job, known runTimes) *job {
 	j := &job{Job: submitted, arrived: now}
+	for _, step := range j.Steps {
+		j.times = append(j.times, known.estimate(j.Kind.Name, step.Expected))
+	}
 	j.objective = time.Duration(j.Kind.Stretch*float64(j.chain())) + j.Kind.Target
 	j.open = make([]int, len(j.Steps))
 	for i, step := range j.Steps {
@@ -104,7 +110,7 @@
 		for _, earlier := range step.After {
 			ends[i] = max(ends[i], ends[earlier])
 		}
-		ends[i] += step.Expected
+		ends[i] += j.times[i].longest
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -63,7 +63,7 @@
 	if a, ok := d.agents[t.agent]; !ok || a.isHealthy() {
 		return false
 	}
-	expected := j.Steps[t.step].Expected
+	expected := j.times[t.step].task
 	limit := max(time.Duration(stuckFactor*float64(expected)), minStuckTime)
 	isInTime := j.isDurable || now.Add(expected).Before(j.expiresAt())
 	return now.Sub(t.placed) > limit && isInTime
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -92,11 +92,12 @@
 	t.state = taskSent
 	t.agent = p.agent.id
 	t.placed = now
+	t.showsRunTime = t.run == 0
 	t.run++
 	j.everSent = true
 	d.emit(StartTask{Agent: t.agent, Number: p.agent.countStart(step.Needs), Task: runner.Task{
 		Name: t.name, Run: t.run, Payload: j.Payload, Needs: step.Needs, Checkpoint: t.checkpoint,
-		Expected: step.Expected, Priority: j.Kind.Priority, IsDurable: j.isDurable,
+		Expected: j.times[t.step].task, Priority: j.Kind.Priority, IsDurable: j.isDurable,
 	}})
 	d.emit(j.decisionMade(now, DecisionPlaced{}).withRun(t.name, t.run, t.agent))
 }
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -15,7 +15,7 @@
 			Kind:          Kind{Name: "k", Stretch: 1.6, Target: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond},
 			RemainingTime: left,
 			Steps:         []Step{{Count: 2, Expected: 70 * time.Millisecond}},
-		})
+		}, nil)
 		return times.observe(j)
 	}
 	// The first callers after a restart are those that retry.
@@ -44,7 +44,7 @@
 			Kind:          Kind{Name: "k", Stretch: 1.6, Target: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond},
 			RemainingTime: left,
 			Steps:         []Step{{Count: 2, Expected: expected}},
-		}))
+		}, nil))
 	}
 	for range 50 {
 		observe(900*time.Millisecond, 5500*time.Millisecond)
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -65,7 +65,11 @@
 func (d *Dispatcher) completeTask(now time.Time, j *job, t *task) {
 	t.state = taskDone
 	t.ended = now
+	t.showsRunTime = t.showsRunTime && d.isAgentHealthy(t.agent)
 	j.open[t.step]--
+	if j.open[t.step] == 0 {
+		d.observeStep(j, t.step)
+	}
 	if j.isDone() {
 		d.endJob(now, j, Completed{})
 		return
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -40,6 +40,8 @@
 	placed time.Time
 	// ended is when the task was done, zero until then.
 	ended time.Time
+	// showsRunTime is set if the time from placed to ended is the task's run time on a healthy worker.
+	showsRunTime bool
 	// avoid lists the agents where the task failed or was stopped because it took too long.
 	avoid []AgentID
 	// checkpoint is what the latest run saved before it was stopped or lost.
