End a job that has begun when its caller's remaining time is over, not after three objectives

Cause: a job was interrupted three objectives after its arrival, where the objective rests on an estimate, although its caller had said that it waits longer.

Change: expiresAt is the end of the remaining time, if the caller gave one. The factor of three objectives stays for callers who gave none, and for telling late retries (uselessAfter).

Kept: an answer that is ready late still serves a caller that waits for it.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -97,26 +97,31 @@
 	return j.arrived.Add(max(wait, j.objective/minWaitDivisor))
 }
 
-// expiryFactor is the age, in objectives, at which a job expires; see expiresAt. Not measured.
-const expiryFactor = 3
-
 // expiresAt returns when a job expires. A job that is not answered by then is ended.
 //
-// Inputs: the job's arrival and its objective.
+// Inputs: the job's arrival, its caller's remaining time, its objective.
 //
-// Rule: a job expires expiryFactor objectives after its arrival.
+// Rule: a job expires when its caller's remaining time is over. If the caller did not say how long it waits, the job
+// expires when an answer would be useless (uselessAfter).
 //
-// Reason: the answer is useless to the caller by then, and its tasks take resources from jobs that can still be in
-// time.
+// Reason: an answer that comes late still serves a caller that waits for it, while one that is interrupted may have run
+// and has to be repeated.
 //
-// Measured: no; the factor is as old as the package (commit e4a4995).
+// Measured: docs/POLICIES.md, round 3.
 func (j *job) expiresAt() time.Time {
-	return j.arrived.Add(j.expiryTime())
+	if j.RemainingTime > 0 {
+		return j.arrived.Add(j.RemainingTime)
+	}
+	return j.arrived.Add(j.uselessAfter())
 }
 
-// expiryTime returns the age at which the job expires.
-func (j *job) expiryTime() time.Duration {
-	return expiryFactor * j.objective
+// uselessFactor is the age, in objectives, at which an answer is useless. Source: the users' rules, by which an answer
+// after three objectives counts as none.
+const uselessFactor = 3
+
+// uselessAfter returns the age at which an answer to the job is taken for useless.
+func (j *job) uselessAfter() time.Duration {
+	return uselessFactor * j.objective
 }
 
 // expire applies refuseAt and expiresAt, and ends all jobs that are not durable when the process ends.
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -9,7 +9,8 @@
 //
 // A caller whose connection broke submits its job again, timing.CallerRetryAfter later. The job carries no sign of
 // that, but the caller's remaining time is shorter than that of other callers, by the time since the first submission.
-// A retry is late if the job would have expired (expiresAt) before it could be done, counted from the first submission.
+// A retry is late if an answer would be useless (uselessAfter) before the job could be done, counted from the first
+// submission.
 
 const (
 	// retryShare is the part, 0 to 1, of the usual remaining time below which a caller may have submitted its job
@@ -35,11 +36,11 @@
 // objective of the job and its longest chain of steps.
 //
 // Rule: a job is a late retry if its remaining time is below retryShare of the usual one and below the kind's timeout,
-// and the time since its first submission plus its chain exceeds its expiry time.
+// and the time since its first submission plus its chain exceeds uselessAfter.
 //
-// Reason: after an outage all callers retry at once, with jobs that expire soon; these kept the workers busy for a
-// second. They are not refused, because a late answer is better than none while there are free resources. The condition
-// on the timeout is there because callers give short jobs less time than long ones.
+// Reason: after an outage all callers retry at once, with jobs whose answers would be useless; these kept the workers
+// busy for a second. They are not refused, because a late answer is better than none while there are free resources. The
+// condition on the timeout is there because callers give short jobs less time than long ones.
 //
 // Measured: commit 3187fd2, score of vtf-bokning 0.916 before and 0.926 after, of dyfrdwy-prod 0.924 both (with two
 // other changes). The condition on the timeout: commit 7cc3d7a, mean of the days with trouble of dyfrdwy-prod-grown
@@ -55,7 +56,7 @@
 		return false
 	}
 	sinceFirst := usual - remaining
-	return j.hasLessThanTimeout() && sinceFirst > j.expiryTime()-j.chain()
+	return j.hasLessThanTimeout() && sinceFirst > j.uselessAfter()-j.chain()
 }
 
 // usual returns the usual remaining time of a kind, which is at least its timeout.
