Let requests wait for the first configuration instead of rejecting them

Change: a request waits for the configuration, for a quarter of its caller's remaining time and 500 ms at most, and is then rejected with the time to come back. A job counts from when its request was received, not from when it is submitted.

--- a/internal/cli/platformentry.go
+++ b/internal/cli/platformentry.go
@@ -22,14 +22,14 @@
 	}
 	callers, balancer, peers := listeners[0], listeners[1], listeners[2]
 	store, closeStore := platform.NewStore(string(s.PlatformAddress))
-	configurations := &platform.Configurations{}
+	configurations := platform.NewConfigurations()
 	e, closeEntry := entry.New(entry.Settings{
 		Name: s.Name, Zone: s.Zone, Peers: peers, Seeds: s.SeedAddresses(),
 		StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs,
 		Durable: platform.NewDurableJobs(store), StoreWrites: s.StoreWrites,
 	}, configurations, platform.NewStoreWatcher(store, logger), logger, metrics)
 	closeReady := platform.NewReadiness(balancer, e)
-	ingress := platform.NewIngress(callers, configurations.Current, e, logger)
+	ingress := platform.NewIngress(callers, configurations, e, logger)
 	return onPlatform{setSeeds: e.SetSeeds, stop: func() error {
 		err := e.Shutdown(ingress)
 		closeWithin(closeTime, closeReady, closeEntry, closeStore)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -20,7 +20,9 @@
 type Job struct {
 	ID   string
 	Kind Kind
-	// RemainingTime is how long the caller still waits, zero if it did not say.
+	// Received is when the entry received the request, zero if that is when it is submitted.
+	Received time.Time
+	// RemainingTime is how long the caller still waited at Received, zero if it did not say.
 	RemainingTime time.Duration
 	// Payload is passed to every task.
 	Payload string
@@ -93,11 +95,14 @@
 
 func newJob(now time.Time, submitted Job, known runTimes) *job {
 	j := &job{Job: submitted, arrived: now}
+	if !submitted.Received.IsZero() {
+		j.arrived = submitted.Received
+	}
 	for _, step := range j.Steps {
 		j.times = append(j.times, known.estimate(j.Kind.Name, step.Expected))
 	}
 	j.objective = time.Duration(j.Kind.Stretch*float64(j.chain())) + j.Kind.Target
-	j.startBy = now.Add(j.objective - j.chain())
+	j.startBy = j.arrived.Add(j.objective - j.chain())
 	j.open = make([]int, len(j.Steps))
 	for i, step := range j.Steps {
 		j.open[i] = step.Count
