Avoid slow workers sooner, and let jobs that would be late there wait for another one

Cause: while a worker was slow or hung, jobs were still placed on it as soon as the healthy ones were full, and its runs were moved only when a healthy worker had free resources, which in an overload it never has. The running tasks showed the slowness only as long as three jobs had runs there, and guesses judged workers before run times were learned.

Change: a worker is unhealthy from a slowness of 2.5 (3.5 before). Its running tasks enter the moving average, so it stays known when fewer than three jobs run there; they are bounded by maxStretch, so it recovers within seconds. A job is not placed on a worker where it would be late for that reason, unless all are slow (isTooSlow). A run moves once that gains half of its expected time, also when no resources are free: its job has begun, so it gets the next ones. Only estimates that rest on ten steps judge a worker.

Safe: which worker runs a task and when, nothing else; a moved run is still over before its task runs again.

--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -31,18 +31,30 @@
 	// priorVariance is the variance of the logarithm of the guesses that goes with it: most guesses of a kind are within a
 	// factor of 1.5. Not varied.
 	priorVariance = 0.16
+	// learnedSteps is from how many steps an estimate is good enough to judge a worker by. Not varied.
+	learnedSteps = 10
 	// minRunTime is the shortest run time that is learned, so that its logarithm is finite.
 	minRunTime = time.Millisecond
 )
 
 // stepTime is the estimate for a step.
 type stepTime struct {
+	// isLearned is set if the estimate rests on learnedSteps steps or more.
+	isLearned bool
 	// task is the time of one run.
 	task time.Duration
 	// longest is the time of the longest of its runs.
 	longest time.Duration
 }
 
+// forHealth returns the time of one run by which an agent may judge its worker, or zero. A guess says too little.
+func (s stepTime) forHealth() time.Duration {
+	if !s.isLearned {
+		return 0
+	}
+	return s.task
+}
+
 // runTimes holds what is known of the run times of each kind, by the kind's name.
 type runTimes map[string]*runTime
 
@@ -67,7 +79,8 @@
 		return stepTime{task: guess, longest: guess}
 	}
 	task := known.task(guess)
-	return stepTime{task: task, longest: time.Duration(known.unevenness * float64(task))}
+	longest := time.Duration(known.unevenness * float64(task))
+	return stepTime{isLearned: known.steps >= learnedSteps, task: task, longest: longest}
 }
 
 // observe learns from a step that was done: the guess of one task's time, the mean and the longest of its runs.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -3,10 +3,12 @@
 
 package dispatch
 
+import "time"
+
 const (
-	// maxSlowness is the slowness from which a worker is unhealthy; see isHealthy. It was 2.5 until commit bba2d87; not
-	// varied alone.
-	maxSlowness = 3.5
+	// maxSlowness is the slowness from which a worker is unhealthy; see isHealthy. It was 3.5 until round 8 of
+	// docs/POLICIES.md; not varied alone.
+	maxSlowness = 2.5
 	// maxFailureRate is the failure rate from which a worker is unhealthy; see isHealthy. Not measured.
 	maxFailureRate = 0.25
 )
@@ -18,13 +20,37 @@
 //
 // Rule: the slowness is below maxSlowness and the failure rate below maxFailureRate.
 //
-// Reason: an unhealthy worker gets tasks only if no healthy one has resources (plan.go), its runs may be moved
-// (move.go), and failed runs on it count less (attempts.go).
+// Reason: an unhealthy worker gets tasks only if no healthy one has resources (plan.go) and the job is in time there
+// (isTooSlow), its runs may be moved (move.go), and failed runs on it count less (attempts.go).
 //
 // Measured: commit bba2d87, with the moving of runs and other changes: score of vtf-bokning 0.926 before and after, of
 // dyfrdwy-prod 0.924 and 0.920.
 func (a *agent) isHealthy() bool {
-	return a.load.Slowness < maxSlowness && a.load.FailureRate < maxFailureRate
+	return a.load.Slowness < maxSlowness && !a.isFailing()
+}
+
+// isFailing reports whether many of the latest runs on the worker failed.
+func (a *agent) isFailing() bool {
+	return a.load.FailureRate >= maxFailureRate
+}
+
+// isTooSlow reports whether a job that is placed on the worker now would be late for that reason.
+//
+// Inputs: the slowness of the worker, the longest chain of the job, its objective or, if that can no longer be reached, when
+// its answer is useless.
+//
+// Rule: the worker is unhealthy, and a chain that takes as many times longer as the worker is slow ends after that.
+//
+// Reason: a job that waits for a healthy worker is served sooner than one on a worker that hangs.
+//
+// Measured: docs/POLICIES.md, round 8.
+func (a *agent) isTooSlow(now time.Time, j *job) bool {
+	limit := j.arrived.Add(j.objective)
+	if now.After(j.startBy) {
+		limit = j.arrived.Add(j.uselessAfter())
+	}
+	end := now.Add(time.Duration(a.load.Slowness * float64(j.chain())))
+	return !a.isHealthy() && end.After(limit)
 }
 
 // isAgentHealthy reports whether an agent is in session and its worker healthy.
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -3,27 +3,29 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"sailhead/internal/timing"
+)
 
 const (
-	// stuckFactor is how many times its expected time a run may last on an unhealthy worker; see isStuck. Measured as
-	// part of the rule; other values were not.
-	stuckFactor = 2.5
-	// minStuckTime is how long any run may last on an unhealthy worker. Not measured.
-	minStuckTime = 60 * time.Millisecond
+	// minGain is the least time that a move must gain, as a part of the expected time of a run; see isStuck. Estimates are
+	// often off by as much. Not varied.
+	minGain = 0.5
 	// maxMoves bounds how often a task is moved. Not measured.
 	maxMoves = 2
 )
 
-// moveStuckRuns stops stuck runs for which a healthy worker has free resources. Once the agent reports the stop, the
-// task is placed again, on another worker if possible.
+// moveStuckRuns stops stuck runs that a healthy worker could run. Once the agent reports the stop, the task is placed
+// again, on another worker if possible; as a task of a job that has begun it gets the next resources that become free.
 func (d *Dispatcher) moveStuckRuns(now time.Time) {
 	if !d.hasUnhealthyWorker() {
 		return
 	}
 	for _, j := range d.jobsByArrival() {
 		for _, t := range j.tasks {
-			if d.isStuck(now, j, t) && d.hasHealthyCapacity(j, t) {
+			if d.isStuck(now, j, t) && d.hasHealthyWorker(j, t) {
 				d.moveRun(now, j, t)
 			}
 		}
@@ -39,38 +41,47 @@
 	return false
 }
 
-// isStuck reports whether a task's run takes too long on an unhealthy worker and can still be done in time elsewhere.
+// isStuck reports whether a task's run on an unhealthy worker would end sooner, and still in time, on another one.
 //
-// Inputs: the time since the run was sent, the expected time of the task, the health of the worker, how often the task
+// Inputs: the time since the run was sent, the expected time of the task, the slowness of the worker, how often the task
 // was moved, the expiry of the job.
 //
-// Rule: the worker is unhealthy, the run has lasted for stuckFactor times its expected time and for minStuckTime, the
-// task was not moved maxMoves times or from this worker before, and a new run would end before the job expires. Durable
-// jobs do not expire.
+// Rule: the worker is unhealthy; a stop and a new run take less time than the run still needs here (timeLeft), by minGain
+// of the expected time; the task was not moved maxMoves times or from this worker before; and a new run would end before
+// the job expires. Durable jobs do not expire.
 //
 // Reason: jobs waited for runs on slow or hanging workers. The rule depends on the worker's health because the expected
 // time of a single run is often wrong by a factor of two.
 //
-// Measured: commit bba2d87, with other changes: score of vtf-bokning 0.926 before and after, of dyfrdwy-prod 0.924 and
-// 0.920. Judging by single runs instead moved 40 to 73 healthy runs on quiet days (dyfrdwy quiet-1, 0.955 to 0.911).
+// Measured: docs/POLICIES.md, round 8. Judging by single runs instead moved 40 to 73 healthy runs on quiet days (commit
+// bba2d87; dyfrdwy quiet-1, 0.955 to 0.911).
 func (d *Dispatcher) isStuck(now time.Time, j *job, t *task) bool {
 	if t.state != taskSent || t.moves >= maxMoves || t.avoids(t.agent) {
 		return false
 	}
-	if a, ok := d.agents[t.agent]; !ok || a.isHealthy() {
+	a, ok := d.agents[t.agent]
+	if !ok || a.isHealthy() {
 		return false
 	}
 	expected := j.times[t.step].task
-	limit := max(time.Duration(stuckFactor*float64(expected)), minStuckTime)
+	gain := a.timeLeft(expected, now.Sub(t.placed)) - timing.StopTime - expected
 	isInTime := j.isDurable || now.Add(expected).Before(j.expiresAt())
-	return now.Sub(t.placed) > limit && isInTime
+	return float64(gain) > minGain*float64(expected) && isInTime
+}
+
+// timeLeft returns how much longer a run that was sent elapsed ago is expected to take on the worker: the rest of the
+// expected time, as often as the worker is slow. A run that has lasted longer than that is expected to take as long again
+// as it is over it.
+func (a *agent) timeLeft(expected, elapsed time.Duration) time.Duration {
+	left := time.Duration(a.load.Slowness*float64(expected)) - elapsed
+	return left.Abs()
 }
 
-// hasHealthyCapacity reports whether a healthy worker other than the task's own has free resources for it.
-func (d *Dispatcher) hasHealthyCapacity(j *job, t *task) bool {
+// hasHealthyWorker reports whether a healthy worker other than the task's own accepts tasks of the job.
+func (d *Dispatcher) hasHealthyWorker(j *job, t *task) bool {
 	needs := j.Steps[t.step].Needs
 	for _, a := range d.agents {
-		if a.id != t.agent && a.isHealthy() && a.accepts(j.Kind.Service) && needs.Fits(a.free()) {
+		if a.id != t.agent && a.isHealthy() && a.accepts(j.Kind.Service) && needs.Fits(a.record.Capacity) {
 			return true
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -56,12 +56,12 @@
 // worker. It returns false if there are any.
 func (d *Dispatcher) placeJob(now time.Time, j *job, isFull bool) bool {
 	if !isFull {
-		for _, p := range d.plan(j, d.placeable(now, j)) {
+		for _, p := range d.plan(now, j, d.placeable(now, j)) {
 			d.send(now, j, p)
 		}
 	}
 	if rest := d.placeable(now, j); len(rest) > 0 {
-		d.reserve(j, rest)
+		d.reserve(now, j, rest)
 		return false
 	}
 	d.cancelReservations(j)
@@ -96,7 +96,7 @@
 	j.everSent = true
 	d.emit(StartTask{Agent: t.agent, Number: p.agent.countStart(step.Needs), Task: runner.Task{
 		Name: t.name, Run: t.run, Payload: j.Payload, Needs: step.Needs, Checkpoint: t.checkpoint,
-		Expected: j.times[t.step].task, Urgency: j.urgency(), Offer: p.offer, IsDurable: j.isDurable,
+		Expected: j.times[t.step].forHealth(), Urgency: j.urgency(), Offer: p.offer, IsDurable: j.isDurable,
 	}})
 	d.emit(j.decisionMade(now, DecisionPlaced{}).withRun(t.name, t.run, t.agent))
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
@@ -54,8 +56,8 @@
 //
 // Measured: the number of workers and the ranks are not measured. Free resources from exact loads: trials with loads
 // every 200 ms scored 0.21 and 0.26 less (docs/DESIGN.md).
-func (d *Dispatcher) plan(j *job, tasks []*task) []placement {
-	d.gatherCandidates(j.Kind.Service)
+func (d *Dispatcher) plan(now time.Time, j *job, tasks []*task) []placement {
+	d.gatherCandidates(now, j)
 	p := planner{job: j, candidates: d.candidates}
 	for len(tasks) > 0 {
 		group := sameStep(tasks)
@@ -65,13 +67,24 @@
 	return p.placements
 }
 
-// gatherCandidates collects the agents that accept tasks of a service, in random order.
-func (d *Dispatcher) gatherCandidates(service string) {
+// gatherCandidates collects the agents that accept tasks of a job, in random order. Those whose worker is too slow for the
+// job are left out, unless all are.
+func (d *Dispatcher) gatherCandidates(now time.Time, j *job) {
 	d.candidates = d.candidates[:0]
+	var slow []candidate
 	for _, a := range d.ordered {
-		if a.accepts(service) {
-			d.candidates = append(d.candidates, candidate{agent: a, free: a.unreserved()})
+		if !a.accepts(j.Kind.Service) {
+			continue
 		}
+		c := candidate{agent: a, free: a.unreserved()}
+		if a.isTooSlow(now, j) {
+			slow = append(slow, c)
+		} else {
+			d.candidates = append(d.candidates, c)
+		}
+	}
+	if len(d.candidates) == 0 {
+		d.candidates = append(d.candidates, slow...)
 	}
 	d.random.Shuffle(len(d.candidates), func(i, k int) {
 		d.candidates[i], d.candidates[k] = d.candidates[k], d.candidates[i]
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -39,7 +39,7 @@
 // Reason: nobody knows which worker has room next. With the bound, the messages of a job do not grow with the cluster.
 //
 // Measured: docs/POLICIES.md, round 4; maxReservations was not varied.
-func (d *Dispatcher) reserve(j *job, tasks []*task) {
+func (d *Dispatcher) reserve(now time.Time, j *job, tasks []*task) {
 	group := sameStep(tasks)
 	step := j.Steps[group[0].step]
 	wanted := runner.Reservation{Job: j.ID, Needs: step.Needs, Urgency: j.urgency()}
@@ -53,7 +53,7 @@
 	}
 	r.latest, r.view = wanted, d.view
 	wanted.Count = len(group)
-	for _, a := range d.reservationAgents(j, step, group[0]) {
+	for _, a := range d.reservationAgents(now, j, step, group[0]) {
 		isNew := !r.agents[a.id]
 		if isNew && len(r.agents) >= maxReservations || !isNew && !isChanged {
 			continue
@@ -64,14 +64,14 @@
 }
 
 // reservationAgents returns the agents where a job may reserve for tasks of a step, in random order.
-func (d *Dispatcher) reservationAgents(j *job, step Step, t *task) []*agent {
+func (d *Dispatcher) reservationAgents(now time.Time, j *job, step Step, t *task) []*agent {
 	var preferred, others []*agent
-	d.gatherCandidates(j.Kind.Service)
+	d.gatherCandidates(now, j)
 	for _, c := range d.candidates {
 		a := c.agent
 		switch {
 		case !step.Needs.Fits(a.record.Capacity) || step.Label != "" && !a.record.HasLabel(step.Label):
-		case a.isHealthy() && !t.avoids(a.id):
+		case !a.isFailing() && !t.avoids(a.id):
 			preferred = append(preferred, a)
 		default:
 			others = append(others, a)
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -16,8 +16,8 @@
 //
 // Inputs: for runs that have ended, their ending, run time and expected time; for running ones, also their progress when
 // they were last listed.
-// Rule: both are moving averages over the latest runs. The slowness is the larger of that average and the median over the
-// jobs that have runs here now of how long those runs will have taken, in units of their expected time.
+// Rule: both are moving averages over the latest runs. At each tick the median over the jobs that have runs here now, of how
+// long those runs will have taken in units of their expected time, enters the average of the slowness.
 // Reason: entries avoid a slow or failing worker, and move runs off a slow one. The running tasks show a worker that hangs,
 // on which nothing ends.
 // Measured: judging by single long runs, or by the progress last seen against the present time, moved 40 to 73 healthy
@@ -27,6 +27,12 @@
 const (
 	// healthWeight is the weight of one run in the moving averages. Not measured.
 	healthWeight = 0.12
+	// runningWeight is the weight of the running tasks in the moving average at each tick. They show within some ticks that a
+	// worker is slow, and that it has recovered. Not varied.
+	runningWeight = 0.2
+	// maxStretch bounds what running tasks add to the moving average. Without it a worker whose tasks stand still would count
+	// as slow for tens of seconds after it has recovered. Not varied.
+	maxStretch = 9
 	// healthDecay is the time in which the averages fall to 1/e of their value without new runs. A worker that gets no
 	// tasks cannot show that it has recovered, so it is tried again after some seconds. Not measured.
 	healthDecay = 3 * time.Second
@@ -47,8 +53,6 @@
 	failures float64
 	// stretch is the average of the runs' stretch less one, so that zero is as expected.
 	stretch float64
-	// runningStretch is the median projected stretch of the running tasks less one, at least zero.
-	runningStretch float64
 	// decayedAt is when the averages were last reduced. Zero before the first time.
 	decayedAt time.Time
 }
@@ -57,7 +61,7 @@
 func (h *health) failureRate() float64 { return h.failures }
 
 // slowness returns by which factor tasks take longer than expected.
-func (h *health) slowness() float64 { return 1 + max(h.stretch, h.runningStretch) }
+func (h *health) slowness() float64 { return 1 + max(h.stretch, 0) }
 
 // updateHealth updates the averages, and sends the load if the slowness has changed by more than minHealthChange.
 func (r *Runner) updateHealth(now time.Time) {
@@ -89,7 +93,10 @@
 		h.stretch *= factor
 	}
 	h.decayedAt = now
-	h.runningStretch = medianRunningStretch(active)
+	if running, ok := medianRunningStretch(active); ok {
+		running = min(running, maxStretch)
+		h.stretch += (running - h.stretch) * runningWeight
+	}
 }
 
 // stretch returns the run's time until now divided by its expected time.
@@ -108,9 +115,9 @@
 	return t.state == stateRunning && t.Expected > 0 && t.listedAt.Sub(t.began) >= minElapsed
 }
 
-// medianRunningStretch returns the median over the jobs of their running tasks' mean projected stretch less one, but at
-// least zero. It is zero for fewer than minJobs jobs.
-func medianRunningStretch(active []*task) float64 {
+// medianRunningStretch returns the median over the jobs of their running tasks' mean projected stretch less one. ok is false
+// for fewer than minJobs jobs.
+func medianRunningStretch(active []*task) (stretch float64, ok bool) {
 	sums := make(map[string]float64)
 	counts := make(map[string]float64)
 	for _, t := range active {
@@ -122,12 +129,12 @@
 		counts[job]++
 	}
 	if len(sums) < minJobs {
-		return 0
+		return 0, false
 	}
 	means := make([]float64, 0, len(sums))
 	for job, sum := range sums {
 		means = append(means, sum/counts[job])
 	}
 	slices.Sort(means)
-	return max(means[(len(means)-1)/2]-1, 0)
+	return means[(len(means)-1)/2] - 1, true
 }
