--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,8 +66,9 @@
 	answerTimes *metric.Times
 	queueTimes  *metric.Times
 
-	// decider is used by the event loop only.
+	// decider and accepted are used by the event loop only.
 	decider       *decider
+	accepted      acceptedJobs
 	events        chan dispatch.Event
 	durableEvents chan durable.Event
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -30,6 +30,9 @@
 // log counts a decision and logs it.
 func (e *Entry) log(m dispatch.DecisionMade) {
 	e.count(m)
+	if _, ok := m.Decision.(dispatch.DecisionAccepted); ok {
+		e.accepted.add(e.logger, m.Job)
+	}
 	fields := []any{"msg", messageOf(m.Decision)}
 	if m.Job != "" {
 		fields = append(fields, "job", m.Job, "kind", m.Kind, "age", m.Age.Round(ageResolution))
@@ -61,8 +64,9 @@
 	}
 }
 
-// loggerFor returns the logger of a decision. The steps of a job that goes well are for debugging, and jobs completed
-// within their objective have a limit of their own, so that they do not crowd out the rest.
+// loggerFor returns the logger of a decision. The steps of a job that goes well are for debugging (the ids of accepted jobs
+// are logged together, see acceptedJobs), and jobs completed within their objective have a limit of their own, so that they
+// do not crowd out the rest.
 func (e *Entry) loggerFor(decision dispatch.Decision) log.Logger {
 	switch decision := decision.(type) {
 	case dispatch.DecisionAccepted, dispatch.DecisionPlaced:
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -32,11 +32,13 @@
 		var durableEvent durable.Event
 		select {
 		case <-e.context.Done():
+			e.accepted.flush(e.logger)
 			return
 		case event := <-e.events:
 			events = e.gather(append(events, event))
 		case durableEvent = <-e.durableEvents:
 		case <-ticker.C:
+			e.accepted.flush(e.logger)
 			events = append(events, dispatch.Ticked{})
 			durableEvent = durable.Ticked{DurableRuns: e.decider.dispatcher.DurableRuns(time.Now())}
 		}
--- a/internal/timeline/logs.go
+++ b/internal/timeline/logs.go
@@ -132,12 +132,13 @@
 
 // isAbout reports whether a line names a job or one of its tasks.
 func (l Line) isAbout(job string) bool {
-	return l.Value("job") == job || strings.HasPrefix(l.Value("task"), job+".") || strings.HasSuffix(l.Value("path"), "/"+job)
+	return l.Value("job") == job || strings.HasPrefix(l.Value("task"), job+".") ||
+		strings.HasSuffix(l.Value("path"), "/"+job) || slices.Contains(strings.Split(l.Value("jobs"), ","), job)
 }
 
 // isProcessState reports whether a line is about the state of processes, not about a single request.
 func (l Line) isProcessState() bool {
-	return l.Value("job") == "" && l.Value("task") == "" && l.Value("path") == ""
+	return l.Value("job") == "" && l.Value("jobs") == "" && l.Value("task") == "" && l.Value("path") == ""
 }
 
 // processesOf returns the processes that wrote lines.
