Log every end that an agent drops without an acknowledgement

Change: each such end is an effect EndDropped, which the agent logs as a warning (`end dropped`, task, run, outcome, reason). What is dropped and when is as before.

--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -70,6 +70,11 @@
 	_ = level.Info(a.logger).Log("msg", "closing session", "session", e.Session, "reason", e.Reason)
 }
 
+// logDropped logs the end of a durable task's run that no owner has recorded and that is dropped.
+func (a *Agent) logDropped(e runner.EndDropped) {
+	_ = level.Warn(a.logger).Log("msg", "end dropped", "task", e.Name, "run", e.Run, "outcome", e.Outcome, "reason", e.Reason)
+}
+
 // describe returns the name of a result, followed by its reason if it has one. The names are values of log fields and
 // labels of the metric start_time, and keep their form.
 func describe(result worker.Result) string {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -66,6 +66,8 @@
 	case runner.CloseSession:
 		a.logClose(e)
 		a.sessions.Send(effect)
+	case runner.EndDropped:
+		a.logDropped(e)
 	case runner.SendPing, runner.SendWorker, runner.SendLoad, runner.SendOffer:
 		a.sessions.Send(effect)
 	}
--- a/internal/runner/acknowledge.go
+++ b/internal/runner/acknowledge.go
@@ -75,10 +75,20 @@
 		r.earlierEnds = append(r.earlierEnds, ended.unacknowledged[number])
 	}
 	if excess := len(r.earlierEnds) - maxUnacknowledged; excess > 0 {
+		for _, e := range r.earlierEnds[:excess] {
+			r.logDropped(e, "too many ends are unacknowledged")
+		}
 		r.earlierEnds = r.earlierEnds[excess:]
 	}
 }
 
+func (r *Runner) logDropped(e *unacknowledgedEnd, reason string) {
+	r.emit(EndDropped{Name: e.update.Name, Run: e.update.Run, Outcome: e.update.Outcome, Reason: reason})
+}
+
+// reasonNoOwner is why an end is dropped that expires.
+const reasonNoOwner = "no owner has acknowledged it in time"
+
 // acknowledgedUpTo returns the number up to which the worker may forget ends.
 func (i *incarnation) acknowledgedUpTo() uint64 {
 	acknowledged := i.lastEndNumber
@@ -98,6 +108,7 @@
 	for _, number := range r.worker.unacknowledgedNumbers() {
 		e := r.worker.unacknowledged[number]
 		if e.hasExpired(now) {
+			r.logDropped(e, reasonNoOwner)
 			delete(r.worker.unacknowledged, number)
 			continue
 		}
@@ -107,7 +118,12 @@
 
 // resendEarlierEnds does the same for the ends of earlier incarnations.
 func (r *Runner) resendEarlierEnds(now time.Time) {
-	r.earlierEnds = slices.DeleteFunc(r.earlierEnds, func(e *unacknowledgedEnd) bool { return e.hasExpired(now) })
+	r.earlierEnds = slices.DeleteFunc(r.earlierEnds, func(e *unacknowledgedEnd) bool {
+		if e.hasExpired(now) {
+			r.logDropped(e, reasonNoOwner)
+		}
+		return e.hasExpired(now)
+	})
 	for _, e := range r.earlierEnds {
 		r.resendIfDue(now, e)
 	}
--- /dev/null
+++ b/internal/runner/acknowledge_test.go
@@ -0,0 +1,43 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sailhead/internal/worker"
+)
+
+// TestEveryDroppedEndIsLogged lets a worker restart with more unacknowledged ends than an agent keeps.
+func TestEveryDroppedEndIsLogged(t *testing.T) {
+	const excess = 3
+	r, now := newSurveyedRunner()
+	for number := range uint64(maxUnacknowledged + excess) {
+		r.retainEnd(now, worker.End{Number: number + 1, Name: fmt.Sprintf("j.0.0.%d", number), Run: 1, Ending: worker.EndingDone})
+	}
+	dropped := make(map[string]bool)
+	apply := func(event Event) {
+		for _, effect := range r.Handle(now, event) {
+			if e, ok := effect.(EndDropped); ok {
+				dropped[e.Name] = true
+			}
+		}
+	}
+	apply(WorkerLeft{ID: "w"})
+	for number := range excess {
+		if name := fmt.Sprintf("j.0.0.%d", number); !dropped[name] {
+			t.Errorf("the end of %s was dropped without a line", name)
+		}
+	}
+	if len(dropped) != excess {
+		t.Errorf("%d ends were dropped, want %d", len(dropped), excess)
+	}
+	now = now.Add(time.Hour)
+	apply(Ticked{})
+	if len(dropped) != excess {
+		t.Errorf("%d ends were dropped after an hour, want %d: only those of orphans expire", len(dropped), excess)
+	}
+}
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -68,6 +68,15 @@
 	Reason  string
 }
 
+// EndDropped says that an end is no longer resent, though no owner has acknowledged it: its task may run again. It is for the
+// log.
+type EndDropped struct {
+	Name    string
+	Run     uint32
+	Outcome Outcome
+	Reason  string
+}
+
 func (CallStart) isEffect()    {}
 func (CallStop) isEffect()     {}
 func (CallRenew) isEffect()    {}
@@ -77,6 +86,7 @@
 func (SendUpdate) isEffect()   {}
 func (SendOffer) isEffect()    {}
 func (CloseSession) isEffect() {}
+func (EndDropped) isEffect()   {}
 
 // Load is the state of the worker that entries use for placement.
 type Load struct {
