Try a slow worker again after a second, not three

Change: without new runs the slowness falls to 1/e in 1 s (slownessDecay); the failure rate keeps 3 s.

Tried and left (docs/POLICIES.md): late jobs never on slow workers.

Test: TestAHangingWorkerIsTriedAgainAfterTwoSeconds (failed before: slowness above 2.5 for 4 s).

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -33,9 +33,12 @@
 	// maxStretch bounds what running tasks add to the moving average. Without it a worker whose tasks stand still would count
 	// as slow for tens of seconds after it has recovered. Not varied.
 	maxStretch = 9
-	// healthDecay is the time in which the averages fall to 1/e of their value without new runs. A worker that gets no
-	// tasks cannot show that it has recovered, so it is tried again after some seconds. Not measured.
-	healthDecay = 3 * time.Second
+	// failureDecay and slownessDecay are the times in which the averages fall to 1/e of their value without new runs. A worker
+	// that gets no tasks cannot show that it has recovered, so it is tried again after some seconds. A slow worker is tried
+	// sooner than a failing one, as its running tasks show within 0.1 s whether it is still slow. Measured: slownessDecay of
+	// 0.5, 1 and 3 s (docs/POLICIES.md, round 9); failureDecay was not varied.
+	failureDecay  = 3 * time.Second
+	slownessDecay = time.Second
 	// minJobs is how many jobs need running tasks for a median: one job's expected time is often off by a factor of two.
 	// Chosen with commit bba2d87; other values were not measured.
 	minJobs = 3
@@ -88,9 +91,9 @@
 // update lets the averages decay and applies the progress of the running tasks.
 func (h *health) update(now time.Time, active []*task) {
 	if !h.decayedAt.IsZero() {
-		factor := math.Exp(-float64(now.Sub(h.decayedAt)) / float64(healthDecay))
-		h.failures *= factor
-		h.stretch *= factor
+		elapsed := now.Sub(h.decayedAt)
+		h.failures *= decay(elapsed, failureDecay)
+		h.stretch *= decay(elapsed, slownessDecay)
 	}
 	h.decayedAt = now
 	if running, ok := medianRunningStretch(active); ok {
@@ -99,6 +102,11 @@
 	}
 }
 
+// decay returns the part, 0 to 1, that is left of an average after a time in which nothing entered it.
+func decay(elapsed, toOneOverE time.Duration) float64 {
+	return math.Exp(-float64(elapsed) / float64(toOneOverE))
+}
+
 // stretch returns the run's time until now divided by its expected time.
 func (t *task) stretch(now time.Time) float64 {
 	return float64(now.Sub(t.began)) / float64(t.Expected)
--- a/internal/runner/health_test.go
+++ b/internal/runner/health_test.go
@@ -41,6 +41,31 @@
 	}
 }
 
+func TestAHangingWorkerIsTriedAgainAfterTwoSeconds(t *testing.T) {
+	const unhealthy = 2.5 // maxSlowness of package dispatch
+	now := testListedAt
+	began := now.Add(-100 * time.Millisecond)
+	var hanging []*task
+	for _, name := range []string{"a.0.0.0", "b.0.0.0", "c.0.0.0"} {
+		hanging = append(hanging, runningTask(name, began, 100*time.Millisecond, 1))
+	}
+	var h health
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		h.update(now, hanging)
+	}
+	if h.slowness() < unhealthy {
+		t.Fatalf("slowness %.1f while all tasks stand still, want at least %.1f", h.slowness(), unhealthy)
+	}
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		h.update(now, nil)
+	}
+	if h.slowness() >= unhealthy {
+		t.Errorf("slowness %.1f two seconds after the tasks were moved, want below %.1f", h.slowness(), unhealthy)
+	}
+}
+
 func TestHealthRecoversWithoutTasks(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var h health
