--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -20,7 +20,7 @@
 // # What it guarantees
 //
 // Two runs of a task never overlap on this worker, and a task is reported as not started only if no run of it began.
-// A start without an answer is therefore stopped and looked up in a listing before the task runs again.
+// A start without an answer is therefore decided by a listing that fences it, before the task runs again.
 //
 // # When a neighbour dies
 //
