Reserve at three agents for each waiting task, not at 24 for every job

At 6.5 s it lost the sessions with all 67 agents within 0.3 s, as pings waited on the link; then the whole began anew. It was neither the processor (mean 0.04 of 0.192 core) nor the event loop (its ring was empty).

Change: a job reserves at reservationsPerTask = 3 agents for each task that waits, 24 at most.

Test: TestAJobReservesAtAFewAgentsForEachTask (failed before: 24 for every job).

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -13,8 +13,27 @@
 // This file decides where a job reserves resources that it did not find free, and which tasks use an offer. How agents
 // choose among the reservations of all entries is in package runner (reservation.go).
 
-// maxReservations is the largest number of agents at which a job reserves. Not measured.
-const maxReservations = 24
+const (
+	// maxReservations is the largest number of agents at which a job reserves; see reservationLimit. Not varied alone.
+	maxReservations = 24
+	// reservationsPerTask is the number of agents at which a job reserves for each task that waits; see reservationLimit.
+	// Measured: 2, 3, and as many as maxReservations (docs/POLICIES.md, round 11).
+	reservationsPerTask = 3
+)
+
+// reservationLimit returns the largest number of agents at which a job reserves.
+//
+// Inputs: the number of its tasks that wait.
+//
+// Rule: reservationsPerTask for each of them, and maxReservations at most.
+//
+// Reason: with a few agents for each task, one of them has room soon. Each agent costs two messages, one to reserve and one to
+// cancel: with 24 for every job an entry sent 40,000 a second, which filled its link of 25 Mbit/s, so that it lost all agents.
+//
+// Measured: docs/POLICIES.md, round 11.
+func reservationLimit(tasks int) int {
+	return min(reservationsPerTask*tasks, maxReservations)
+}
 
 // reservation is what a job has reserved.
 type reservation struct {
@@ -32,13 +51,13 @@
 // Inputs: the needs and the label of the step, the urgency of the job, the agents that accept tasks of the service and
 // their health.
 //
-// Rule: reservations at all agents whose worker could run a task, but at no more than maxReservations, chosen at random;
-// unhealthy workers, and those where the first task failed, only if there is no other. They are repeated when the needs
-// or the urgency change, and more are added when agents come.
+// Rule: reservations at agents whose worker could run a task, chosen at random, at no more than reservationLimit; unhealthy
+// workers, and those where the first task failed, only if there is no other. They are repeated when the needs or the urgency
+// change, and more are added when agents come.
 //
-// Reason: nobody knows which worker has room next. With the bound, the messages of a job do not grow with the cluster.
+// Reason: nobody knows which worker has room next. With the limit, the messages of a job do not grow with the cluster.
 //
-// Measured: docs/POLICIES.md, round 4; maxReservations was not varied.
+// Measured: docs/POLICIES.md, rounds 4 and 11.
 func (d *Dispatcher) reserve(now time.Time, j *job, tasks []*task) {
 	group := sameStep(tasks)
 	step := j.Steps[group[0].step]
@@ -53,9 +72,10 @@
 	}
 	r.latest, r.view = wanted, d.view
 	wanted.Count = len(group)
+	limit := reservationLimit(len(group))
 	for _, a := range d.reservationAgents(now, j, step, group[0]) {
 		isNew := !r.agents[a.id]
-		if isNew && len(r.agents) >= maxReservations || !isNew && !isChanged {
+		if isNew && len(r.agents) >= limit || !isNew && !isChanged {
 			continue
 		}
 		r.agents[a.id] = true
