Count only reservations at agents that can serve them

Cause, by reading: since a job reserves at three agents for each task, a job with one task could have all its reservations at agents that then fall silent, drain or turn too slow. They counted, so it reserved nowhere else and waited until the sessions were closed (560 ms) or it was refused. With 24 reservations, or all 11 agents, that was hardly possible.

Change: the limit counts reservations at agents that are candidates now, and an agent that does not respond makes all waiting jobs look again (agentsChanged).

Test: TestAJobReservesElsewhereIfItsAgentsDoNotRespond (failed before: no other reservation).

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -104,6 +104,7 @@
 		return
 	}
 	a.unresponsive = true
+	d.agentsChanged()
 	d.emit(DecisionMade{Decision: DecisionAgentUnresponsive{}, Agent: id})
 }
 
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -25,7 +25,8 @@
 //
 // Inputs: the number of its tasks that wait.
 //
-// Rule: reservationsPerTask for each of them, and maxReservations at most.
+// Rule: reservationsPerTask for each of them, and maxReservations at most. Reservations at agents that accept no tasks any
+// more, or do not respond, do not count.
 //
 // Reason: with a few agents for each task, one of them has room soon. Each agent costs two messages, one to reserve and one to
 // cancel: with 24 for every job an entry sent 40,000 a second, which filled its link of 25 Mbit/s, so that it lost all agents.
@@ -72,17 +73,32 @@
 	}
 	r.latest, r.view = wanted, d.view
 	wanted.Count = len(group)
-	limit := reservationLimit(len(group))
-	for _, a := range d.reservationAgents(now, j, step, group[0]) {
+	agents := d.reservationAgents(now, j, step, group[0])
+	missing := reservationLimit(len(group)) - r.countAt(agents)
+	for _, a := range agents {
 		isNew := !r.agents[a.id]
-		if isNew && len(r.agents) >= limit || !isNew && !isChanged {
+		if isNew && missing <= 0 || !isNew && !isChanged {
 			continue
 		}
+		if isNew {
+			missing--
+		}
 		r.agents[a.id] = true
 		d.emit(Reserve{Agent: a.id, Reservation: wanted})
 	}
 }
 
+// countAt returns at how many of the agents there is a reservation.
+func (r *reservation) countAt(agents []*agent) int {
+	count := 0
+	for _, a := range agents {
+		if r.agents[a.id] {
+			count++
+		}
+	}
+	return count
+}
+
 // reservationAgents returns the agents where a job may reserve for tasks of a step, in random order.
 func (d *Dispatcher) reservationAgents(now time.Time, j *job, step Step, t *task) []*agent {
 	var preferred, others []*agent
--- a/internal/dispatch/reserve_test.go
+++ b/internal/dispatch/reserve_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -28,3 +29,34 @@
 		}
 	}
 }
+
+// TestAJobReservesElsewhereIfItsAgentsDoNotRespond lets all agents at which a job has reserved fall silent.
+func TestAJobReservesElsewhereIfItsAgentsDoNotRespond(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	d := busyDispatcher(now, 67, 0)
+	step := Step{Count: 1, Needs: worker.Resources{CPU: 3100}, Expected: 100 * time.Millisecond}
+	job := Job{ID: "job", Kind: Kind{Name: "kind", Service: "svc", Stretch: 1.6, Target: time.Hour}, Steps: []Step{step}}
+	reservedAt := func(effects []Effect) []AgentID {
+		var agents []AgentID
+		for _, effect := range effects {
+			if e, ok := effect.(Reserve); ok && e.Reservation.Count > 0 {
+				agents = append(agents, e.Agent)
+			}
+		}
+		return agents
+	}
+	silent := reservedAt(d.Handle(now, Submitted{Job: job, Waiter: 1}))
+	var events []Event
+	for _, id := range silent {
+		events = append(events, AgentUnresponsive{Agent: id})
+	}
+	others := reservedAt(d.Handle(now, events...))
+	if len(others) != reservationsPerTask {
+		t.Fatalf("the job reserves at %v instead of the silent %v, want %d others", others, silent, reservationsPerTask)
+	}
+	for _, id := range others {
+		if slices.Contains(silent, id) {
+			t.Errorf("the job reserves at %s, which does not respond", id)
+		}
+	}
+}
