Let a task that avoids all workers use an offer

A task avoids the workers on which its runs failed, and offerReceived passed over the offers of these if there was more than one agent, even if it avoids all of them. While reservations wait nothing is free without an offer, so a task that had failed on every worker reserved, was offered, declined and reserved again until its job's time was over.

Change: a task passes over the offer of a worker that it avoids only if another agent accepts tasks whose worker it does not avoid.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"sailhead/internal/runner"
@@ -146,7 +147,8 @@
 //
 // Inputs: the offered resources, the waiting jobs in their order.
 //
-// Rule: the tasks of the most urgent waiting jobs that fit use the offer, whichever job it was made for.
+// Rule: the tasks of the most urgent waiting jobs that fit use the offer, whichever job it was made for. A task uses no offer
+// of a worker that it avoids, unless it avoids all.
 //
 // Reason: the job that led to the offer may have been placed meanwhile.
 //
@@ -178,7 +180,7 @@
 	for _, t := range d.placeable(now, j) {
 		step := j.Steps[t.step]
 		c := candidate{agent: a, free: left}
-		if t.avoids(a.id) && len(d.agents) > 1 || p.fits(&c, []*task{t}) <= 0 {
+		if t.avoids(a.id) && d.hasWorkerNotAvoided(j, t) || p.fits(&c, []*task{t}) <= 0 {
 			continue
 		}
 		one := placement{task: t, agent: a, offer: id}
@@ -190,3 +192,11 @@
 	}
 	return left
 }
+
+// hasWorkerNotAvoided reports whether an agent accepts tasks of the job whose worker could run the task and is not avoided by it.
+func (d *Dispatcher) hasWorkerNotAvoided(j *job, t *task) bool {
+	needs := j.Steps[t.step].Needs
+	return slices.ContainsFunc(d.ordered, func(a *agent) bool {
+		return a.accepts(j.Kind.Service) && !t.avoids(a.id) && needs.Fits(a.record.Capacity)
+	})
+}
