Keep sessions with a subset of the agents, and send loads at a pace by the number of sessions

Cause: sessions between all entries and all agents.

Change: an entry keeps sessions with the 64 agents that a rendezvous hash ranks first for it, or with more where agents would be in fewer than 8 subsets otherwise. A lost agent is replaced after a second and stays dialed. A session that is not needed any more is closed after 5 s, once nothing of the entry can be running there. An agent sends loads at least 20 ms apart to the entry whose tasks or reservations changed, and 4 ms for each session apart to the others, at most with each ping.

Why it is safe: sessions that end and begin are what the models and schedules play already; an agent that is not needed is one that gets no tasks. With durable jobs all sessions are kept, as the end of a durable task reaches the entries in session only. Sites of up to 64 agents keep all their sessions.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -18,6 +18,8 @@
 	record       worker.Record
 	load         runner.Load
 	unresponsive bool
+	// unwanted is set while the session is to be closed; see agentUnwanted.
+	unwanted bool
 	// lastStart is the number of the last start sent in this session.
 	lastStart uint64
 	// uncounted holds the starts that the load does not count yet.
@@ -70,7 +72,7 @@
 
 // accepts reports whether tasks of a service may be placed on the worker.
 func (a *agent) accepts(service string) bool {
-	return !a.unresponsive && a.load.Accepts && !a.load.ShuttingDown && a.record.Service == service
+	return !a.unresponsive && !a.unwanted && a.load.Accepts && !a.load.ShuttingDown && a.record.Service == service
 }
 
 // agentUp adds an agent without worker and load. It replaces an agent of the same id.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -104,6 +104,10 @@
 		d.agentResponsive(e.Agent)
 	case AgentDown:
 		d.agentDown(now, e.Agent)
+	case AgentUnwanted:
+		d.agentUnwanted(e.Agent)
+	case AgentWanted:
+		d.agentWanted(e.Agent)
 	case WorkerDescribed:
 		d.workerDescribed(e)
 	case LoadReceived:
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -56,6 +56,9 @@
 	Offer runner.OfferID
 }
 
+// CloseAgent closes the session with an agent, as nothing of this entry is there.
+type CloseAgent struct{ Agent AgentID }
+
 // RecordEnd passes the end of a run of a durable job to package durable, which records it before the worker may forget
 // it.
 type RecordEnd struct {
@@ -73,6 +76,7 @@
 func (StopTask) isEffect()     {}
 func (Reserve) isEffect()      {}
 func (AnswerOffer) isEffect()  {}
+func (CloseAgent) isEffect()   {}
 func (RecordEnd) isEffect()    {}
 func (DurableBegun) isEffect() {}
 func (DecisionMade) isEffect() {}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -73,6 +73,13 @@
 // AgentDown reports that the session with an agent was closed.
 type AgentDown struct{ Agent AgentID }
 
+// AgentUnwanted reports that the entry needs its session with an agent no longer. It comes again until a CloseAgent answers
+// it, or AgentWanted takes it back.
+type AgentUnwanted struct{ Agent AgentID }
+
+// AgentWanted takes back an AgentUnwanted.
+type AgentWanted struct{ Agent AgentID }
+
 // WorkerDescribed reports that an agent described its worker.
 type WorkerDescribed struct {
 	Agent  AgentID
@@ -118,6 +125,8 @@
 func (AgentUnresponsive) isEvent() {}
 func (AgentResponsive) isEvent()   {}
 func (AgentDown) isEvent()         {}
+func (AgentUnwanted) isEvent()     {}
+func (AgentWanted) isEvent()       {}
 func (WorkerDescribed) isEvent()   {}
 func (LoadReceived) isEvent()      {}
 func (RunUpdated) isEvent()        {}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -44,6 +44,9 @@
 	lastOffer    runner.OfferID
 	// downSince is when the session ended, zero if there was none. Its runs may continue for some time.
 	downSince time.Time
+	// unwanted is set while the entry does not need the session, and isClosing once it may be closed.
+	unwanted  bool
+	isClosing bool
 }
 
 // schedule runs a dispatcher with fake agents and callers on virtual time.
@@ -122,6 +125,8 @@
 			s.reserve(e)
 		case AnswerOffer:
 			s.answerOffer(e)
+		case CloseAgent:
+			s.closeAgent(e)
 		case Reply:
 			s.reply(e)
 		}
@@ -140,6 +145,26 @@
 	a.reservations[e.Reservation.Job] = e.Reservation
 }
 
+// closeAgent ends the session with an agent that the schedule does not want. It fails if a task is there.
+func (s *schedule) closeAgent(e CloseAgent) {
+	a := s.agent(e.Agent)
+	if len(a.tasks) > 0 || len(a.reservations) > 0 {
+		s.t.Fatalf("%s is closed with %d tasks and %d reservations", a.id, len(a.tasks), len(a.reservations))
+	}
+	a.isClosing = true
+}
+
+// changeSubset makes the entry need its session with an agent no longer, or need it again.
+func (s *schedule) changeSubset(a *fakeAgent) {
+	if !a.unwanted {
+		a.unwanted = true
+		s.handle(AgentUnwanted{Agent: a.id})
+		return
+	}
+	a.unwanted = false
+	s.handle(AgentWanted{Agent: a.id})
+}
+
 // answerOffer fails if the offer was answered before.
 func (s *schedule) answerOffer(e AnswerOffer) {
 	a := s.agent(e.Agent)
@@ -192,6 +217,9 @@
 	if !a.up {
 		s.t.Fatalf("%s was sent to %s, which has no session", e.Task.Name, e.Agent)
 	}
+	if a.unwanted {
+		s.t.Fatalf("%s was sent to %s, whose session is to be closed", e.Task.Name, e.Agent)
+	}
 	if e.Number != a.handled+1 {
 		s.t.Fatalf("start number %d follows %d", e.Number, a.handled)
 	}
@@ -269,6 +297,13 @@
 		s.handle(AgentUp{Agent: a.id})
 		s.handle(WorkerDescribed{Agent: a.id, Record: worker.Record{ID: "w", Service: "service", Capacity: worker.Resources{CPU: capacity}}})
 		s.load(a)
+	case a.up && a.isClosing && a.unwanted:
+		*a = fakeAgent{id: a.id, downSince: s.now}
+		s.handle(AgentDown{Agent: a.id})
+	case a.up && s.chance(0.004):
+		s.changeSubset(a)
+	case a.up && a.unwanted && s.chance(0.1):
+		s.handle(AgentUnwanted{Agent: a.id})
 	case a.up && s.chance(0.002):
 		a.up = false
 		a.downSince = s.now
--- /dev/null
+++ b/internal/dispatch/release.go
@@ -0,0 +1,70 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+
+	"sailhead/internal/runner"
+)
+
+// This file decides when the session with an agent that the entry no longer needs may be closed.
+
+// agentUnwanted applies that the entry does not need its session with an agent any more.
+//
+// Inputs: the agent, the tasks that are there, the runs of dropped jobs that have not ended there.
+//
+// Rule: the agent gets no new tasks and no reservations. If nothing of this entry can be running there, a CloseAgent is
+// emitted; otherwise the event has to come again.
+//
+// Reason: the end of a session stops the runs that were started over it.
+//
+// Measured: not applicable; random schedules lose no run (random_test.go).
+func (d *Dispatcher) agentUnwanted(id AgentID) {
+	a, ok := d.agents[id]
+	if !ok {
+		return
+	}
+	if !a.unwanted {
+		a.unwanted = true
+		d.cancelReservationsAt(id)
+		d.agentsChanged()
+	}
+	if !d.hasRunsAt(id) {
+		d.emit(CloseAgent{Agent: id})
+	}
+}
+
+// agentWanted lets an agent get tasks again.
+func (d *Dispatcher) agentWanted(id AgentID) {
+	if a, ok := d.agents[id]; ok && a.unwanted {
+		a.unwanted = false
+		d.agentsChanged()
+	}
+}
+
+// hasRunsAt reports whether a run that was sent to an agent may not have ended.
+func (d *Dispatcher) hasRunsAt(id AgentID) bool {
+	for _, run := range d.endingRuns {
+		if run.agent == id {
+			return true
+		}
+	}
+	for _, j := range d.jobs {
+		if slices.ContainsFunc(j.tasks, func(t *task) bool { return t.isAt(id) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// cancelReservationsAt cancels what all jobs have reserved at one agent.
+func (d *Dispatcher) cancelReservationsAt(id AgentID) {
+	for _, j := range d.waiting {
+		if j.reservation.agents[id] {
+			delete(j.reservation.agents, id)
+			d.emit(Reserve{Agent: id, Reservation: runner.Reservation{Job: j.ID}})
+		}
+	}
+}
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -81,6 +81,10 @@
 		return s.handle(Ticked{})
 	case "down":
 		return s.handle(AgentDown{Agent: AgentID(d.CmdArgs[0].Key)})
+	case "unwanted":
+		return s.handle(AgentUnwanted{Agent: AgentID(d.CmdArgs[0].Key)})
+	case "wanted":
+		return s.handle(AgentWanted{Agent: AgentID(d.CmdArgs[0].Key)})
 	case "unresponsive":
 		return s.handle(AgentUnresponsive{Agent: AgentID(d.CmdArgs[0].Key)})
 	case "responsive":
@@ -156,6 +160,8 @@
 			if s.printsReservations {
 				fmt.Fprintf(&out, "reserve %s at %s count=%d begun=%t\n", e.Reservation.Job, e.Agent, e.Reservation.Count, e.Reservation.Urgency.HasBegun)
 			}
+		case CloseAgent:
+			fmt.Fprintf(&out, "close %s\n", e.Agent)
 		case AnswerOffer:
 			fmt.Fprintf(&out, "answer offer %d of %s\n", e.Offer, e.Agent)
 		case Reply:
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -28,31 +28,49 @@
 type dial struct {
 	agent cluster.Member
 	stop  context.CancelFunc
+	// unwantedSince is when the agent was left out of the subset, zero while it is in it.
+	unwantedSince time.Time
 }
 
-// connect runs a goroutine for each agent in the directory, which keeps a session with it.
+// dials are the goroutines of all sessions by the name of the agent. Only the duty connect uses them.
+type dials map[string]*dial
+
+// connect runs a goroutine for each agent in the subset (package subset), which keeps a session with it.
 func (e *Entry) connect() {
-	dials := make(map[string]dial)
+	dials := make(dials)
+	ticker := time.NewTicker(releaseInterval)
+	defer ticker.Stop()
 	for {
 		changed := e.directory.Changed()
-		agents := make(map[string]cluster.Member)
-		for _, agent := range e.directory.Members(cluster.RoleAgent) {
-			agents[agent.Name] = agent
-		}
-		e.post(dispatch.AgentsCounted{Agents: len(agents)})
+		agents := e.knownAgents()
+		wanted := e.chooseAgents(agents)
 		e.stopOutdated(dials, agents)
-		e.dialMissing(dials, agents)
+		e.dialMissing(dials, wanted)
+		e.releaseUnwanted(dials, wanted)
 		select {
 		case <-e.context.Done():
 			return
 		case <-changed:
+		case <-e.choice.changed:
+		case <-ticker.C:
+		case id := <-e.idleAgents:
+			dials.close(id)
 		}
 	}
 }
 
+// knownAgents returns the registered agents by name.
+func (e *Entry) knownAgents() map[string]cluster.Member {
+	agents := make(map[string]cluster.Member)
+	for _, agent := range e.directory.Members(cluster.RoleAgent) {
+		agents[agent.Name] = agent
+	}
+	return agents
+}
+
 // stopOutdated ends the sessions with agents that are gone, or have moved or restarted. A newer process is dialed at
 // once, as its predecessor's session is over.
-func (e *Entry) stopOutdated(dials map[string]dial, agents map[string]cluster.Member) {
+func (e *Entry) stopOutdated(dials dials, agents map[string]cluster.Member) {
 	for name, d := range dials {
 		if e.isOutdated(d.agent, agents[name]) {
 			d.stop()
@@ -61,14 +79,14 @@
 	}
 }
 
-// dialMissing starts a goroutine for each agent that has none.
-func (e *Entry) dialMissing(dials map[string]dial, agents map[string]cluster.Member) {
-	for name, agent := range agents {
+// dialMissing starts a goroutine for each wanted agent that has none.
+func (e *Entry) dialMissing(dials dials, wanted map[string]cluster.Member) {
+	for name, agent := range wanted {
 		if _, ok := dials[name]; ok {
 			continue
 		}
 		ctx, stop := context.WithCancel(e.context)
-		dials[name] = dial{agent: agent, stop: stop}
+		dials[name] = &dial{agent: agent, stop: stop}
 		e.duties.Go(func() { e.keepSession(ctx, agent) })
 	}
 }
@@ -92,13 +110,18 @@
 func (e *Entry) keepSession(ctx context.Context, agent cluster.Member) {
 	delay := minRedialDelay
 	reached := time.Now()
+	defer e.choice.setLost(agent.Name, false)
 	for ctx.Err() == nil {
 		conn, err := session.Dial(ctx, agent.Address, e.self.Name)
 		if err == nil {
 			delay = minRedialDelay
+			e.choice.setLost(agent.Name, false)
 			err = e.serveSession(ctx, agent, conn)
 			reached = time.Now()
 		}
+		if time.Since(reached) > lostAfter {
+			e.choice.setLost(agent.Name, true)
+		}
 		if time.Since(reached) > forgetAfter {
 			e.forgetAgent(agent)
 			return
--- /dev/null
+++ b/internal/entry/choice.go
@@ -0,0 +1,177 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"sailhead/internal/cluster"
+	"sailhead/internal/dispatch"
+	"sailhead/internal/metric"
+	"sailhead/internal/subset"
+)
+
+const (
+	// lostAfter is how long an agent cannot be reached before another one takes its place in the subset. Design: longer than a
+	// restart of an agent takes, and some attempts to dial it.
+	lostAfter = time.Second
+	// releaseAfter is how long an agent has been left out of the subset before its session is closed. Agents that are lost and
+	// come back within this time cost no change of sessions at others. Design.
+	releaseAfter = 5 * time.Second
+	// releaseInterval is the time between two attempts to close the sessions that are not needed. Design.
+	releaseInterval = time.Second
+	// idleAgentsRing is how many agents may wait for their sessions to be closed. What does not fit is tried again after
+	// releaseInterval.
+	idleAgentsRing = 64
+)
+
+// agentChoice holds what the choice of the agents depends on beside the directory. It is safe for concurrent use.
+type agentChoice struct {
+	mu sync.Mutex
+	// lost are the agents that could not be reached for lostAfter.
+	lost map[string]bool
+	// needsAll is set once there may be durable jobs: the end of a durable task is reported to the entries in session, and
+	// whichever entry takes over its shard must get it.
+	needsAll bool
+	// chosen is the number of agents that were chosen last.
+	chosen int
+	// changed has an element while the agents may have to be chosen again.
+	changed chan struct{}
+}
+
+func newAgentChoice() *agentChoice {
+	return &agentChoice{lost: make(map[string]bool), changed: make(chan struct{}, 1)}
+}
+
+// setLost records whether an agent can be reached.
+func (c *agentChoice) setLost(agent string, isLost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lost[agent] == isLost {
+		return
+	}
+	if isLost {
+		c.lost[agent] = true
+	} else {
+		delete(c.lost, agent)
+	}
+	c.notify()
+}
+
+// requireAll makes the entry keep sessions with all agents from now on.
+func (c *agentChoice) requireAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.needsAll {
+		c.needsAll = true
+		c.notify()
+	}
+}
+
+// notify wakes the duty connect. The caller holds mu.
+func (c *agentChoice) notify() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+		// A wake-up is pending already.
+	}
+}
+
+// choose returns the names of the agents to keep sessions with, of those given, and how many of them are lost. isChanged
+// reports whether their number differs from the previous choice.
+func (c *agentChoice) choose(entry string, agents []string, entries int) (chosen []string, lost int, isChanged bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	size := subset.Size(len(agents), entries)
+	if c.needsAll {
+		size = len(agents)
+	}
+	chosen = subset.Choose(entry, agents, size, func(agent string) bool { return c.lost[agent] })
+	for _, agent := range chosen {
+		if c.lost[agent] {
+			lost++
+		}
+	}
+	isChanged = c.chosen != len(chosen)
+	c.chosen = len(chosen)
+	return chosen, lost, isChanged
+}
+
+// chooseAgents returns the agents with which the entry keeps sessions, of those that are registered.
+func (e *Entry) chooseAgents(agents map[string]cluster.Member) map[string]cluster.Member {
+	e.countAgents(len(agents))
+	names := slices.Collect(maps.Keys(agents))
+	entries := len(e.directory.Members(cluster.RoleEntry))
+	chosen, lost, isChanged := e.choice.choose(e.self.Name, names, entries)
+	wanted := make(map[string]cluster.Member, len(chosen))
+	for _, name := range chosen {
+		wanted[name] = agents[name]
+	}
+	if isChanged {
+		e.metrics.Set(metric.AgentsChosen, int64(len(chosen)))
+		_ = level.Info(e.logger).Log("msg", "agents chosen", "agents", len(chosen), "of", len(agents), "lost", lost, "entries", entries)
+	}
+	return wanted
+}
+
+// countAgents tells the dispatcher how many agents are registered, if that has changed.
+func (e *Entry) countAgents(agents int) {
+	if e.metrics.Value(metric.AgentsKnown) == int64(agents) {
+		return
+	}
+	e.metrics.Set(metric.AgentsKnown, int64(agents))
+	e.post(dispatch.AgentsCounted{Agents: agents})
+}
+
+// releaseUnwanted asks the dispatcher to close the sessions with agents that were left out of the subset for releaseAfter, and
+// takes that back for those that are in it again.
+func (e *Entry) releaseUnwanted(dials dials, wanted map[string]cluster.Member) {
+	for name, d := range dials {
+		_, isWanted := wanted[name]
+		switch {
+		case isWanted && !d.unwantedSince.IsZero():
+			d.unwantedSince = time.Time{}
+			e.post(dispatch.AgentWanted{Agent: dispatch.AgentID(name)})
+		case isWanted:
+		case d.unwantedSince.IsZero():
+			d.unwantedSince = time.Now()
+		case time.Since(d.unwantedSince) >= releaseAfter:
+			e.release(dials, name)
+		}
+	}
+}
+
+// release asks the dispatcher to close the session with an agent. Without a session the goroutine that dials it ends at once.
+func (e *Entry) release(dials dials, name string) {
+	id := dispatch.AgentID(name)
+	if _, isOpen := e.sessions.get(id); isOpen {
+		e.post(dispatch.AgentUnwanted{Agent: id})
+		return
+	}
+	dials.close(id)
+}
+
+// agentIdle passes an agent on to the duty connect, which closes the session. It does not block.
+func (e *Entry) agentIdle(id dispatch.AgentID) {
+	select {
+	case e.idleAgents <- id:
+	default:
+		// The duty asks again after releaseInterval.
+	}
+}
+
+// close ends the goroutine that keeps the session with an agent, and the session, unless the agent is wanted again.
+func (d dials) close(id dispatch.AgentID) {
+	one, ok := d[string(id)]
+	if !ok || one.unwantedSince.IsZero() || time.Since(one.unwantedSince) < releaseAfter {
+		return
+	}
+	one.stop()
+	delete(d, string(id))
+}
--- /dev/null
+++ b/internal/entry/choice_test.go
@@ -0,0 +1,96 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"sailhead/internal/cluster"
+	"sailhead/internal/dispatch"
+	"sailhead/internal/subset"
+)
+
+func agentNames(count int) []string {
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("agent-%d", i))
+	}
+	return names
+}
+
+func TestALostAgentIsReplacedUntilItComesBack(t *testing.T) {
+	c := newAgentChoice()
+	agents := agentNames(240)
+	before, _, _ := c.choose("entry", agents, 55)
+	if len(before) != subset.MinAgents {
+		t.Fatalf("%d agents, want %d", len(before), subset.MinAgents)
+	}
+	c.setLost(before[3], true)
+	during, lost, isChanged := c.choose("entry", agents, 55)
+	if len(during) != subset.MinAgents+1 || lost != 1 || !isChanged || !slices.Contains(during, before[3]) {
+		t.Errorf("with one lost: %d agents, %d lost, changed %t", len(during), lost, isChanged)
+	}
+	c.setLost(before[3], false)
+	if after, _, _ := c.choose("entry", agents, 55); !slices.Equal(after, before) {
+		t.Error("the subset differs from the one before the loss")
+	}
+	if len(c.changed) != 1 {
+		t.Error("the duty connect was not woken")
+	}
+}
+
+// An end of a durable task reaches the entries in session only, and any entry may have to take over its shard.
+func TestDurableJobsNeedSessionsWithAllAgents(t *testing.T) {
+	c := newAgentChoice()
+	c.requireAll()
+	if chosen, _, _ := c.choose("entry", agentNames(240), 55); len(chosen) != 240 {
+		t.Errorf("%d of 240 agents", len(chosen))
+	}
+}
+
+// TestASessionIsClosedOnlyAfterItsRunsHaveEnded follows the release of one agent.
+func TestASessionIsClosedOnlyAfterItsRunsHaveEnded(t *testing.T) {
+	e := &Entry{
+		context: t.Context(), sessions: newSessionTable(), events: make(chan dispatch.Event, 4), idleAgents: make(chan dispatch.AgentID, 1),
+		choice: newAgentChoice(),
+	}
+	e.sessions.add(&agentSession{id: "agent-1"})
+	isStopped := false
+	one := &dial{stop: func() { isStopped = true }}
+	all := dials{"agent-1": one}
+
+	e.releaseUnwanted(all, nil)
+	if one.unwantedSince.IsZero() || len(e.events) != 0 {
+		t.Fatal("an agent that was just left out must stay for releaseAfter")
+	}
+	one.unwantedSince = time.Now().Add(-2 * releaseAfter)
+	e.releaseUnwanted(all, nil)
+	if event := <-e.events; event != (dispatch.AgentUnwanted{Agent: "agent-1"}) || isStopped {
+		t.Fatalf("event %v, stopped %t: the dispatcher has to be asked first", event, isStopped)
+	}
+	e.agentIdle("agent-1")
+	all.close(<-e.idleAgents)
+	if !isStopped || len(all) != 0 {
+		t.Error("the session of an idle agent was not closed")
+	}
+}
+
+// TestAnAgentThatIsWantedAgainKeepsItsSession plays an answer of the dispatcher that comes after the agent was chosen again.
+func TestAnAgentThatIsWantedAgainKeepsItsSession(t *testing.T) {
+	e := &Entry{context: t.Context(), sessions: newSessionTable(), events: make(chan dispatch.Event, 4), choice: newAgentChoice()}
+	isStopped := false
+	one := &dial{stop: func() { isStopped = true }, unwantedSince: time.Now().Add(-2 * releaseAfter)}
+	all := dials{"agent-1": one}
+	e.releaseUnwanted(all, map[string]cluster.Member{"agent-1": {}})
+	if event := <-e.events; event != (dispatch.AgentWanted{Agent: "agent-1"}) {
+		t.Errorf("event %v", event)
+	}
+	all.close("agent-1")
+	if isStopped || len(all) != 1 {
+		t.Error("the session was closed")
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,7 +86,10 @@
 	surrenderWaiters *waiters[durable.Waiter, durable.SurrenderReply]
 
 	sessions *sessionTable
-	shards   shardView
+	choice   *agentChoice
+	// idleAgents are agents whose sessions may be closed, from the event loop to the duty connect.
+	idleAgents chan dispatch.AgentID
+	shards     shardView
 	// The event loop's latest counts of jobs under way, of agents in session and of shards owned here.
 	jobs        atomic.Int64
 	agents      atomic.Int64
@@ -124,6 +127,8 @@
 		pendingWaiters:   newWaiters[durable.Waiter, durable.PendingReply](),
 		surrenderWaiters: newWaiters[durable.Waiter, durable.SurrenderReply](),
 		sessions:         newSessionTable(),
+		choice:           newAgentChoice(),
+		idleAgents:       make(chan dispatch.AgentID, idleAgentsRing),
 	}
 	e.decider = &decider{
 		dispatcher:  dispatch.New(dispatch.Limits{Jobs: settings.Jobs}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -109,6 +109,7 @@
 		}
 	}
 	e.shards.set(claims, coordinator.Owners())
+	e.choice.requireAll()
 }
 
 // perform carries out one effect of the state machines.
@@ -134,6 +135,8 @@
 		e.onSession(effect.Agent, func(agent *session.AgentConn) { agent.Reserve(effect.Reservation) })
 	case dispatch.AnswerOffer:
 		e.onSession(effect.Agent, func(agent *session.AgentConn) { agent.AnswerOffer(effect.Offer) })
+	case dispatch.CloseAgent:
+		e.agentIdle(effect.Agent)
 	case dispatch.DecisionMade:
 		e.log(effect)
 	}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -32,6 +32,8 @@
 	RequestsRejected = "requests_rejected"
 	JobsOpen         = "jobs_open"
 	Agents           = "agents"
+	AgentsKnown      = "agents_known"
+	AgentsChosen     = "agents_chosen"
 	Sessions         = "sessions"
 	RunsPrefix       = "runs_"
 	CallsUnanswered  = "calls_unanswered"
--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -77,10 +77,33 @@
 	return ""
 }
 
-// loadInterval is the shortest time between two loads on a session. Each entry gets the loads of all agents, so it decides
-// what an entry of a large site has to read: with 4 ms up to 16,750 loads a second from 67 agents. Measured: 4, 20 and 50 ms
-// (docs/POLICIES.md, round 12).
-const loadInterval = 20 * time.Millisecond
+const (
+	// minLoadInterval is the shortest time between two loads on a session. Measured: 4, 20 and 50 ms (docs/POLICIES.md,
+	// round 12).
+	minLoadInterval = 20 * time.Millisecond
+	// loadShare is the part of the interval between loads that each session adds; see loadInterval. It bounds what an agent
+	// sends to entries that have nothing here to 250 loads a second, however many they are. Measured: docs/POLICIES.md,
+	// "Size".
+	loadShare = 4 * time.Millisecond
+)
+
+// loadInterval returns the shortest time between two loads on a session.
+//
+// Inputs: whether tasks or reservations of the session changed since the last load, the number of sessions.
+//
+// Rule: minLoadInterval after a change of its own. For changes by other entries loadShare for each session, at least
+// minLoadInterval and at most the interval of pings, with which the load then goes.
+//
+// Reason: each entry gets the loads of all its agents, so their pace decides what an entry has to read, and the number of
+// sessions what an agent has to write. An entry with tasks here frees its own count of them by the next load.
+//
+// Measured: docs/POLICIES.md, round 12 and "Size".
+func (r *Runner) loadInterval(s *session) time.Duration {
+	if s.ownLoadDue {
+		return minLoadInterval
+	}
+	return max(minLoadInterval, min(r.limits.Ping, time.Duration(len(r.sessions))*loadShare))
+}
 
 // markLoadDue makes the runner send the load to every entry, at the end of the current event or when loadInterval has
 // passed.
@@ -93,8 +116,9 @@
 // sendLoads sends the load to the entries for which it is due.
 func (r *Runner) sendLoads(now time.Time) {
 	for _, s := range r.sessionsInOrder() {
-		if s.loadDue && now.Sub(s.loadSent) >= loadInterval {
+		if s.loadDue && now.Sub(s.loadSent) >= r.loadInterval(s) {
 			s.loadDue = false
+			s.ownLoadDue = false
 			s.loadSent = now
 			r.emit(SendLoad{Session: s.id, Handled: s.handledStarts, Load: r.currentLoad(now)})
 		}
--- /dev/null
+++ b/internal/runner/load_test.go
@@ -0,0 +1,58 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sailhead/internal/worker"
+)
+
+// newServingRunner returns a runner whose worker accepts tasks, with one session for each of count entries.
+func newServingRunner(now time.Time, count int) *Runner {
+	r := New(DefaultLimits(time.Second, 50*time.Millisecond), 7)
+	r.Handle(now, HeartbeatReceived{Record: worker.Record{ID: "w", Service: "svc", Capacity: worker.Resources{CPU: 16000}, Clock: time.Hour}})
+	for i := range count {
+		r.Handle(now, SessionOpened{Session: SessionID(i + 1), Entry: fmt.Sprintf("entry-%d", i)})
+	}
+	r.worker.isSurveyed = true
+	return r
+}
+
+// TestLoadsDoNotGrowWithTheNumberOfEntries counts the loads of a second in which the load changes every 2 ms by tasks of
+// session 1. That session gets a load every 20 ms. The others together get at most 250 a second, or as many as pings if their
+// pace would be slower.
+func TestLoadsDoNotGrowWithTheNumberOfEntries(t *testing.T) {
+	for _, test := range []struct{ entries, mostOfOthers int }{{3, 101}, {15, 256}, {100, 99 * 9}} {
+		now := time.Unix(1_000_000, 0)
+		r := newServingRunner(now, test.entries)
+		loads := make(map[SessionID]int)
+		for i := range 500 {
+			now = now.Add(2 * time.Millisecond)
+			event := ReservationRequested{Session: 1, Reservation: Reservation{Job: "job", Needs: worker.Resources{CPU: 99_000}, Count: i % 2}}
+			for id := range r.sessions {
+				r.handlePong(PongReceived{Session: id, Sent: now})
+			}
+			for _, effect := range r.Handle(now, event) {
+				if e, ok := effect.(SendLoad); ok {
+					loads[e.Session]++
+				}
+			}
+		}
+		others := 0
+		for id, count := range loads {
+			if id != 1 {
+				others += count
+			}
+		}
+		if loads[1] < 49 || loads[1] > 51 {
+			t.Errorf("%d entries: %d loads to the one with reservations, want 50", test.entries, loads[1])
+		}
+		if others > test.mostOfOthers || others == 0 {
+			t.Errorf("%d entries: %d loads to the others, want 1 to %d", test.entries, others, test.mostOfOthers)
+		}
+	}
+}
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -36,6 +36,7 @@
 	}
 	s.handledStarts = max(s.handledStarts, e.Number)
 	s.loadDue = true
+	s.ownLoadDue = true
 	earlier, exists := r.tasks[e.Task.Name]
 	if exists && earlier.session == e.Session {
 		return
--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -76,6 +76,7 @@
 		return
 	}
 	s.missedOffer = false
+	s.ownLoadDue = true
 	isSame := func(other *reservation) bool { return other.session == e.Session && other.Job == e.Reservation.Job }
 	at := slices.IndexFunc(r.reservations, isSame)
 	switch {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -50,6 +50,8 @@
 	// earlierEnds are the unacknowledged ends of ended incarnations, the oldest first.
 	earlierEnds []*unacknowledgedEnd
 	sessions    map[SessionID]*session
+	// ordered are the same sessions in the order in which they were opened.
+	ordered []*session
 	// tasks are the queued and active tasks by name, without those that wait in supersededBy.
 	tasks map[string]*task
 	// queue are the tasks in stateQueued.
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -19,9 +19,11 @@
 	validUntil time.Time
 	// handledStarts is the number of the session's latest start that the load counts.
 	handledStarts uint64
-	// loadDue is set while the load has changed since it was last sent.
-	loadDue  bool
-	loadSent time.Time
+	// loadDue is set while the load has changed since it was last sent, and ownLoadDue while that concerns tasks or
+	// reservations of this session.
+	loadDue    bool
+	ownLoadDue bool
+	loadSent   time.Time
 	// missedOffer is set while the entry has not answered an offer in time and has sent nothing since.
 	missedOffer bool
 }
@@ -36,6 +38,7 @@
 	}
 	s := &session{id: e.Session, entry: e.Entry, validUntil: now.Add(r.limits.Session), loadDue: true}
 	r.sessions[e.Session] = s
+	r.sortSessions()
 	if r.worker != nil {
 		r.emit(SendWorker{Session: s.id, Record: r.worker.record})
 	}
@@ -43,19 +46,25 @@
 	r.ping(now, s)
 }
 
-// sessionsInOrder returns the sessions in the order in which they were opened.
+// sessionsInOrder returns the sessions in the order in which they were opened. The result stays as it is when sessions open
+// or end.
 func (r *Runner) sessionsInOrder() []*session {
-	sessions := make([]*session, 0, len(r.sessions))
+	return r.ordered
+}
+
+// sortSessions makes the slice of sessionsInOrder anew, after a session was added or removed.
+func (r *Runner) sortSessions() {
+	r.ordered = make([]*session, 0, len(r.sessions))
 	for _, id := range slices.Sorted(maps.Keys(r.sessions)) {
-		sessions = append(sessions, r.sessions[id])
+		r.ordered = append(r.ordered, r.sessions[id])
 	}
-	return sessions
 }
 
 // closeSession removes a session and stops its tasks.
 func (r *Runner) closeSession(now time.Time, id SessionID) {
 	r.dropReservations(id)
 	delete(r.sessions, id)
+	r.sortSessions()
 	r.stopTasksOf(now, id)
 }
 
@@ -111,7 +120,8 @@
 
 // sendUpdate sends an update on a session, if it still exists.
 func (r *Runner) sendUpdate(id SessionID, update Update) {
-	if _, ok := r.sessions[id]; ok {
+	if s, ok := r.sessions[id]; ok {
+		s.ownLoadDue = true
 		r.emit(SendUpdate{Session: id, Update: update})
 	}
 }
