Exchange members only if they differ

The answer to an announcement carried them too, and no agent reads it.

Change: an exchange carries a digest, the exclusive or of the members' hashes. Members follow only if the digests differ, in a second call if it is the caller's that are missing. A process of an earlier version sends no digest and gets all members.

Safe: the members of both sides are known to both after an exchange, as before (TestExchangeUpdatesBothSides unchanged).

--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -13,9 +13,12 @@
 import (
 	"encoding/json"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"sailhead/internal/cluster/clusterpb"
@@ -68,6 +71,12 @@
 	return data
 }
 
+// hash returns a hash of what exchanges carry of the member.
+func (m Member) hash() uint64 {
+	incarnation := strconv.FormatInt(m.Incarnation, 10)
+	return xxhash.Sum64String(strings.Join([]string{m.Name, string(m.Role), m.Zone, m.Address, incarnation}, "\x00"))
+}
+
 // Directory holds the newest record of each member and the newest configuration document. It is safe for concurrent
 // use.
 type Directory struct {
@@ -76,6 +85,8 @@
 	// removed holds the members that ForgetMember removed, by name, so that AddMember does not add them again when
 	// another entry still lists them.
 	removed map[string]removal
+	// digest is the exclusive or of the hashes of all members.
+	digest uint64
 	// version is the version of document, or 0 before the first.
 	version  uint64
 	document []byte
@@ -120,7 +131,11 @@
 	if ok && known.Incarnation >= m.Incarnation || d.removed[m.Name].incarnation >= m.Incarnation {
 		return false
 	}
+	if ok {
+		d.digest ^= known.hash()
+	}
 	d.members[m.Name] = m
+	d.digest ^= m.hash()
 	d.notify()
 	return true
 }
@@ -143,10 +158,12 @@
 			delete(d.removed, name)
 		}
 	}
-	if d.members[m.Name].Incarnation != m.Incarnation {
+	known, ok := d.members[m.Name]
+	if !ok || known.Incarnation != m.Incarnation {
 		return
 	}
 	delete(d.members, m.Name)
+	d.digest ^= known.hash()
 	d.removed[m.Name] = removal{incarnation: m.Incarnation, at: now}
 	d.notify()
 }
@@ -186,23 +203,36 @@
 	return d.version, d.document
 }
 
-// view returns the directory as a message to another process. The document is part of it if withDocument is set and the
-// other process has a lower version. Members' workers are left out: only the store keeps them.
-func (d *Directory) view(otherVersion uint64, withDocument bool) *clusterpb.View {
+// summary returns the versions of what the directory holds, without members and document.
+func (d *Directory) summary() *clusterpb.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	view := &clusterpb.View{Version: d.version}
-	for _, m := range d.members {
-		view.Members = append(view.Members, &clusterpb.Member{
-			Name: m.Name, Role: string(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation,
-		})
+	return &clusterpb.View{Version: d.version, Digest: d.digest}
+}
+
+// viewFor returns the directory as a message to another process, whose summary is known: with the members if they differ, and
+// with the document if withDocument is set and the other process has a lower version. Members' workers are left out: only the
+// store keeps them.
+func (d *Directory) viewFor(other *clusterpb.View, withDocument bool) *clusterpb.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view := &clusterpb.View{Version: d.version, Digest: d.digest}
+	if d.digest != other.Digest {
+		for _, m := range d.members {
+			view.Members = append(view.Members, m.message())
+		}
 	}
-	if withDocument && d.version > otherVersion {
+	if withDocument && d.version > other.Version {
 		view.Document = d.document
 	}
 	return view
 }
 
+// message returns what exchanges carry of the member.
+func (m Member) message() *clusterpb.Member {
+	return &clusterpb.Member{Name: m.Name, Role: string(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation}
+}
+
 // membersOf returns the members of a view. Records without a name or an address are skipped, as nothing can be done with
 // them; ParseMember keeps them from being read from the store, so no current process sends one.
 func membersOf(view *clusterpb.View) []Member {
--- a/internal/cluster/directory_test.go
+++ b/internal/cluster/directory_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"sailhead/internal/cluster/clusterpb"
 )
 
 func agentOf(incarnation int64) Member {
@@ -93,13 +95,51 @@
 	}
 }
 
+// TestMembersAreSentOnlyIfTheyDiffer looks at the answers to an entry that knows the same members, to one that does not, and to
+// an entry of an earlier version, which sends its members and no digest.
+func TestMembersAreSentOnlyIfTheyDiffer(t *testing.T) {
+	own, other := NewDirectory(), NewDirectory()
+	for _, d := range []*Directory{own, other} {
+		d.AddMember(agentOf(1))
+		d.AddMember(Member{Name: "entry-1", Role: RoleEntry, Address: "127.0.0.1:2", Incarnation: 1})
+	}
+	served, closeServed := NewExchanger(other, accept)
+	defer closeServed()
+	exchange := func(request *clusterpb.View) *clusterpb.View {
+		answer, err := served.Exchange(context.Background(), request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return answer
+	}
+	if answer := exchange(own.summary()); len(answer.Members) != 0 {
+		t.Errorf("%d members were sent to an entry that knows the same", len(answer.Members))
+	}
+	own.AddMember(agentOf(2))
+	if answer := exchange(own.summary()); len(answer.Members) != 2 {
+		t.Errorf("%d members were sent to an entry that knows others, want all 2", len(answer.Members))
+	}
+	earlier := &clusterpb.View{Members: []*clusterpb.Member{agentOf(2).message()}}
+	if answer := exchange(earlier); len(answer.Members) != 2 || answer.Members[0].Name == answer.Members[1].Name {
+		t.Errorf("%d members were sent to an entry of an earlier version, want all 2", len(answer.Members))
+	}
+	if answer := exchange(own.summary()); len(answer.Members) != 0 {
+		t.Error("the directories differ although each has the newest records of both")
+	}
+	own.ForgetMember(time.Unix(1000, 0), agentOf(2))
+	other.ForgetMember(time.Unix(1000, 0), agentOf(2))
+	if own.digest != other.digest || own.digest == 0 {
+		t.Errorf("digests %x and %x after the same member was removed", own.digest, other.digest)
+	}
+}
+
 func TestInvalidDocumentFromAnotherEntryIsIgnored(t *testing.T) {
 	d := NewDirectory()
 	e, closeExchanger := NewExchanger(d, accept)
 	defer closeExchanger()
 	other := NewDirectory()
 	other.SetDocument(9, []byte("broken"))
-	e.apply(other.view(0, true))
+	e.apply(other.viewFor(&clusterpb.View{}, true))
 	if version, _ := d.Document(); version != 0 {
 		t.Fatalf("version %d was stored", version)
 	}
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -45,20 +45,19 @@
 	return clusterpb.NewClusterServer(e)
 }
 
-// Exchange adds what another entry knows and returns what this one knows. It implements clusterpb.Cluster and returns no
-// error.
+// Exchange adds what another entry knows and returns what this one knows and the other one does not. It implements
+// clusterpb.Cluster and returns no error.
 func (e *Exchanger) Exchange(_ context.Context, view *clusterpb.View) (*clusterpb.View, error) {
 	e.apply(view)
-	return e.directory.view(view.Version, view.Wants), nil
+	return e.directory.viewFor(view, view.Wants), nil
 }
 
-// Announce adds the calling process and returns the members that this one knows. It implements clusterpb.Cluster and
-// returns no error.
+// Announce adds the calling process. It implements clusterpb.Cluster and returns no error.
 func (e *Exchanger) Announce(_ context.Context, view *clusterpb.View) (*clusterpb.View, error) {
 	for _, m := range membersOf(view) {
 		e.directory.AddAnnounced(m)
 	}
-	return e.directory.view(0, false), nil
+	return e.directory.summary(), nil
 }
 
 // apply adds the members and the document of another entry's view. An error of accept is not logged: agents refuse all
@@ -74,37 +73,36 @@
 	}
 }
 
-// ExchangeWith sends what the directory holds to the entry at an address and adds what that entry knows. If the other
-// entry has a lower version of the configuration, a second call sends it the document. An error names the address.
+// ExchangeWith compares the directory with that of the entry at an address and adds what that entry knows. If it does not know
+// all that this one does, a second call sends it the members, the configuration or both. An error names the address.
+//
+// Usually both know the same, and the call is a few bytes: with 295 members in each call and answer, exchanges were most of
+// what went between availability zones on a site of that size.
 func (e *Exchanger) ExchangeWith(ctx context.Context, address string) error {
 	client := clusterpb.NewClusterProtobufClient("http://"+address, e.client)
-	view := e.directory.view(0, false)
-	view.Wants = true
-	answer, err := client.Exchange(ctx, view)
+	request := e.directory.summary()
+	request.Wants = true
+	answer, err := client.Exchange(ctx, request)
 	if err != nil {
 		return errors.Wrapf(err, "cluster: unable to exchange with %s", address)
 	}
 	e.apply(answer)
-	if version, _ := e.directory.Document(); version <= answer.Version {
+	missing := e.directory.viewFor(answer, true)
+	if len(missing.Members) == 0 && len(missing.Document) == 0 {
 		return nil
 	}
-	if _, err := client.Exchange(ctx, e.directory.view(answer.Version, true)); err != nil {
-		return errors.Wrapf(err, "cluster: unable to send the configuration to %s", address)
+	if _, err := client.Exchange(ctx, missing); err != nil {
+		return errors.Wrapf(err, "cluster: unable to send members and configuration to %s", address)
 	}
 	return nil
 }
 
-// AnnounceTo sends the record of this process to the entry at an address and adds the members that the entry knows. An
-// error names the address.
+// AnnounceTo sends the record of this process to the entry at an address. An error names the address.
 func (e *Exchanger) AnnounceTo(ctx context.Context, address string, self Member) error {
 	client := clusterpb.NewClusterProtobufClient("http://"+address, e.client)
-	view := &clusterpb.View{Members: []*clusterpb.Member{{
-		Name: self.Name, Role: string(self.Role), Zone: self.Zone, Address: self.Address, Incarnation: self.Incarnation,
-	}}}
-	answer, err := client.Announce(ctx, view)
-	if err != nil {
+	view := &clusterpb.View{Members: []*clusterpb.Member{self.message()}}
+	if _, err := client.Announce(ctx, view); err != nil {
 		return errors.Wrapf(err, "cluster: unable to announce to %s", address)
 	}
-	e.directory.addMembers(answer)
 	return nil
 }
