--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -20,6 +20,8 @@
 		whatIfItFails string
 	}{
 		{"two lost pings", 2 * PingInterval, SuspectAfter, false, "an agent is suspected for a lost ping"},
+		{"a late idle ping", IdlePingInterval, SuspectAfter, false, "an idle agent is suspected for a late ping"},
+		{"idle pings in a lease", 3 * IdlePingInterval, SessionLease, true, "one lost ping ends an idle session"},
 		{"suspect before close", SuspectAfter, CloseAfter, false, "a session is closed before its agent is avoided"},
 		{"close before the lease ends", CloseAfter, SessionLease, false, "the agent stops the runs of a session that the entry still uses"},
 		{"renewals in a lease", 3 * RenewInterval, WorkerLease, false, "one lost renewal ends the runs"},
