dispatch: ask in one place whether another worker could run a task

Cause: hasWorkerNotAvoided and hasHealthyWorker repeated each other, and neither looked at the label of the step, as the choice of agents to reserve at does. A task that had failed on the only worker with its label used no offer of it, and a run could be moved for which no other worker has the label.

Change: hasWorker, with the condition as a parameter, and Step.canRunOn for all three places and the plan.

Test: TestATaskUsesAnOfferOfTheOnlyWorkerWithItsLabel fails without the change.

--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -25,7 +25,8 @@
 	}
 	for _, j := range d.jobsByArrival() {
 		for _, t := range j.tasks {
-			if d.isStuck(now, j, t) && d.hasHealthyWorker(j, t) {
+			isOtherAndHealthy := func(a *agent) bool { return a.id != t.agent && a.isHealthy() }
+			if d.isStuck(now, j, t) && d.hasWorker(j, t, isOtherAndHealthy) {
 				d.moveRun(now, j, t)
 			}
 		}
@@ -77,17 +78,6 @@
 	return left.Abs()
 }
 
-// hasHealthyWorker reports whether a healthy worker other than the task's own accepts tasks of the job.
-func (d *Dispatcher) hasHealthyWorker(j *job, t *task) bool {
-	needs := j.Steps[t.step].Needs
-	for _, a := range d.agents {
-		if a.id != t.agent && a.isHealthy() && a.accepts(j.Kind.Service) && needs.Fits(a.record.Capacity) {
-			return true
-		}
-	}
-	return false
-}
-
 // moveRun stops the run of a task to run it elsewhere.
 func (d *Dispatcher) moveRun(now time.Time, j *job, t *task) {
 	t.moves++
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -139,7 +139,7 @@
 // fits returns how many tasks of one step a worker can run.
 func (p *planner) fits(c *candidate, group []*task) int {
 	step := p.job.Steps[group[0].step]
-	if step.Label != "" && !c.agent.record.HasLabel(step.Label) {
+	if !step.canRunOn(c.agent.record) {
 		return 0
 	}
 	fits := step.Needs.Count(c.free, len(group))
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -107,7 +107,7 @@
 	for _, c := range d.candidates {
 		a := c.agent
 		switch {
-		case !step.Needs.Fits(a.record.Capacity) || step.Label != "" && !a.record.HasLabel(step.Label):
+		case !step.canRunOn(a.record):
 		case !a.isFailing() && !t.avoids(a.id):
 			preferred = append(preferred, a)
 		default:
@@ -180,7 +180,7 @@
 	for _, t := range d.placeable(now, j) {
 		step := j.Steps[t.step]
 		c := candidate{agent: a, free: left}
-		if t.avoids(a.id) && d.hasWorkerNotAvoided(j, t) || p.fits(&c, []*task{t}) <= 0 {
+		if t.avoids(a.id) && d.hasWorker(j, t, func(a *agent) bool { return !t.avoids(a.id) }) || p.fits(&c, []*task{t}) <= 0 {
 			continue
 		}
 		one := placement{task: t, agent: a, offer: id}
@@ -193,10 +193,15 @@
 	return left
 }
 
-// hasWorkerNotAvoided reports whether an agent accepts tasks of the job whose worker could run the task and is not avoided by it.
-func (d *Dispatcher) hasWorkerNotAvoided(j *job, t *task) bool {
-	needs := j.Steps[t.step].Needs
+// hasWorker reports whether an agent accepts tasks of the job whose worker could run the task if it were empty, and which suits.
+func (d *Dispatcher) hasWorker(j *job, t *task, suits func(*agent) bool) bool {
+	step := j.Steps[t.step]
 	return slices.ContainsFunc(d.ordered, func(a *agent) bool {
-		return a.accepts(j.Kind.Service) && !t.avoids(a.id) && needs.Fits(a.record.Capacity)
+		return a.accepts(j.Kind.Service) && step.canRunOn(a.record) && suits(a)
 	})
 }
+
+// canRunOn reports whether a task of the step could run on a worker if it were empty.
+func (s Step) canRunOn(w worker.Record) bool {
+	return s.Needs.Fits(w.Capacity) && (s.Label == "" || w.HasLabel(s.Label))
+}
--- a/internal/dispatch/reserve_test.go
+++ b/internal/dispatch/reserve_test.go
@@ -8,9 +8,31 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
 
+// TestATaskUsesAnOfferOfTheOnlyWorkerWithItsLabel lets a task fail on the only worker with the label of its step. It avoids that
+// worker then, and the others cannot run it.
+func TestATaskUsesAnOfferOfTheOnlyWorkerWithItsLabel(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	d := busyDispatcher(now, 3, 0)
+	needs := worker.Resources{CPU: 3100}
+	record := worker.Record{ID: "w", Service: "svc", Capacity: worker.Resources{CPU: 32000}, Labels: []string{"b"}}
+	d.Handle(now, AgentUp{Agent: "labelled"}, WorkerDescribed{Agent: "labelled", Record: record}, LoadReceived{Agent: "labelled", Load: runner.Load{Accepts: true, Slowness: 1}})
+	step := Step{Count: 1, Needs: needs, Label: "b", Expected: 100 * time.Millisecond}
+	kind := Kind{Name: "kind", Service: "svc", Attempts: 3, Stretch: 1.6, Target: time.Hour}
+	d.Handle(now, Submitted{Job: Job{ID: "job", Kind: kind, Steps: []Step{step}}, Waiter: 1})
+	d.Handle(now, LoadReceived{Agent: "labelled", Handled: 1, Load: busyLoad(0)})
+	d.Handle(now, RunUpdated{Agent: "labelled", Update: runner.Update{Name: "job.0.0.0", Run: 1, Outcome: runner.OutcomeFailed}})
+	for _, effect := range d.Handle(now, OfferReceived{Agent: "labelled", Offer: runner.Offer{ID: 1, Job: "job", Resources: needs}}) {
+		if start, ok := effect.(StartTask); ok && start.Task.Offer == 1 {
+			return
+		}
+	}
+	t.Error("the offer was not used")
+}
+
 // TestAJobReservesAtAFewAgentsForEachTask bounds what a job that waits costs on the link of its entry.
 func TestAJobReservesAtAFewAgentsForEachTask(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
