subset: replace at most half as many lost agents as the subset has

An entry that is cut off for longer than a second has lost all agents. It would have chosen all 240 and opened sessions with them when the cut ended, to close most of them 5 s later. By reading; TestAnEntryThatHasLostAllAgentsDoesNotChooseAll fails without the bound.

--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -45,17 +45,30 @@
 	return min(agents, max(MinAgents, share))
 }
 
-// Choose returns the names of the agents with which an entry keeps sessions: the first ones of its ranking until size of
-// them are not lost. The lost ones among them stay in the subset, as they may come back.
+// maxReplacedPart bounds how many lost agents are replaced, as a part of the size; see Choose. Design: more than the loss of one of
+// three availability zones.
+const maxReplacedPart = 2
+
+// Choose returns the names of the agents with which an entry keeps sessions.
+//
+// Inputs: the names of the entry and of all registered agents, the size of the subset, which agents are lost.
+//
+// Rule: the first agents of the entry's ranking, until size of them are not lost, but no more than half of size beyond it. The
+// lost ones among them stay in the subset, as they may come back.
+//
+// Reason: an entry that has lost more than that is cut off itself, and would open sessions with all agents when the cut ends.
+//
+// Measured: not varied.
 func Choose(entry string, agents []string, size int, isLost func(agent string) bool) []string {
 	var chosen []string
+	missing := size
 	for _, agent := range rank(entry, agents) {
-		if size <= 0 {
+		if missing <= 0 || len(chosen) >= size+size/maxReplacedPart {
 			break
 		}
 		chosen = append(chosen, agent)
 		if !isLost(agent) {
-			size--
+			missing--
 		}
 	}
 	return chosen
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// An entry that is cut off itself has lost all agents.
+func TestAnEntryThatHasLostAllAgentsDoesNotChooseAll(t *testing.T) {
+	isLost := func(string) bool { return true }
+	if got := Choose("entry", names("agent", 240), 64, isLost); len(got) != 96 {
+		t.Errorf("%d agents, want 64 and half as many", len(got))
+	}
+}
+
 func TestTooFewAgents(t *testing.T) {
 	agents := names("agent", 3)
 	isLost := func(string) bool { return true }
