dispatch: tell refused callers to return in their order, as there will be room

Cause: Retry-After was 1 to 2 s at random. Callers refused in a burst came back while it lasted, were refused again and took room from others.

Change: a refused caller is told to return after the one refused before it, by the time that its job takes at a quarter of the rate of the work that the entry did lately; 1 s at least, and a random time from 5 to 10 s beyond that. Without work lately, as after a restart, it is 1 to 2 s at random as before, and so it is for callers whom another entry may serve at once.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -16,7 +16,7 @@
 //	nothing was placed   refuseAt          NotRun
 //	later                expiresAt         Interrupted, or NotRun if nothing can have run
 //
-// A NotRun carries the time after which the caller may retry (retryAfter). None of the rules applies to durable jobs:
+// A NotRun carries the time after which the caller may retry (return.go). None of the rules applies to durable jobs:
 // package durable admits them, and they have no time limit.
 
 // submit admits a job or refuses it. A job that is under way already gets another waiter.
@@ -24,7 +24,7 @@
 	earlier, isKnown := d.jobs[e.Job.ID]
 	switch {
 	case isKnown && earlier.isDurable:
-		answer := NotRun{Reason: "the job is kept already", RetryAfter: d.retryAfter()}
+		answer := NotRun{Reason: "the job is kept already", RetryAfter: d.soon()}
 		d.emit(Reply{Waiters: []Waiter{e.Waiter}, Answer: answer})
 	case isKnown:
 		earlier.waiters = append(earlier.waiters, e.Waiter)
@@ -39,7 +39,7 @@
 	j := newJob(now, e.Job, d.runTimes)
 	j.waiters = []Waiter{e.Waiter}
 	if reason := d.refusalReason(now, j); reason != "" {
-		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.retryAfter()})
+		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.soon()})
 		return
 	}
 	j.lateRetry = d.callerTimes.observe(j)
@@ -140,21 +140,7 @@
 		d.finish(now, j, Interrupted{Reason: reason})
 		return
 	}
-	d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.retryAfter()})
-}
-
-// RetryAfter is the shortest time after which the caller of a refused job may submit it again. Not measured.
-const RetryAfter = time.Second
-
-// retryAfter returns the time after which the caller of a refused job may submit it again.
-//
-// Rule: a random time between RetryAfter and twice that.
-//
-// Reason: jobs are refused in bursts, and their callers should not retry in one.
-//
-// Measured: no.
-func (d *Dispatcher) retryAfter() time.Duration {
-	return RetryAfter + time.Duration(d.random.Int64N(int64(RetryAfter)+1))
+	d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.retryAfter(now, j)})
 }
 
 // describeCapacity returns the figures behind the refusal of a job that could not be placed: CPU in thousandths of a
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -45,6 +45,8 @@
 	runTimes runTimes
 	// callerTimes is used to detect late retries.
 	callerTimes callerTimes
+	// returns is used to spread the returns of refused callers.
+	returns returnPlan
 	// shutdownAt is when the process ends, zero while it is not shutting down.
 	shutdownAt time.Time
 	// effects collects the effects of the current call of Handle.
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -65,6 +65,7 @@
 func (d *Dispatcher) completeTask(now time.Time, j *job, t *task) {
 	t.state = taskDone
 	t.ended = now
+	d.returns.done(now, workOf(1, j.Steps[t.step].Needs.CPU, now.Sub(t.placed)))
 	t.showsRunTime = t.showsRunTime && d.isAgentHealthy(t.agent)
 	j.open[t.step]--
 	if j.open[t.step] == 0 {
