overload: test decisions of many entries and agents in virtual time; subsets of 48 agents

The package drives the real state machines of entries and agents under load, without a network.

Change: subset.MinAgents 64 -> 48, loadShare 4 -> 8 ms.

--- /dev/null
+++ b/internal/overload/site_test.go
@@ -0,0 +1,224 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/runner"
+	"sailhead/internal/subset"
+	"sailhead/internal/worker"
+)
+
+const (
+	// sessionDelay is the time of a message between an entry and an agent: that between two availability zones.
+	sessionDelay = 1400 * time.Microsecond
+	// entryTick and agentTick are the times between two ticks, as in packages entry and agent.
+	entryTick = 10 * time.Millisecond
+	agentTick = 20 * time.Millisecond
+	// workerCPU is the capacity of a worker and taskCPU what a task needs, in thousandths of a core: four tasks fit.
+	workerCPU = 16000
+	taskCPU   = 3800
+	service   = "service"
+)
+
+// origin is when a site starts.
+var origin = time.Unix(1_000_000, 0)
+
+// action is something that happens at a time. Actions of the same time happen in the order of their serial numbers.
+type action struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, k int) bool {
+	if a[i].at.Equal(a[k].at) {
+		return a[i].serial < a[k].serial
+	}
+	return a[i].at.Before(a[k].at)
+}
+func (a actions) Swap(i, k int) { a[i], a[k] = a[k], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// site is a number of entries and agents in virtual time.
+type site struct {
+	now     time.Time
+	queue   actions
+	serial  int
+	random  *rand.Rand
+	entries []*entry
+	agents  map[dispatch.AgentID]*agent
+}
+
+// newSite returns a site on which each entry has sessions with a subset of the agents, and lets it run until all workers
+// accept tasks.
+func newSite(seed uint64, entries, agents, subsetSize int) *site {
+	s := &site{now: origin, random: rand.New(rand.NewPCG(seed, 1)), agents: make(map[dispatch.AgentID]*agent)}
+	var names []string
+	for i := range agents {
+		name := fmt.Sprintf("agent-%d", i)
+		names = append(names, name)
+		s.addAgent(dispatch.AgentID(name))
+	}
+	for i := range entries {
+		e := s.addEntry(i)
+		for _, name := range subset.Choose(e.name, names, subsetSize, func(string) bool { return false }) {
+			e.connect(s.agents[dispatch.AgentID(name)])
+		}
+	}
+	s.run(time.Second)
+	return s
+}
+
+func (s *site) after(d time.Duration, do func()) {
+	s.serial++
+	heap.Push(&s.queue, action{at: s.now.Add(d), serial: s.serial, do: do})
+}
+
+// every calls do at regular intervals, beginning at a random time within the first.
+func (s *site) every(interval time.Duration, do func()) {
+	var next func()
+	next = func() {
+		do()
+		s.after(interval, next)
+	}
+	s.after(time.Duration(s.random.Int64N(int64(interval))), next)
+}
+
+func (s *site) run(length time.Duration) {
+	end := s.now.Add(length)
+	for len(s.queue) > 0 && s.queue[0].at.Before(end) {
+		next := heap.Pop(&s.queue).(action)
+		s.now = next.at
+		next.do()
+	}
+	s.now = end
+}
+
+// agent is an agent with its worker.
+type agent struct {
+	site    *site
+	id      dispatch.AgentID
+	runner  *runner.Runner
+	worker  *fakeWorker
+	entries map[runner.SessionID]*entry
+}
+
+func (s *site) addAgent(id dispatch.AgentID) {
+	limits := runner.DefaultLimits(time.Second, 50*time.Millisecond)
+	a := &agent{site: s, id: id, runner: runner.New(limits, 1), worker: newFakeWorker(s), entries: make(map[runner.SessionID]*entry)}
+	s.agents[id] = a
+	record := worker.Record{
+		ID: string(id), Service: service, Capacity: worker.Resources{CPU: workerCPU, Memory: 32 << 10}, Sequence: 1, Clock: time.Hour,
+	}
+	s.after(0, func() { a.handle(runner.HeartbeatReceived{Record: record}) })
+	s.every(agentTick, func() { a.handle(runner.Ticked{}) })
+}
+
+func (a *agent) handle(event runner.Event) {
+	for _, effect := range a.runner.Handle(a.site.now, event) {
+		a.apply(effect)
+	}
+}
+
+// apply carries out an effect: it sends a message to an entry, echoes a ping, or calls the worker.
+func (a *agent) apply(effect runner.Effect) {
+	switch e := effect.(type) {
+	case runner.SendLoad:
+		a.send(e.Session, dispatch.LoadReceived{Agent: a.id, Handled: e.Handled, Load: e.Load})
+	case runner.SendUpdate:
+		a.send(e.Session, dispatch.RunUpdated{Agent: a.id, Update: e.Update})
+	case runner.SendOffer:
+		a.send(e.Session, dispatch.OfferReceived{Agent: a.id, Offer: e.Offer})
+	case runner.SendWorker:
+		a.send(e.Session, dispatch.WorkerDescribed{Agent: a.id, Record: e.Record})
+	case runner.SendPing:
+		a.site.after(2*sessionDelay, func() { a.handle(runner.PongReceived{Session: e.Session, Sent: e.Time}) })
+	case runner.CallStart, runner.CallStop, runner.CallRenew:
+		a.site.after(workerDelay, func() { a.call(effect) })
+	}
+}
+
+func (a *agent) send(id runner.SessionID, event dispatch.Event) {
+	to := a.entries[id]
+	a.site.after(sessionDelay, func() { to.handle(event) })
+}
+
+// entry is an entry with its callers.
+type entry struct {
+	site       *site
+	name       string
+	session    runner.SessionID
+	dispatcher *dispatch.Dispatcher
+	lastWaiter dispatch.Waiter
+	// answered is called with the answer to each request.
+	answered map[dispatch.Waiter]func(dispatch.Answer)
+}
+
+func (s *site) addEntry(number int) *entry {
+	e := &entry{
+		site: s, name: fmt.Sprintf("entry-%d", number), session: runner.SessionID(number + 1),
+		dispatcher: dispatch.New(dispatch.Limits{Jobs: 2000}, rand.New(rand.NewPCG(s.random.Uint64(), 1))),
+		answered:   make(map[dispatch.Waiter]func(dispatch.Answer)),
+	}
+	s.entries = append(s.entries, e)
+	s.every(entryTick, func() { e.handle(dispatch.Ticked{}) })
+	return e
+}
+
+func (e *entry) connect(a *agent) {
+	e.handle(dispatch.AgentUp{Agent: a.id})
+	a.entries[e.session] = e
+	e.site.after(sessionDelay, func() { a.handle(runner.SessionOpened{Session: e.session, Entry: e.name}) })
+}
+
+func (e *entry) handle(event dispatch.Event) {
+	for _, effect := range e.dispatcher.Handle(e.site.now, event) {
+		e.apply(effect)
+	}
+}
+
+// apply carries out an effect: it sends a message to an agent, or answers callers.
+func (e *entry) apply(effect dispatch.Effect) {
+	switch f := effect.(type) {
+	case dispatch.StartTask:
+		e.send(f.Agent, runner.StartRequested{Session: e.session, Number: f.Number, Task: f.Task})
+	case dispatch.StopTask:
+		e.send(f.Agent, runner.StopRequested{Session: e.session, Name: f.Name})
+	case dispatch.Reserve:
+		e.send(f.Agent, runner.ReservationRequested{Session: e.session, Reservation: f.Reservation})
+	case dispatch.AnswerOffer:
+		e.send(f.Agent, runner.OfferAnswered{Session: e.session, Offer: f.Offer})
+	case dispatch.Reply:
+		for _, waiter := range f.Waiters {
+			e.answered[waiter](f.Answer)
+			delete(e.answered, waiter)
+		}
+	}
+}
+
+func (e *entry) send(to dispatch.AgentID, event runner.Event) {
+	a := e.site.agents[to]
+	e.site.after(sessionDelay, func() { a.handle(event) })
+}
+
+// submit hands a job to the entry. answered is called with its answer.
+func (e *entry) submit(job dispatch.Job, answered func(dispatch.Answer)) {
+	e.lastWaiter++
+	e.answered[e.lastWaiter] = answered
+	e.handle(dispatch.Submitted{Job: job, Waiter: e.lastWaiter})
+}
--- /dev/null
+++ b/internal/overload/traffic_test.go
@@ -0,0 +1,135 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"fmt"
+	"time"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/worker"
+)
+
+// kind is a kind of job of which all tasks take the same time.
+type kind struct {
+	dispatch.Kind
+	tasks int
+	each  time.Duration
+	// share is the part of all jobs that are of the kind.
+	share float64
+}
+
+// kinds are three kinds of jobs as a booking service has them: wide and short ones first, then short ones, then long ones. Their
+// objective is 1.6 times the time of their tasks and 60 ms more.
+var kinds = []kind{
+	{Kind: newKind("lookup", 0), tasks: 8, each: 60 * time.Millisecond, share: 0.25},
+	{Kind: newKind("reminder", 1), tasks: 2, each: 200 * time.Millisecond, share: 0.7},
+	{Kind: newKind("confirmation", 2), tasks: 4, each: 900 * time.Millisecond, share: 0.05},
+}
+
+func newKind(name string, priority int) dispatch.Kind {
+	return dispatch.Kind{Name: name, Service: service, Priority: priority, Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond}
+}
+
+func (k kind) objective() time.Duration {
+	return time.Duration(k.Stretch*float64(k.each)) + k.Target
+}
+
+// meanWork is the mean work of a job, in thousandths of a core times seconds.
+func meanWork() float64 {
+	sum := 0.0
+	for _, k := range kinds {
+		sum += k.share * float64(k.tasks*taskCPU) * k.each.Seconds()
+	}
+	return sum
+}
+
+// traffic submits jobs to a site and counts how they end.
+type traffic struct {
+	site *site
+	// load is the work that comes, as a part of what all workers do.
+	load float64
+	ends time.Time
+	next int
+	// refused is called for each job that was refused, with the time at which its caller tried first; nil for nothing.
+	refused func(k kind, first time.Time, answer dispatch.NotRun)
+	// served is called for each job that is completed, with the same time; nil for nothing.
+	served func(first time.Time)
+
+	submitted, onTime, late, failed, notRun int
+}
+
+// callers are the numbers of callers of four entries in turn, as a balancer that hashes its callers leaves them.
+var callers = []int{0, 1, 1, 4}
+
+// start submits jobs at random times until the end of the traffic.
+func (t *traffic) start(length time.Duration) {
+	t.ends = t.site.now.Add(length)
+	all := 0
+	for i := range t.site.entries {
+		all += callers[i%len(callers)]
+	}
+	perCaller := t.load * float64(len(t.site.agents)*workerCPU) / meanWork() / float64(all)
+	for i, e := range t.site.entries {
+		for range callers[i%len(callers)] {
+			t.arrive(e, perCaller)
+		}
+	}
+}
+
+// arrive submits jobs to one entry, perSecond of them on average.
+func (t *traffic) arrive(e *entry, perSecond float64) {
+	gap := time.Duration(t.site.random.ExpFloat64() / perSecond * float64(time.Second))
+	t.site.after(gap, func() {
+		if t.site.now.After(t.ends) {
+			return
+		}
+		t.submitted++
+		t.submit(e, t.draw(), t.site.now)
+		t.arrive(e, perSecond)
+	})
+}
+
+// draw returns a random kind.
+func (t *traffic) draw() kind {
+	at := t.site.random.Float64()
+	for _, k := range kinds {
+		if at -= k.share; at < 0 {
+			return k
+		}
+	}
+	return kinds[0]
+}
+
+// submit hands a job to an entry. first is when its caller tried first.
+func (t *traffic) submit(e *entry, k kind, first time.Time) {
+	t.next++
+	began := t.site.now
+	step := dispatch.Step{Count: k.tasks, Needs: worker.Resources{CPU: taskCPU, Memory: 64}, Expected: k.each}
+	job := dispatch.Job{ID: fmt.Sprintf("%016x", t.next), Payload: k.each.String(), Kind: k.Kind, Steps: []dispatch.Step{step}}
+	e.submit(job, func(answer dispatch.Answer) {
+		switch a := answer.(type) {
+		case dispatch.Completed:
+			t.completed(t.site.now.Sub(began) <= k.objective())
+			if t.served != nil {
+				t.served(first)
+			}
+		case dispatch.NotRun:
+			t.notRun++
+			if t.refused != nil {
+				t.refused(k, first, a)
+			}
+		case dispatch.Failed, dispatch.Interrupted:
+			t.failed++
+		}
+	})
+}
+
+func (t *traffic) completed(isOnTime bool) {
+	if isOnTime {
+		t.onTime++
+	} else {
+		t.late++
+	}
+}
--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -82,9 +82,9 @@
 	// round 12).
 	minLoadInterval = 20 * time.Millisecond
 	// loadShare is the part of the interval between loads that each session adds; see loadInterval. It bounds what an agent
-	// sends to entries that have nothing here to 250 loads a second, however many they are. Measured: docs/POLICIES.md,
+	// sends to entries that have nothing here to 125 loads a second, however many they are. Measured: docs/POLICIES.md,
 	// "Size".
-	loadShare = 4 * time.Millisecond
+	loadShare = 8 * time.Millisecond
 )
 
 // loadInterval returns the shortest time between two loads on a session.
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -24,7 +24,7 @@
 	// MinAgents is the least size of a subset, if there are as many agents. It buys room for jobs of many tasks: the share
 	// of the time in which the subset is full while other agents have room falls with its size. Measured:
 	// docs/POLICIES.md, "Size".
-	MinAgents = 64
+	MinAgents = 48
 	// MinSessions is the least mean number of subsets that an agent is in. It keeps agents from being in none where there
 	// are few entries for many agents: with a mean of 8, one agent in 3,000. Design.
 	MinSessions = 8
