--- a/internal/native/admission/demand.go
+++ b/internal/native/admission/demand.go
@@ -51,7 +51,7 @@
 // Reason: expected work counts, not the number of tasks, as kinds differ in service time; and more urgent tasks that
 // arrive later are started first.
 //
-// Measured: commit 6e93315, as a part of the admission of jobs; see owner.Owner.refuse.
+// Measured: as a part of the admission of jobs; see owner.Owner.refuse.
 func (d Demand) Wait() time.Duration {
 	if d.Ahead <= d.Slots {
 		return 0
--- a/internal/native/admission/estimator.go
+++ b/internal/native/admission/estimator.go
@@ -25,7 +25,7 @@
 )
 
 // The quantiles of an Estimate, in percent. A high one plans new work, so that most tasks end in time; the median
-// decides whether work that was admitted is worth starting. Not measured alone; see commit 6e93315.
+// decides whether work that was admitted is worth starting. Not measured alone.
 const (
 	medianPercent = 50
 	highPercent   = 95
--- a/internal/native/gossip/exchange.go
+++ b/internal/native/gossip/exchange.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// maxLoads is the largest number of loads in a message, besides the sender's own. Measured in commit c42b581,
+	// maxLoads is the largest number of loads in a message, besides the sender's own. Measured:
 	// together with fewer peers an exchange and shorter ids: 1.4 to 1.5 KB/s a node, 5.9 to 8.5 KB/s before.
 	maxLoads = 3
 	// exchangeTimeout is the longest time of an exchange with one peer, both messages included. Not measured.
--- a/internal/native/guard/admission.go
+++ b/internal/native/guard/admission.go
@@ -29,7 +29,7 @@
 // Reason: the owner has admitted the job on an older view. A refusal here lets it place the task elsewhere. It says
 // only that this start did not run the task; another start of it is another decision.
 //
-// Measured: MaxWait in commit 671fde2 (owner/place.go), the check of a stuck worker in commit 6e93315; the rest is not
+// Measured: MaxWait (owner/place.go) and the check of a stuck worker; the rest is not
 // measured alone.
 func (g *Guard) refuse(now time.Time, task Task) (outcome model.TaskNotStarted, isRefused bool) {
 	estimate := g.estimator.Of(task.Kind, task.Expected)
@@ -67,7 +67,7 @@
 // of refuse, as the task was admitted and other tasks of its job may be done. The owner can place the tasks of a stuck
 // worker elsewhere.
 //
-// Measured: as a part of commit 6e93315; starts that could not end in time fell from 679 and 3,357 to 0 (two sites at
+// Measured: with the admission of jobs; starts that could not end in time fell from 679 and 3,357 to 0 (two sites at
 // 150 % load, a simulator that is gone).
 func (g *Guard) dropLate(now time.Time) []Effect {
 	var effects []Effect
@@ -106,7 +106,7 @@
 //
 // Reason: tasks that are sent to a backend server that hangs wait until their deadlines pass.
 //
-// Measured: commit 6e93315 as a whole, one dead worker at 60 % load: failed jobs of one kind fell from 2.9 % to 0.23 %,
+// Measured: with the admission of jobs, one dead worker at 60 % load: failed jobs of one kind fell from 2.9 % to 0.23 %,
 // of another from 5.9 % to 0.
 func (g *Guard) isStuck(now time.Time) bool {
 	timeout := max(stuckFactor*g.mean, minStuckTimeout)
--- a/internal/native/guard/load.go
+++ b/internal/native/guard/load.go
@@ -36,7 +36,7 @@
 	return load
 }
 
-// usageTime is the time constant with which the use of the slots decays. Measured in commit 6e93315 as a part of
+// usageTime is the time constant with which the use of the slots decays. Measured as a part of
 // admission; other values were not.
 const usageTime = 5 * time.Second
 
--- a/internal/native/owner/place.go
+++ b/internal/native/owner/place.go
@@ -20,7 +20,7 @@
 const maxTries = 4
 
 // Bounces limits how often a task that would wait at one worker is placed on another. Each time costs two messages.
-// Both values are settings; docs/MEASUREMENTS.md has figures for 0 and 1 (commit 671fde2).
+// Both values are settings; docs/MEASUREMENTS.md has figures for 0 and 1.
 type Bounces struct {
 	// Max is the number of workers that may refuse a task because it would wait; with 0 none may.
 	Max int
@@ -81,7 +81,7 @@
 //
 // Reason: views lag, so a task may wait at a worker while another one is free.
 //
-// Measured: commit 671fde2, with a simulator that is gone, one site at 80 % load, Max 0 and 1: p99 of single tasks
+// Measured: with a simulator that is gone, one site at 80 % load, Max 0 and 1: p99 of single tasks
 // 1.516 and 1.411 of the ideal, wasted messages 0.000 and 0.540 a task.
 func (o *Owner) maxWait(now time.Time, j *job, t *task) time.Duration {
 	if len(t.tried) > o.bounces.Max || !o.view.HasFree(now, j.kind.Urgency, t.tried) {
--- a/internal/native/ownership/fence.go
+++ b/internal/native/ownership/fence.go
@@ -24,7 +24,7 @@
 //
 // Reason: the promise of its heir may be older than the bindings that the heir inherited.
 //
-// Measured: found by random schedules in commit 91c2310 (seed 67147011; one double start in 200,000 schedules before,
+// Measured: found by random schedules (seed 67147011; one double start in 200,000 schedules before,
 // none after); spec/handover.pml (DROPASKED).
 func (f *fence) isOpen() bool {
 	for id := range f.asked {
@@ -132,7 +132,7 @@
 // Reason: a promise that comes after the entry has removed its binding does not bind it. An entry with a later epoch
 // may know of entries that this owner has not asked.
 //
-// Measured: found by random schedules in commit c42b581 (a double start after 6,605 schedules without a time limit,
+// Measured: found by random schedules (a double start after 6,605 schedules without a time limit,
 // none in 100,000 after); spec/join.pml (NOCATCHUP).
 func (t *Table) Fenced(now time.Time, key model.Key, entry MemberID, verdict Verdict, epoch uint64) (Decision, bool) {
 	r, ok := t.records[key]
--- a/internal/native/ownership/handover_entry.go
+++ b/internal/native/ownership/handover_entry.go
@@ -42,7 +42,7 @@
 //
 // Reason: of two owners that may both have the key, neither can be shown to be the one that runs it.
 //
-// Measured: commit 98fb7b5: TestPlannedStopsCutNothingOff failed 4 of 7 runs while owners were compared by name, none
+// Measured: TestPlannedStopsCutNothingOff failed 4 of 7 runs while owners were compared by name, none
 // of 8 after. The conflict is KEEPOWN in spec/handover.pml.
 func (f *Forwarder) Inherit(bindings map[model.Key]Binding) bool {
 	if f.handedOver || len(f.bindings)+len(bindings) > f.limits.Entries {
--- a/internal/native/ownership/limits.go
+++ b/internal/native/ownership/limits.go
@@ -25,7 +25,7 @@
 	return 2 * l.Skew
 }
 
-// FenceTimeout is the longest time that a fence waits for promises. Measured in commit df2f64a: with 500 ms one key was
+// FenceTimeout is the longest time that a fence waits for promises. Measured: with 500 ms one key was
 // declined as a promise came later, on a busy machine; other values were not tried.
 const FenceTimeout = time.Second
 
--- a/internal/native/ownership/route.go
+++ b/internal/native/ownership/route.go
@@ -41,7 +41,7 @@
 // later, so it is no reason to fail what is bound to it. An owner to be avoided has declined this request, but has not
 // answered another one of the same key yet; it declines again, and the key may move then.
 //
-// Measured: that suspects keep their keys, in commit df2f64a: eight copies of the system tests at a time, 1 of 64 runs
+// Measured: that suspects keep their keys, eight copies of the system tests at a time, 1 of 64 runs
 // failed before, 0 of 48 after. That avoided owners do: testdata/declined, and TestPlannedStopsCutNothingOff. That keys
 // must not move is in spec/ownership.pml (MOVELOST, MOVEPROMISED, NOMEMO).
 func (f *Forwarder) Route(now time.Time, key model.Key, avoid, suspects []MemberID) Route {
--- a/internal/native/placement/place.go
+++ b/internal/native/placement/place.go
@@ -49,7 +49,7 @@
 	return false
 }
 
-// waitFactor is the factor by which Finish lengthens the estimated wait. Measured in commit 6e93315 at 150 % load, two
+// waitFactor is the factor by which Finish lengthens the estimated wait. Measured at 150 % load, two
 // sites: starts that could not end in time were 5 and 37 with 1.25, 0 and 19 with 1.5, 0 and 0 with 2.
 const waitFactor = 2.0
 
@@ -65,7 +65,7 @@
 // Reason: the owner may place the tasks on any worker. The factor is there because other owners admit jobs at the same
 // time on the same view, and because a job of which one task comes too late has wasted all the others.
 //
-// Measured: commit 6e93315; see waitFactor and owner.Owner.refuse.
+// Measured: see waitFactor and owner.Owner.refuse.
 func (v *View) Finish(now time.Time, tasks, urgency int, estimate admission.Estimate) (time.Duration, bool) {
 	var total admission.Demand
 	for _, w := range v.order {
--- a/internal/native/placement/rank.go
+++ b/internal/native/placement/rank.go
@@ -23,7 +23,7 @@
 // Reason: expected work tells more than a number of tasks, as kinds differ in service time. Between equal ends the near
 // worker saves a hop between zones.
 //
-// Measured: commit d20e05d, with a simulator that is gone, two sites, one slow worker at 60 % load: p99 of jobs with
+// Measured: with a simulator that is gone, two sites, one slow worker at 60 % load: p99 of jobs with
 // many tasks 10.42 and 4.36 of the ideal when tasks were counted, 4.90 and 2.36 with this rule. The order after finish
 // was not measured.
 func (w *worker) isBetter(other *worker, by rank) bool {
@@ -52,7 +52,7 @@
 }
 
 // slowFactor is the ratio of a worker's mean service time to the typical one above which the worker counts as slow. The
-// rule was measured in commit d20e05d, with a worker three times as slow; other factors were not.
+// rule was measured with a worker three times as slow; other factors were not.
 const slowFactor = 1.5
 
 // slowness returns how many times longer than typical tasks take at the worker.
