--- a/internal/native/gossip/delta.go
+++ b/internal/native/gossip/delta.go
@@ -22,7 +22,7 @@
 const WholeDocument = math.MaxUint64
 
 // maxDocumentSize is the largest document that is read from a peer, in bytes after decompression. It bounds the memory
-// that a broken message can take; documents at the target size have about 110 KB (docs/CAPACITY.md).
+// that a broken message can take; documents at the target size have about 110 KB (docs/MEASUREMENTS.md).
 const maxDocumentSize = 16 << 20
 
 // delta has the documents by which one process is ahead of another, as compressed JSON. Documents that are not newer
--- a/internal/native/gossip/doc.go
+++ b/internal/native/gossip/doc.go
@@ -22,5 +22,5 @@
 //   - This process dies: a new one reads the documents from the platform or gets them from the seeds.
 //
 // Measured: a committed change reaches every node in 2.9 s at 10 nodes and in 5.2 s at 300, as means of 8 and 4 changes
-// (docs/CAPACITY.md).
+// (docs/MEASUREMENTS.md).
 package gossip
--- a/internal/native/keyvalue/document.go
+++ b/internal/native/keyvalue/document.go
@@ -29,7 +29,7 @@
 	maxSwaps = 50
 	// minBackoff is the backoff after the first attempt. Not measured.
 	minBackoff = 50 * time.Millisecond
-	// maxBackoff is the largest backoff. docs/CAPACITY.md has a run of 300 processes that joined at once; 3 s itself was not
+	// maxBackoff is the largest backoff. docs/MEASUREMENTS.md has a run of 300 processes that joined at once; 3 s itself was not
 	// varied.
 	maxBackoff = 3 * time.Second
 )
