Log which runs ended with a worker's incarnation, and how many a task has lost

Cause: of the three hypotheses on tasks that crash workers none could be told from the others by one process's logs: an agent did not say which incarnation ended with which runs, an entry not how many runs of a task it had lost. Change: the agent logs a line for each incarnation that ends, with its id, the reason and the runs on it (16 at most are named); the entry's line of a lost run has the count of lost runs of its task. Reporting only: no decision depends on it. Measured: not on a load; one line for each crash of a worker, one number more in a line that was there.

--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -4,6 +4,9 @@
 package agent
 
 import (
+	"fmt"
+	"strings"
+
 	"github.com/go-kit/log/level"
 
 	"sailhead/internal/runner"
@@ -75,6 +78,20 @@
 	_ = level.Warn(a.logger).Log("msg", "end dropped", "task", e.Name, "run", e.Run, "outcome", e.Outcome, "reason", e.Reason)
 }
 
+// maxLoggedRuns bounds the runs that one line names. More than this fit on few workers.
+const maxLoggedRuns = 16
+
+// logIncarnationEnded logs why an incarnation of the worker ended and the runs that ended with it: any of them may have
+// caused it.
+func (a *Agent) logIncarnationEnded(e runner.IncarnationEnded) {
+	var runs []string
+	for _, run := range e.Runs[:min(len(e.Runs), maxLoggedRuns)] {
+		runs = append(runs, fmt.Sprintf("%s/%d", run.Task, run.Run))
+	}
+	_ = level.Info(a.logger).Log("msg", "worker ended", "life", e.ID, "reason", e.Reason,
+		"count", len(e.Runs), "runs", strings.Join(runs, ","))
+}
+
 // describe returns the name of a result, followed by its reason if it has one. The names are values of log fields and
 // labels of the metric start_time, and keep their form.
 func describe(result worker.Result) string {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -68,6 +68,8 @@
 		a.sessions.Send(effect)
 	case runner.EndDropped:
 		a.logDropped(e)
+	case runner.IncarnationEnded:
+		a.logIncarnationEnded(e)
 	case runner.SendPing, runner.SendWorker, runner.SendLoad, runner.SendOffer:
 		a.sessions.Send(effect)
 	}
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -54,6 +54,8 @@
 type DecisionEnded struct {
 	Outcome runner.Outcome
 	Reason  string
+	// LostRuns is how many runs of the task were lost at this entry, this one included.
+	LostRuns int
 }
 
 // DecisionMoved reports that a run on an unhealthy worker was stopped to run again on a healthy one.
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -24,8 +24,11 @@
 	}
 	// An agent may have started the run under a higher number.
 	t.run = max(t.run, e.Update.Run)
+	if e.Update.Outcome == runner.OutcomeLost {
+		t.lostRuns++
+	}
 	if e.Update.Outcome.IsEnd() {
-		ended := DecisionEnded{Outcome: e.Update.Outcome, Reason: e.Update.Reason}
+		ended := DecisionEnded{Outcome: e.Update.Outcome, Reason: e.Update.Reason, LostRuns: t.lostRuns}
 		d.emit(j.decisionMade(now, ended).withRun(t.name, e.Update.Run, e.Agent))
 	}
 	if e.Update.Outcome != runner.OutcomeNotStarted {
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -35,6 +35,8 @@
 	notBefore time.Time
 	// failures counts the runs that failed.
 	failures int
+	// lostRuns counts the runs that were lost with their worker.
+	lostRuns int
 	// moves counts the runs that were stopped to run elsewhere.
 	moves int
 	// placed is when the latest run was sent.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -126,7 +126,7 @@
 		}
 		return fmt.Sprintf("tasks=%d objective=%s", d.Tasks, d.Objective.Round(time.Millisecond))
 	case dispatch.DecisionEnded:
-		return d.Outcome.String() + " " + d.Reason
+		return describeEnd(d)
 	case dispatch.DecisionMoved:
 		return "the run lasts too long on a slow worker"
 	case dispatch.DecisionAnswered:
@@ -140,6 +140,15 @@
 	}
 }
 
+// describeEnd returns the outcome of a run, its reason, and for a lost run how many the task has lost so far.
+func describeEnd(d dispatch.DecisionEnded) string {
+	text := d.Outcome.String() + " " + d.Reason
+	if d.Outcome == runner.OutcomeLost {
+		text += fmt.Sprintf(" (runs lost: %d)", d.LostRuns)
+	}
+	return text
+}
+
 // outcomeOf returns the word for an answer in logs and metrics.
 func outcomeOf(answer dispatch.Answer) string {
 	switch answer.(type) {
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -77,16 +77,31 @@
 	Reason  string
 }
 
-func (CallStart) isEffect()    {}
-func (CallStop) isEffect()     {}
-func (CallRenew) isEffect()    {}
-func (SendPing) isEffect()     {}
-func (SendWorker) isEffect()   {}
-func (SendLoad) isEffect()     {}
-func (SendUpdate) isEffect()   {}
-func (SendOffer) isEffect()    {}
-func (CloseSession) isEffect() {}
-func (EndDropped) isEffect()   {}
+// IncarnationEnded reports that the worker's incarnation has ended, with the runs that ended with it. It is for the log.
+type IncarnationEnded struct {
+	ID     string
+	Reason string
+	// Runs are those that may have been on the worker, in the order of their tasks' names.
+	Runs []RunID
+}
+
+// RunID identifies a run by the name of its task and its number.
+type RunID struct {
+	Task string
+	Run  uint32
+}
+
+func (CallStart) isEffect()        {}
+func (CallStop) isEffect()         {}
+func (CallRenew) isEffect()        {}
+func (SendPing) isEffect()         {}
+func (SendWorker) isEffect()       {}
+func (SendLoad) isEffect()         {}
+func (SendUpdate) isEffect()       {}
+func (SendOffer) isEffect()        {}
+func (CloseSession) isEffect()     {}
+func (EndDropped) isEffect()       {}
+func (IncarnationEnded) isEffect() {}
 
 // Load is the state of the worker that entries use for placement.
 type Load struct {
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -148,12 +148,15 @@
 	if r.worker == nil {
 		return
 	}
+	ended := IncarnationEnded{ID: r.worker.record.ID, Reason: reason}
 	r.retainEarlierEnds(r.worker)
 	r.dropAllReservations()
 	r.worker = nil
 	for _, t := range r.active() {
+		ended.Runs = append(ended.Runs, RunID{Task: t.Name, Run: t.Run})
 		r.finish(t, OutcomeLost, reason)
 	}
+	r.emit(ended)
 	r.markLoadDue()
 }
 
