--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -12,7 +12,6 @@
 	"sailhead/internal/dispatch"
 	"sailhead/internal/runner"
 	"sailhead/internal/subset"
-	"sailhead/internal/worker"
 )
 
 const (
@@ -62,12 +61,33 @@
 	random  *rand.Rand
 	entries []*entry
 	agents  map[dispatch.AgentID]*agent
+	// starts counts the starts of each task, crashes how many workers have crashed under it, and startsAtThird its starts
+	// until the third crash.
+	starts        map[string]int
+	crashes       map[string]int
+	startsAtThird map[string]int
+}
+
+// started counts a start of a task.
+func (s *site) started(task string) { s.starts[task]++ }
+
+// crashed counts the crash of a worker under its runs.
+func (s *site) crashed(running map[string]fakeRun) {
+	for task := range running {
+		s.crashes[task]++
+		if s.crashes[task] == 3 {
+			s.startsAtThird[task] = s.starts[task]
+		}
+	}
 }
 
 // newSite returns a site on which each entry has sessions with a subset of the agents, and lets it run until all workers
 // accept tasks.
 func newSite(seed uint64, entries, agents, subsetSize int) *site {
-	s := &site{now: origin, random: rand.New(rand.NewPCG(seed, 1)), agents: make(map[dispatch.AgentID]*agent)}
+	s := &site{
+		now: origin, random: rand.New(rand.NewPCG(seed, 1)), agents: make(map[dispatch.AgentID]*agent),
+		starts: make(map[string]int), crashes: make(map[string]int), startsAtThird: make(map[string]int),
+	}
 	var names []string
 	for i := range agents {
 		name := fmt.Sprintf("agent-%d", i)
@@ -120,12 +140,9 @@
 
 func (s *site) addAgent(id dispatch.AgentID) {
 	limits := runner.DefaultLimits(time.Second, 50*time.Millisecond)
-	a := &agent{site: s, id: id, runner: runner.New(limits, 1), worker: newFakeWorker(s), entries: make(map[runner.SessionID]*entry)}
+	a := &agent{site: s, id: id, runner: runner.New(limits, 1), entries: make(map[runner.SessionID]*entry)}
+	a.worker = newFakeWorker(a)
 	s.agents[id] = a
-	record := worker.Record{
-		ID: string(id), Service: service, Capacity: worker.Resources{CPU: workerCPU, Memory: 32 << 10}, Sequence: 1, Clock: time.Hour,
-	}
-	s.after(0, func() { a.handle(runner.HeartbeatReceived{Record: record}) })
 	s.every(agentTick, func() { a.handle(runner.Ticked{}) })
 }
 
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -4,6 +4,7 @@
 package overload
 
 import (
+	"fmt"
 	"time"
 
 	"sailhead/internal/runner"
@@ -25,54 +26,128 @@
 	return int(100 * now.Sub(r.began) / r.length)
 }
 
-// fakeWorker is a worker that carries out every call. The payload of a task is its run time.
+const (
+	// crashPayload is the payload of a task that crashes its worker crashAfter after its start.
+	crashPayload = "crash"
+	crashAfter   = 10 * time.Millisecond
+	// restartAfter is how long after a crash the next incarnation of the worker begins.
+	restartAfter = 2 * time.Second
+)
+
+// fakeWorker is a worker that carries out every call. The payload of a task is its run time, or crashPayload.
 type fakeWorker struct {
-	site    *site
-	running map[string]fakeRun
-	ends    []worker.End
-	number  uint64
+	site  *site
+	agent *agent
+	// id is the current incarnation, incarnations how many there were, and isDown is set between two of them.
+	id           string
+	incarnations int
+	isDown       bool
+	running      map[string]fakeRun
+	ends         []worker.End
+	number       uint64
 	// poll answers the long poll that waits for an end, nil if there is none.
-	poll func()
+	poll func(worker.RenewResult)
+}
+
+func newFakeWorker(a *agent) *fakeWorker {
+	w := &fakeWorker{site: a.site, agent: a}
+	w.begin()
+	return w
+}
+
+// begin begins an incarnation, and lets it report to the agent.
+func (w *fakeWorker) begin() {
+	w.incarnations++
+	w.id = fmt.Sprintf("%s-%d", w.agent.id, w.incarnations)
+	w.running, w.ends, w.number, w.isDown = make(map[string]fakeRun), nil, 0, false
+	record := worker.Record{
+		ID: w.id, Service: service, Capacity: worker.Resources{CPU: workerCPU, Memory: 32 << 10}, Sequence: 1, Clock: time.Hour,
+	}
+	w.site.after(0, func() { w.agent.handle(runner.HeartbeatReceived{Record: record}) })
+}
+
+// crash ends the incarnation with all its runs. The next one begins after restartAfter.
+func (w *fakeWorker) crash() {
+	if w.isDown {
+		return
+	}
+	w.isDown = true
+	w.site.crashed(w.running)
+	if w.poll != nil {
+		w.poll(worker.Unanswered{Reason: "the connection was closed"})
+	}
+	w.site.after(restartAfter, w.begin)
 }
 
-func newFakeWorker(s *site) *fakeWorker {
-	return &fakeWorker{site: s, running: make(map[string]fakeRun)}
+// reject returns why a call to an incarnation is not carried out, or nil.
+func (w *fakeWorker) reject(incarnation string) worker.Failure {
+	switch {
+	case w.isDown:
+		return worker.NotReached{Reason: "connection refused"}
+	case incarnation != w.id:
+		return worker.WrongIncarnation{Reply: w.reply()}
+	default:
+		return nil
+	}
 }
 
 func (w *fakeWorker) reply() worker.Reply {
 	return worker.Reply{Clock: w.site.now.Sub(origin) + time.Hour, Received: w.site.now}
 }
 
-func (w *fakeWorker) start(request worker.StartRequest) worker.StartResult {
+func (w *fakeWorker) start(incarnation string, request worker.StartRequest) worker.StartResult {
+	if failure := w.reject(incarnation); failure != nil {
+		return failure
+	}
+	w.site.started(request.Name)
+	if request.Payload == crashPayload {
+		w.running[request.Name] = fakeRun{run: request.Run, began: w.site.now, length: time.Second}
+		w.site.after(crashAfter, func() { w.crashUnder(incarnation, request.Name, request.Run) })
+		return worker.Accepted{Reply: w.reply()}
+	}
 	length, err := time.ParseDuration(request.Payload)
 	if err != nil {
 		return worker.Invalid{Reply: w.reply(), Reason: err.Error()}
 	}
 	w.running[request.Name] = fakeRun{run: request.Run, began: w.site.now, length: length}
-	w.site.after(length, func() { w.end(request.Name, request.Run, worker.EndingDone) })
+	w.site.after(length, func() { w.end(incarnation, request.Name, request.Run, worker.EndingDone) })
 	return worker.Accepted{Reply: w.reply()}
 }
 
-func (w *fakeWorker) stop(request worker.StopRequest) worker.StopResult {
-	w.end(request.Name, request.Run, worker.EndingStopped)
+// crashUnder crashes the worker if the run of a task has not ended.
+func (w *fakeWorker) crashUnder(incarnation, name string, run uint32) {
+	if w.id == incarnation && w.running[name].run == run {
+		w.crash()
+	}
+}
+
+func (w *fakeWorker) stop(incarnation string, request worker.StopRequest) worker.StopResult {
+	if failure := w.reject(incarnation); failure != nil {
+		return failure
+	}
+	w.end(incarnation, request.Name, request.Run, worker.EndingStopped)
 	return worker.Accepted{Reply: w.reply()}
 }
 
 // end ends a run, unless it has ended before, and answers the long poll.
-func (w *fakeWorker) end(name string, run uint32, ending worker.Ending) {
-	if w.running[name].run != run {
+func (w *fakeWorker) end(incarnation, name string, run uint32, ending worker.Ending) {
+	if w.id != incarnation || w.isDown || w.running[name].run != run {
 		return
 	}
 	delete(w.running, name)
 	w.number++
 	w.ends = append(w.ends, worker.End{Number: w.number, Name: name, Run: run, Ending: ending})
 	if w.poll != nil {
-		w.poll()
+		w.poll(w.list())
 	}
 }
 
 // renew calls answer with the listing: at once, or for a long poll once a run has ended or the wait is over.
-func (w *fakeWorker) renew(request worker.RenewRequest, answer func(worker.RenewResult)) {
+func (w *fakeWorker) renew(incarnation string, request worker.RenewRequest, answer func(worker.RenewResult)) {
+	if failure := w.reject(incarnation); failure != nil {
+		answer(failure)
+		return
+	}
 	for len(w.ends) > 0 && w.ends[0].Number <= request.AcknowledgedEnd {
 		w.ends = w.ends[1:]
 	}
@@ -81,14 +156,15 @@
 		return
 	}
 	isAnswered := false
-	w.poll = func() {
+	w.poll = func(result worker.RenewResult) {
 		if !isAnswered {
 			isAnswered = true
 			w.poll = nil
-			answer(w.list())
+			answer(result)
 		}
 	}
-	w.site.after(request.Wait, w.poll)
+	poll := w.poll
+	w.site.after(request.Wait, func() { poll(w.list()) })
 }
 
 func (w *fakeWorker) list() worker.Listing {
@@ -106,14 +182,14 @@
 	}
 	switch e := effect.(type) {
 	case runner.CallStart:
-		result := a.worker.start(e.Start)
+		result := a.worker.start(e.Incarnation, e.Start)
 		back(runner.StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Result: result})
 	case runner.CallStop:
-		result := a.worker.stop(e.Stop)
+		result := a.worker.stop(e.Incarnation, e.Stop)
 		back(runner.StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: result})
 	case runner.CallRenew:
 		sent := a.site.now.Add(-workerDelay)
-		a.worker.renew(e.Renew, func(result worker.RenewResult) {
+		a.worker.renew(e.Incarnation, e.Renew, func(result worker.RenewResult) {
 			back(runner.RenewAnswered{Incarnation: e.Incarnation, Sent: sent, Fence: e.Renew.Fence, LongPoll: e.Renew.Wait > 0, Result: result})
 		})
 	}
