--- a/internal/overload/crash_test.go
+++ b/internal/overload/crash_test.go
@@ -91,3 +91,29 @@
 		})
 	}
 }
+
+// TestACrashIsKnownAtTheEntryOfTheNextSubmission plays the pattern of a caller that leaves early and submits its job again at
+// another entry, which has sessions with other agents.
+//
+// Grounds for its figures: a caller comes back after 1.3 s. Entries exchange what they know about twice a second with one other,
+// so by then most have heard of a crash, and all after two or three more exchanges. Each entry that has not costs two more
+// workers: twelve crash if crashes are known only where the agent has a session.
+func TestACrashIsKnownAtTheEntryOfTheNextSubmission(t *testing.T) {
+	const entries, agentsEach = 6, 4
+	s := newSite(1, entries, entries*agentsEach, 0)
+	for i, e := range s.entries {
+		for k := range agentsEach {
+			e.connect(s.agents[dispatch.AgentID(fmt.Sprintf("agent-%d", i*agentsEach+k))])
+		}
+		s.every(450*time.Millisecond, func() { e.exchange() })
+	}
+	s.run(time.Second)
+	job := crashingJob("00000000000000ff")
+	for _, e := range s.entries {
+		e.submit(job, func(dispatch.Answer) {})
+		s.run(150 * time.Millisecond)
+		e.handle(dispatch.CallerLeft{Job: job.ID, Waiter: e.lastWaiter})
+		s.run(1150 * time.Millisecond)
+	}
+	s.checkCrashes(t, 2)
+}
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -187,6 +187,8 @@
 	session    runner.SessionID
 	dispatcher *dispatch.Dispatcher
 	lastWaiter dispatch.Waiter
+	// crashes are those that the entry spreads to others.
+	crashes []dispatch.WorkerCrashed
 	// answered is called with the answer to each request.
 	answered map[dispatch.Waiter]func(dispatch.Answer)
 }
@@ -202,6 +204,18 @@
 	return e
 }
 
+// exchange tells another entry, at random, of the crashes that this one knows, and learns of those that the other one knows.
+func (e *entry) exchange() {
+	other := e.site.entries[e.site.random.IntN(len(e.site.entries))]
+	own, others := e.crashes, other.crashes
+	for _, crash := range own {
+		other.handle(crash)
+	}
+	for _, crash := range others {
+		e.handle(crash)
+	}
+}
+
 func (e *entry) connect(a *agent) {
 	e.handle(dispatch.AgentUp{Agent: a.id})
 	a.entries[e.session] = e
