Pass crashes of workers on to all entries, so that a job that comes again elsewhere is known

Cause: an entry heard only of the crashes that its own agents see, so each entry without a session with them counted anew. Change: an entry passes each crash on for 5 s with its exchanges, in both directions; an entry that hears of it counts it as if its own agent had reported it. The same crash counts once, by agent and incarnation. If it was first inferred, the agent's own report still tells which run was the latest. Why it is safe: nothing waits for an exchange; the store is not called. 32 crashes are kept and sent at most, about 300 bytes each, and none without a crash.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -106,7 +106,7 @@
 	}
 	a.SetSeeds(settings.Seeds)
 	a.context, a.cancel = context.WithCancel(context.Background())
-	exchanger, closeExchanger := cluster.NewExchanger(cluster.NewDirectory(), rejectDocument)
+	exchanger, closeExchanger := cluster.NewExchanger(cluster.NewDirectory(), rejectDocument, ignoreCrash)
 	a.exchanger = exchanger
 	sessions, closeSessions := session.NewServer(settings.Sessions, a.self.Incarnation, a.post, a.logger)
 	a.sessions = sessions
@@ -163,3 +163,6 @@
 func rejectDocument([]byte) (uint64, error) {
 	return 0, errors.New("agent: agents accept no configuration")
 }
+
+// ignoreCrash ignores a crash that an entry may pass on in an exchange: entries count them.
+func ignoreCrash(cluster.Crash) {}
--- /dev/null
+++ b/internal/cluster/crash.go
@@ -0,0 +1,112 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"time"
+
+	"sailhead/internal/cluster/clusterpb"
+	"sailhead/internal/runner"
+)
+
+// Crashes of workers spread with each exchange, so that an entry without a session with the agent knows them too when a job
+// comes again there.
+const (
+	// crashSpreadTime is how long an entry passes a crash on after it heard of it. An entry exchanges with a random other one
+	// about twice a second and with as many that ask it, so 55 entries have all heard of a crash after about ten exchanges.
+	// Design, not measured.
+	crashSpreadTime = 5 * time.Second
+	// crashLifetime is how long a crash is remembered, so that it is not taken for a new one. Design: longer than the slowest
+	// entry passes it on.
+	crashLifetime = 4 * crashSpreadTime
+	// maxCrashes bounds the crashes that are remembered and sent. Design: about 300 bytes each, 10 KB in an exchange at most.
+	maxCrashes = 32
+)
+
+// Crash is the crash of an incarnation of an agent's worker.
+type Crash struct {
+	// Agent is the name of the agent.
+	Agent string
+	runner.Crash
+}
+
+// crashKey identifies a crash.
+type crashKey struct{ agent, incarnation string }
+
+func (c Crash) key() crashKey { return crashKey{agent: c.Agent, incarnation: c.Incarnation} }
+
+// heardCrash is a crash with the time at which this process heard of it.
+type heardCrash struct {
+	crash Crash
+	at    time.Time
+}
+
+// crashes are those that a process has heard of. The zero value is not usable; its owner guards it.
+type crashes map[crashKey]heardCrash
+
+// add stores a crash, and returns false if it was known. The oldest one goes if there are too many.
+func (c crashes) add(now time.Time, crash Crash) bool {
+	c.forgetBefore(now.Add(-crashLifetime))
+	if _, ok := c[crash.key()]; ok {
+		return false
+	}
+	if len(c) >= maxCrashes {
+		c.forgetOldest()
+	}
+	c[crash.key()] = heardCrash{crash: crash, at: now}
+	return true
+}
+
+func (c crashes) forgetBefore(limit time.Time) {
+	for key, heard := range c {
+		if heard.at.Before(limit) {
+			delete(c, key)
+		}
+	}
+}
+
+func (c crashes) forgetOldest() {
+	var oldest crashKey
+	for key, heard := range c {
+		if first, ok := c[oldest]; !ok || heard.at.Before(first.at) {
+			oldest = key
+		}
+	}
+	delete(c, oldest)
+}
+
+// messages returns the crashes that are passed on at a time.
+func (c crashes) messages(now time.Time) []*clusterpb.Crash {
+	var messages []*clusterpb.Crash
+	for _, heard := range c {
+		if now.Sub(heard.at) < crashSpreadTime {
+			messages = append(messages, heard.crash.message())
+		}
+	}
+	return messages
+}
+
+func (c Crash) message() *clusterpb.Crash {
+	message := &clusterpb.Crash{Agent: c.Agent, Incarnation: c.Incarnation}
+	for _, run := range c.Runs {
+		message.Runs = append(message.Runs, &clusterpb.CrashedRun{Task: run.Task, Run: run.Run, Latest: run.IsLatest})
+	}
+	return message
+}
+
+func crashOf(message *clusterpb.Crash) Crash {
+	crash := Crash{Agent: message.GetAgent(), Crash: runner.Crash{Incarnation: message.GetIncarnation()}}
+	for _, run := range message.GetRuns() {
+		id := runner.RunID{Task: run.GetTask(), Run: run.GetRun()}
+		crash.Runs = append(crash.Runs, runner.CrashedRun{RunID: id, IsLatest: run.GetLatest()})
+	}
+	return crash
+}
+
+// AddCrash stores a crash, which is then passed on for some seconds. It reports whether the crash was not known.
+func (d *Directory) AddCrash(now time.Time, crash Crash) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashes.add(now, crash)
+}
--- /dev/null
+++ b/internal/cluster/crash_test.go
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"sailhead/internal/runner"
+)
+
+func testCrash(incarnation string) Crash {
+	return Crash{Agent: "agent-1", Crash: runner.Crash{Incarnation: incarnation, Runs: []runner.CrashedRun{
+		{RunID: runner.RunID{Task: "j.0.0.0", Run: 2}, IsLatest: true}, {RunID: runner.RunID{Task: "j.0.0.1", Run: 1}},
+	}}}
+}
+
+func TestCrashesAreExchangedInBothDirections(t *testing.T) {
+	own, other := NewDirectory(), NewDirectory()
+	own.AddCrash(time.Now(), testCrash("own"))
+	other.AddCrash(time.Now(), testCrash("other"))
+	heard := make(map[string][]Crash)
+	served, closeServed := NewExchanger(other, accept, func(c Crash) { heard["other"] = append(heard["other"], c) })
+	defer closeServed()
+	server := httptest.NewServer(served.Handler())
+	defer server.Close()
+	caller, closeCaller := NewExchanger(own, accept, func(c Crash) { heard["own"] = append(heard["own"], c) })
+	defer closeCaller()
+	for range 2 {
+		if err := caller.ExchangeWith(context.Background(), server.Listener.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := map[string][]Crash{"own": {testCrash("other")}, "other": {testCrash("own")}}
+	if !reflect.DeepEqual(heard, want) {
+		t.Fatalf("heard %+v, want %+v", heard, want)
+	}
+}
+
+func TestCrashesArePassedOnForSomeTimeAndBounded(t *testing.T) {
+	known, now := make(crashes), time.Unix(1000, 0)
+	known.add(now, testCrash("first"))
+	now = now.Add(crashSpreadTime)
+	if messages := known.messages(now); len(messages) > 0 {
+		t.Errorf("%d crashes are passed on after crashSpreadTime", len(messages))
+	}
+	if known.add(now, testCrash("first")) {
+		t.Error("a crash that another entry still passes on is taken for a new one")
+	}
+	for i := range 2 * maxCrashes {
+		now = now.Add(time.Millisecond)
+		known.add(now, testCrash(fmt.Sprint(i)))
+	}
+	if messages := known.messages(now); len(messages) != maxCrashes {
+		t.Errorf("%d crashes are passed on, want %d", len(messages), maxCrashes)
+	}
+	if _, ok := known[testCrash("first").key()]; ok {
+		t.Error("the oldest crash is kept")
+	}
+}
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -87,6 +87,8 @@
 	removed map[string]removal
 	// digest is the exclusive or of the hashes of all members.
 	digest uint64
+	// crashes are the latest crashes of workers.
+	crashes crashes
 	// version is the version of document, or 0 before the first.
 	version  uint64
 	document []byte
@@ -106,7 +108,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{members: make(map[string]Member), removed: make(map[string]removal), changed: make(chan struct{})}
+	return &Directory{members: make(map[string]Member), removed: make(map[string]removal), crashes: make(crashes), changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -203,11 +205,11 @@
 	return d.version, d.document
 }
 
-// summary returns the versions of what the directory holds, without members and document.
+// summary returns the versions of what the directory holds, without members and document, and the crashes.
 func (d *Directory) summary() *clusterpb.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return &clusterpb.View{Version: d.version, Digest: d.digest}
+	return &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(time.Now())}
 }
 
 // viewFor returns the directory as a message to another process, whose summary is known: with the members if they differ, and
@@ -216,7 +218,7 @@
 func (d *Directory) viewFor(other *clusterpb.View, withDocument bool) *clusterpb.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	view := &clusterpb.View{Version: d.version, Digest: d.digest}
+	view := &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(time.Now())}
 	if d.digest != other.Digest {
 		for _, m := range d.members {
 			view.Members = append(view.Members, m.message())
--- a/internal/cluster/directory_test.go
+++ b/internal/cluster/directory_test.go
@@ -67,6 +67,8 @@
 	return uint64(document[0]), nil
 }
 
+func ignoreCrash(Crash) {}
+
 func TestExchangeUpdatesBothSides(t *testing.T) {
 	for name, versions := range map[string][2]byte{"caller is newer": {7, 3}, "other is newer": {3, 7}, "same version": {7, 7}} {
 		t.Run(name, func(t *testing.T) {
@@ -74,11 +76,11 @@
 			own.SetDocument(uint64(versions[0]), []byte{versions[0]})
 			other.SetDocument(uint64(versions[1]), []byte{versions[1]})
 			own.AddMember(agentOf(1))
-			served, closeServed := NewExchanger(other, accept)
+			served, closeServed := NewExchanger(other, accept, ignoreCrash)
 			defer closeServed()
 			server := httptest.NewServer(served.Handler())
 			defer server.Close()
-			caller, closeCaller := NewExchanger(own, accept)
+			caller, closeCaller := NewExchanger(own, accept, ignoreCrash)
 			defer closeCaller()
 			if err := caller.ExchangeWith(context.Background(), server.Listener.Addr().String()); err != nil {
 				t.Fatal(err)
@@ -103,7 +105,7 @@
 		d.AddMember(agentOf(1))
 		d.AddMember(Member{Name: "entry-1", Role: RoleEntry, Address: "127.0.0.1:2", Incarnation: 1})
 	}
-	served, closeServed := NewExchanger(other, accept)
+	served, closeServed := NewExchanger(other, accept, ignoreCrash)
 	defer closeServed()
 	exchange := func(request *clusterpb.View) *clusterpb.View {
 		answer, err := served.Exchange(context.Background(), request)
@@ -135,7 +137,7 @@
 
 func TestInvalidDocumentFromAnotherEntryIsIgnored(t *testing.T) {
 	d := NewDirectory()
-	e, closeExchanger := NewExchanger(d, accept)
+	e, closeExchanger := NewExchanger(d, accept, ignoreCrash)
 	defer closeExchanger()
 	other := NewDirectory()
 	other.SetDocument(9, []byte("broken"))
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -26,17 +26,20 @@
 	directory *Directory
 	// accept checks a document from another process and returns its version.
 	accept func(document []byte) (version uint64, err error)
-	client *http.Client
+	// crashed is called with each crash that was not known.
+	crashed func(Crash)
+	client  *http.Client
 }
 
 // NewExchanger returns an exchanger for a directory. accept checks a document that another process sent and returns its
-// version; documents for which it returns an error are ignored. The clean-up closes idle connections.
-func NewExchanger(directory *Directory, accept func([]byte) (uint64, error)) (*Exchanger, func()) {
+// version; documents for which it returns an error are ignored. crashed is called with each crash of a worker of which another
+// process knew and the directory did not; it must not block for long. The clean-up closes idle connections.
+func NewExchanger(directory *Directory, accept func([]byte) (uint64, error), crashed func(Crash)) (*Exchanger, func()) {
 	transport := &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: callTimeout}).DialContext,
 		IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1, DisableCompression: true,
 	}
-	e := &Exchanger{directory: directory, accept: accept, client: &http.Client{Transport: transport, Timeout: callTimeout}}
+	e := &Exchanger{directory: directory, accept: accept, crashed: crashed, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 	return e, transport.CloseIdleConnections
 }
 
@@ -60,11 +63,16 @@
 	return e.directory.summary(), nil
 }
 
-// apply adds the members and the document of another entry's view. An error of accept is not logged: agents refuse all
+// apply adds the members, the crashes and the document of another entry's view. An error of accept is not logged: agents refuse all
 // documents on purpose, and an entry sends only documents that passed the same check there, where a bad one is logged when
 // it is read from the store.
 func (e *Exchanger) apply(view *clusterpb.View) {
 	e.directory.addMembers(view)
+	for _, message := range view.Crashes {
+		if crash := crashOf(message); e.directory.AddCrash(time.Now(), crash) {
+			e.crashed(crash)
+		}
+	}
 	if len(view.Document) == 0 {
 		return
 	}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -66,12 +66,15 @@
 // suspects holds the tasks under which workers have crashed, by their names.
 type suspects map[string]suspicion
 
-// add counts a crash. It returns false if the crash was counted before.
+// add counts a crash. It returns false if that tells nothing new: the crash was counted before, and not as one of which it is
+// unknown whether the run was the latest.
 func (s suspects) add(now time.Time, task string, crash Crash) bool {
 	known := s[task]
 	isSame := func(other Crash) bool { return other.Agent == crash.Agent && other.Incarnation == crash.Incarnation }
-	if slices.ContainsFunc(known.crashes, isSame) {
-		return false
+	if at := slices.IndexFunc(known.crashes, isSame); at >= 0 {
+		isNew := crash.IsLatest && !known.crashes[at].IsLatest
+		known.crashes[at].IsLatest = known.crashes[at].IsLatest || crash.IsLatest
+		return isNew
 	}
 	if len(known.crashes) == 0 && len(s) >= maxSuspects {
 		s.forgetOldest()
@@ -119,11 +122,17 @@
 	return d.suspects.isSuspect(t.name)
 }
 
-// workerCrashed counts the crash of a worker for each run that was on it, and gives up the tasks that are due.
+// workerCrashed counts the crash of a worker for each run that was on it, and gives up the tasks that are due. It passes the
+// crash on to other entries if it was not known.
 func (d *Dispatcher) workerCrashed(now time.Time, agent AgentID, crash runner.Crash) {
+	isSpread := false
 	for _, run := range crash.Runs {
 		counted := Crash{Agent: agent, Incarnation: crash.Incarnation, Run: run.Run, IsLatest: run.IsLatest}
 		isNew := d.suspects.add(now, run.Task, counted)
+		if isNew && !isSpread {
+			isSpread = true
+			d.emit(SpreadCrash{Agent: agent, Crash: crash})
+		}
 		if j, t := d.find(run.Task); isNew && t != nil {
 			d.giveUpIfDue(now, j)
 		}
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -66,6 +66,12 @@
 	Update runner.Update
 }
 
+// SpreadCrash passes a crash that was not known here to the other entries.
+type SpreadCrash struct {
+	Agent AgentID
+	Crash runner.Crash
+}
+
 // DurableGivenUp tells package durable that a job has failed, as workers crashed under one of its tasks.
 type DurableGivenUp struct{ Job string }
 
@@ -83,6 +89,7 @@
 func (RecordEnd) isEffect()      {}
 func (DurableBegun) isEffect()   {}
 func (DurableGivenUp) isEffect() {}
+func (SpreadCrash) isEffect()    {}
 func (DecisionMade) isEffect()   {}
 
 // JobState is the state of a job that is not durable.
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -106,7 +106,8 @@
 	Update runner.Update
 }
 
-// WorkerCrashed reports that an incarnation of an agent's worker has crashed. It may come more than once for one crash.
+// WorkerCrashed reports that an incarnation of an agent's worker has crashed, also of one without a session here. It may come
+// more than once for one crash.
 type WorkerCrashed struct {
 	Agent AgentID
 	Crash runner.Crash
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,7 +135,7 @@
 		coordinator: e.newCoordinator(), now: time.Now, perform: e.perform,
 	}
 	e.SetSeeds(settings.Seeds)
-	exchanger, closeExchanger := cluster.NewExchanger(e.directory, configurations.Accept)
+	exchanger, closeExchanger := cluster.NewExchanger(e.directory, configurations.Accept, e.crashHeard)
 	e.exchanger = exchanger
 	stopServing := servePeers(settings.Peers, exchanger, e)
 	e.directory.AddMember(e.self)
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
 	"sailhead/internal/metric"
@@ -137,6 +138,8 @@
 		e.onSession(effect.Agent, func(agent *session.AgentConn) { agent.AnswerOffer(effect.Offer) })
 	case dispatch.CloseAgent:
 		e.agentIdle(effect.Agent)
+	case dispatch.SpreadCrash:
+		e.directory.AddCrash(time.Now(), cluster.Crash{Agent: string(effect.Agent), Crash: effect.Crash})
 	case dispatch.DecisionMade:
 		e.log(effect)
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"sailhead/internal/cluster"
+	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
 )
 
@@ -107,3 +108,8 @@
 		return true
 	}
 }
+
+// crashHeard hands a crash of which another entry knew to the event loop.
+func (e *Entry) crashHeard(crash cluster.Crash) {
+	e.post(dispatch.WorkerCrashed{Agent: dispatch.AgentID(crash.Agent), Crash: crash.Crash})
+}
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -239,6 +239,8 @@
 		e.send(f.Agent, runner.ReservationRequested{Session: e.session, Reservation: f.Reservation})
 	case dispatch.AnswerOffer:
 		e.send(f.Agent, runner.OfferAnswered{Session: e.session, Offer: f.Offer})
+	case dispatch.SpreadCrash:
+		e.crashes = append(e.crashes, dispatch.WorkerCrashed{Agent: f.Agent, Crash: f.Crash})
 	case dispatch.Reply:
 		for _, waiter := range f.Waiters {
 			e.answered[waiter](f.Answer)
