--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -161,6 +161,13 @@
 	l.run("a", "durable.0.0.0", 2, runner.OutcomeDone, "")
 	l.handle(dispatch.DurableAccepted{Job: logJob("moved", 1)}, dispatch.DurableDropped{Jobs: []string{"moved"}})
 
+	// Given up after two crashes.
+	l.submit("crashing", 1)
+	for _, incarnation := range []string{"vm-a", "vm-a2"} {
+		run := runner.CrashedRun{RunID: runner.RunID{Task: "crashing.0.0.0", Run: 1}, IsLatest: true}
+		l.handle(dispatch.WorkerCrashed{Agent: "a", Crash: runner.Crash{Incarnation: incarnation, Runs: []runner.CrashedRun{run}}})
+	}
+
 	// Shutdown.
 	l.handle(dispatch.ShutdownRequested{Until: l.now.Add(230 * time.Millisecond)})
 	l.submit("last", 1)
@@ -177,8 +184,8 @@
 		t.Errorf("log lines differ from testdata/decisions.log; got:\n%s", got)
 	}
 	for name, want := range map[string]int64{
-		metric.TasksStarted: 13, metric.TasksEnded: 9,
-		metric.JobsPrefix + "completed": 3, metric.JobsPrefix + "failed": 1,
+		metric.TasksStarted: 13, metric.TasksEnded: 9, metric.TasksGivenUp: 1,
+		metric.JobsPrefix + "completed": 3, metric.JobsPrefix + "failed": 2,
 		metric.JobsPrefix + "not_run": 5, metric.JobsPrefix + "interrupted": 2,
 	} {
 		if got := l.entry.metrics.Value(name); got != want {
