Count a crash for giving up only if the run had begun for certain

Change: reports tell which runs had begun for certain. The others do not count as the second or third crash; the fifth crash of all gives a task up, as five starts are what the users' rules allow. What an entry infers from a lost session counts as certain only if the agent had reported the start.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -18,12 +18,14 @@
 // agent that comes back describes another incarnation of its worker than before its session was lost.
 //
 // Rule: a task under which a worker has crashed is a suspect until a run of it is done. It is given up with the second crash
-// if its run was the latest on that worker, and with the third in any case. A task that is given up does not run again, at this
-// entry or at another one: its job has failed, and fails again when it is submitted.
+// if its run was the latest on that worker, and with the third in any case. Crashes under runs that may not have begun, as the
+// start had no answer, do not count for that, but the fifth crash of all gives the task up too. A task that is given up does not
+// run again, at this entry or at another one: its job has failed, and fails again when it is submitted.
 //
 // Reason: a task may crash each worker that starts it. Each crash ends all other runs on the worker, which is away for
 // seconds. All tasks on the worker are suspects, and agents start nothing beside one for some time (runner/suspect.go): the
-// task that crashes its worker is then the latest one there, while another one is only hit by chance. The crashes are
+// task that crashes its worker is then the latest one there, while another one is only hit by chance. A start without an
+// answer was often sent to a worker that had crashed before for another reason. The crashes are
 // counted by task, not by job under way: the job may be dropped and submitted again, here or at another entry, or get another
 // owner. Every entry hears of every crash that its agents see.
 //
@@ -39,6 +41,9 @@
 	maxIsolatedCrashes = 2
 	// maxCrashes is how many workers may crash under a task in any case. After three the users' rules allow two more starts.
 	maxCrashes = 3
+	// maxPossibleCrashes is the same with those crashes before which the run may not have begun: the users' rules allow five
+	// starts if each of them crashes a worker.
+	maxPossibleCrashes = 5
 	// suspicionTime is how long a crash counts. Design: longer than callers submit a job again and than the state of an ended
 	// job is kept; not measured.
 	suspicionTime = 2 * time.Minute
@@ -51,7 +56,8 @@
 	Agent       AgentID
 	Incarnation string
 	Run         uint32
-	// IsLatest is set if no other run was started on the worker after this one.
+	// HasBegun is set if the run had begun for certain, and IsLatest if no other run had begun on the worker after it.
+	HasBegun bool
 	IsLatest bool
 }
 
@@ -66,15 +72,20 @@
 // suspects holds the tasks under which workers have crashed, by their names.
 type suspects map[string]suspicion
 
-// add counts a crash. It returns false if that tells nothing new: the crash was counted before, and not as one of which it is
-// unknown whether the run was the latest.
+// learn adds what another report of the same crash tells, and returns false if that is nothing new.
+func (c *Crash) learn(again Crash) bool {
+	isNew := again.HasBegun && !c.HasBegun || again.IsLatest && !c.IsLatest
+	c.HasBegun = c.HasBegun || again.HasBegun
+	c.IsLatest = c.IsLatest || again.IsLatest
+	return isNew
+}
+
+// add counts a crash. It returns false if that tells nothing new.
 func (s suspects) add(now time.Time, task string, crash Crash) bool {
 	known := s[task]
 	isSame := func(other Crash) bool { return other.Agent == crash.Agent && other.Incarnation == crash.Incarnation }
 	if at := slices.IndexFunc(known.crashes, isSame); at >= 0 {
-		isNew := crash.IsLatest && !known.crashes[at].IsLatest
-		known.crashes[at].IsLatest = known.crashes[at].IsLatest || crash.IsLatest
-		return isNew
+		return known.crashes[at].learn(crash)
 	}
 	if len(known.crashes) == 0 && len(s) >= maxSuspects {
 		s.forgetOldest()
@@ -111,10 +122,18 @@
 // mustGiveUp reports whether so many workers have crashed under a task that it is not run again.
 func (s suspects) mustGiveUp(task string) bool {
 	crashes := s[task].crashes
-	if len(crashes) >= maxCrashes {
+	begun := 0
+	for _, c := range crashes {
+		if c.HasBegun {
+			begun++
+		}
+	}
+	switch {
+	case len(crashes) >= maxPossibleCrashes, begun >= maxCrashes:
 		return true
+	default:
+		return begun >= maxIsolatedCrashes && crashes[len(crashes)-1].IsLatest
 	}
-	return len(crashes) >= maxIsolatedCrashes && crashes[len(crashes)-1].IsLatest
 }
 
 // isSuspect reports whether a worker has crashed under a task.
@@ -127,7 +146,7 @@
 func (d *Dispatcher) workerCrashed(now time.Time, agent AgentID, crash runner.Crash) {
 	isSpread := false
 	for _, run := range crash.Runs {
-		counted := Crash{Agent: agent, Incarnation: crash.Incarnation, Run: run.Run, IsLatest: run.IsLatest}
+		counted := Crash{Agent: agent, Incarnation: crash.Incarnation, Run: run.Run, HasBegun: run.HasBegun, IsLatest: run.IsLatest}
 		isNew := d.suspects.add(now, run.Task, counted)
 		if isNew && !isSpread {
 			isSpread = true
@@ -178,13 +197,13 @@
 	for _, j := range d.jobsByArrival() {
 		for _, t := range j.tasks {
 			if t.isAt(a.id) {
-				lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: t.name, Run: t.run}})
+				lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: t.name, Run: t.run}, HasBegun: t.hasBegun})
 			}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.endingRuns)) {
 		if run := d.endingRuns[name]; run.agent == a.id && run.endedBy.IsZero() {
-			lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: name, Run: run.run}})
+			lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: name, Run: run.run}, HasBegun: run.hasBegun})
 		}
 	}
 	if len(lost.runs) > 0 {
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -98,6 +98,8 @@
 type endingRun struct {
 	agent AgentID
 	run   uint32
+	// hasBegun is set if the agent has reported that it began.
+	hasBegun bool
 	// endedBy is when the run has ended at the latest, zero while its agent is in session and reports the end.
 	endedBy time.Time
 }
@@ -120,7 +122,8 @@
 func (d *Dispatcher) boundEndingRuns(now time.Time, id AgentID) {
 	for name, run := range d.endingRuns {
 		if run.agent == id && run.endedBy.IsZero() {
-			d.endingRuns[name] = endingRun{agent: id, run: run.run, endedBy: now.Add(timing.RerunDelay)}
+			run.endedBy = now.Add(timing.RerunDelay)
+			d.endingRuns[name] = run
 		}
 	}
 }
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -138,7 +139,8 @@
 	return s.handle(WorkerDescribed{Agent: agent, Record: record})
 }
 
-// crash parses the crash of an incarnation: its id, then TASK=RUN for each run, TASK=(RUN,latest) for the latest one.
+// crash parses the crash of an incarnation: its id, then TASK=RUN for each run that has begun, TASK=(RUN,latest) for
+// the latest one, TASK=(RUN,unanswered) for one whose start had no answer.
 func (s *script) crash(d *datadriven.TestData) runner.Crash {
 	crash := runner.Crash{Incarnation: d.CmdArgs[0].Key}
 	for _, arg := range d.CmdArgs[1:] {
@@ -149,7 +151,10 @@
 		if err != nil {
 			s.t.Fatal(err)
 		}
-		crash.Runs = append(crash.Runs, runner.CrashedRun{RunID: runner.RunID{Task: arg.Key, Run: uint32(run)}, IsLatest: len(arg.Vals) > 1})
+		crash.Runs = append(crash.Runs, runner.CrashedRun{
+			RunID:    runner.RunID{Task: arg.Key, Run: uint32(run)},
+			HasBegun: !slices.Contains(arg.Vals, "unanswered"), IsLatest: slices.Contains(arg.Vals, "latest"),
+		})
 	}
 	return crash
 }
@@ -211,7 +216,7 @@
 func describeCrashes(crashes []Crash) string {
 	var text string
 	for _, c := range crashes {
-		text += fmt.Sprintf(" [run=%d at %s of %s latest=%t]", c.Run, c.Incarnation, c.Agent, c.IsLatest)
+		text += fmt.Sprintf(" [run=%d at %s of %s begun=%t latest=%t]", c.Run, c.Incarnation, c.Agent, c.HasBegun, c.IsLatest)
 	}
 	return text
 }
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -12,8 +12,8 @@
 //
 // Inputs: how the worker's incarnation ended, whether it was draining, the state of the runs on it.
 // Rule: an incarnation has crashed if the worker does not listen or another incarnation answers or reports, and it was not
-// draining. The crash is reported to every entry in session, with the runs of which the worker had accepted the start or may
-// have; and again on each session that opens within crashReportTime.
+// draining. The crash is reported to every entry in session, with the runs that had begun and those whose start had no answer;
+// and again on each session that opens within crashReportTime.
 // Reason: any of these runs may have caused the crash, and would cause the next one on another worker. Every entry has to know,
 // also one whose session was cut at that moment, as the job may be submitted again there.
 // Measured: not applicable; with package dispatch, TestATaskThatCrashesItsWorkersIsGivenUp in package overload.
@@ -42,7 +42,9 @@
 // CrashedRun is a run that was on a worker when it crashed.
 type CrashedRun struct {
 	RunID
-	// IsLatest is set if no other run was started on the worker after it.
+	// HasBegun is set if the worker had accepted the start or listed the run. Otherwise the worker may have crashed before.
+	HasBegun bool
+	// IsLatest is set if it has begun, and none of the others was started after it.
 	IsLatest bool
 }
 
@@ -62,14 +64,14 @@
 func crashedRuns(active []*task) []CrashedRun {
 	var latest *task
 	for _, t := range active {
-		if t.mayHaveCrashed() && (latest == nil || t.startNumber > latest.startNumber) {
+		if t.hasBegun && (latest == nil || t.startNumber > latest.startNumber) {
 			latest = t
 		}
 	}
 	var runs []CrashedRun
 	for _, t := range active {
 		if t.mayHaveCrashed() {
-			runs = append(runs, CrashedRun{RunID: t.id(), IsLatest: t == latest})
+			runs = append(runs, CrashedRun{RunID: t.id(), HasBegun: t.hasBegun, IsLatest: t == latest})
 		}
 	}
 	return runs
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -210,7 +210,7 @@
 func describeRuns(runs []CrashedRun) string {
 	var text string
 	for _, run := range runs {
-		text += fmt.Sprintf(" [%s run=%d latest=%t]", run.Task, run.Run, run.IsLatest)
+		text += fmt.Sprintf(" [%s run=%d begun=%t latest=%t]", run.Task, run.Run, run.HasBegun, run.IsLatest)
 	}
 	return text
 }
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -37,6 +37,7 @@
 func (r *Runner) start(now time.Time, t *task) {
 	t.state = stateStarting
 	t.isRequeued = false
+	t.hasBegun = false
 	t.began = now
 	r.lastStart++
 	t.startNumber = r.lastStart
@@ -96,6 +97,7 @@
 // markStarted reports that a run has begun.
 func (r *Runner) markStarted(t *task) {
 	t.state = stateRunning
+	t.hasBegun = true
 	t.mayHaveRun = true
 	r.sendUpdate(t.session, Update{Name: t.Name, Run: t.Run, Outcome: OutcomeStarted})
 }
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -44,6 +44,8 @@
 	// began is when the start of the current run was sent, and startNumber counts the starts that were sent to the worker.
 	began       time.Time
 	startNumber uint64
+	// hasBegun is set once the current run has begun for certain.
+	hasBegun bool
 	// stop is the stop of the current run in stateStopping.
 	stop *stop
 	// fence is the fencing token of the latest start. In stateChecking, a listing that was requested with a higher one
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -135,7 +135,7 @@
 func packCrash(c runner.Crash) *sessionpb.FromAgent {
 	crash := &sessionpb.Crash{Incarnation: c.Incarnation}
 	for _, run := range c.Runs {
-		crash.Runs = append(crash.Runs, &sessionpb.CrashedRun{Task: run.Task, Run: run.Run, Latest: run.IsLatest})
+		crash.Runs = append(crash.Runs, &sessionpb.CrashedRun{Task: run.Task, Run: run.Run, Begun: run.HasBegun, Latest: run.IsLatest})
 	}
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Crash{Crash: crash}}
 }
@@ -143,7 +143,9 @@
 func unpackCrash(c *sessionpb.Crash) runner.Crash {
 	crash := runner.Crash{Incarnation: c.Incarnation}
 	for _, run := range c.Runs {
-		crash.Runs = append(crash.Runs, runner.CrashedRun{RunID: runner.RunID{Task: run.Task, Run: run.Run}, IsLatest: run.Latest})
+		crash.Runs = append(crash.Runs, runner.CrashedRun{
+			RunID: runner.RunID{Task: run.Task, Run: run.Run}, HasBegun: run.Begun, IsLatest: run.Latest,
+		})
 	}
 	return crash
 }
