native: test that a task that crashes backend servers runs once

By reading, a task that may have run is never run again there, and only a task whose connection was refused is placed on another worker; owners and entries keep the answer of the key. Measured: three submissions of one key at two entries, all three backend servers close the connection at each task: one start. No change was needed.

--- a/internal/native/systemtest/failure_test.go
+++ b/internal/native/systemtest/failure_test.go
@@ -280,6 +280,23 @@
 	}
 }
 
+// A task may crash each backend server that starts it, as it may crash the workers of the users' platform: it runs once all the
+// same, whoever submits it again, since a task that may have run is not run again on this path.
+func TestATaskThatCrashesBackendServersRunsOnce(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, 3, 2)
+	for _, b := range s.backends {
+		s.send(http.MethodPost, b.address, backendstandin.PathBehaviour, backendstandin.Behaviour{Mode: backendstandin.ModeHangUp})
+	}
+	j := newJob(t, 1)
+	for _, entry := range []*process{s.entries[0], s.entries[1], s.entries[0]} {
+		if a, err := j.submit(entry); err != nil || a.Status != "failed" || !a.MayHaveRun {
+			t.Errorf("got %+v, %v", a, err)
+		}
+	}
+	s.check(j, s.starts())
+}
+
 func TestConfigurationReachesEveryNodeAndSurvivesRestarts(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, 3, 2)
