Count leases, sessions, claims and deadlines on a clock that goes on while the VM is suspended

Cause: the steady clock of package time stands still while a VM is suspended, so a process that wakes believed in rights that had ended: an agent would start messages that waited in its sockets on sessions that were over, while the entry had run the tasks again; an entry in its claims of shards and in its callers' deadlines. Ruled out: messages that wait at an entry in sessions that have ended. Their agents closed them; ends that they carry are true, starts sent over them reach nobody, and the delay before a rerun counts from the end of the session as the entry sees it, which is later than the true one. Why it is safe: times of one process are compared only with each other; none goes over the wire as a point in time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/logging"
 	"sailhead/internal/metric"
@@ -148,8 +149,8 @@
 // shutDown rejects new tasks and waits until none is left, or until only stopMargin of Settings.StopTimeout remains.
 func (a *Agent) shutDown() {
 	a.post(runner.ShutdownRequested{})
-	deadline := time.Now().Add(a.settings.StopTimeout - stopMargin)
-	for time.Now().Before(deadline) {
+	deadline := clock.Now().Add(a.settings.StopTimeout - stopMargin)
+	for clock.Now().Before(deadline) {
 		time.Sleep(tickInterval)
 		if a.status.isIdle() {
 			_ = level.Info(a.logger).Log("msg", "stopped")
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
@@ -14,9 +15,9 @@
 // have been delayed, and the entry may run the task elsewhere after that.
 func (a *Agent) callStart(e runner.CallStart) {
 	var result worker.StartResult = worker.Invalid{Reason: "the session ended before the start"}
-	if now := time.Now(); !now.After(e.Before) {
+	if now := clock.Now(); !now.After(e.Before) {
 		result = a.worker.Start(e.Incarnation, e.Start)
-		a.runs.startAnswered(result, time.Since(now))
+		a.runs.startAnswered(result, clock.Since(now))
 	}
 	a.post(runner.StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Result: result})
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/metric"
 	"sailhead/internal/runner"
 )
@@ -43,7 +44,7 @@
 // handle applies an event to the runner and carries out its effects.
 func (a *Agent) handle(event runner.Event) {
 	a.logEvent(event)
-	for _, effect := range a.runner.Handle(time.Now(), event) {
+	for _, effect := range a.runner.Handle(clock.Now(), event) {
 		a.apply(effect)
 	}
 	a.publish()
@@ -58,7 +59,7 @@
 	case runner.CallStop:
 		go a.callStop(e)
 	case runner.CallRenew:
-		go a.callRenew(e, time.Now())
+		go a.callRenew(e, clock.Now())
 	case runner.SendUpdate:
 		a.runs.updated(e.Update)
 		a.logUpdate(e.Update)
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster/clusterpb"
 	"sailhead/internal/worker"
 )
@@ -209,7 +210,7 @@
 func (d *Directory) summary() *clusterpb.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(time.Now())}
+	return &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(clock.Now())}
 }
 
 // viewFor returns the directory as a message to another process, whose summary is known: with the members if they differ, and
@@ -218,7 +219,7 @@
 func (d *Directory) viewFor(other *clusterpb.View, withDocument bool) *clusterpb.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	view := &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(time.Now())}
+	view := &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(clock.Now())}
 	if d.digest != other.Digest {
 		for _, m := range d.members {
 			view.Members = append(view.Members, m.message())
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster/clusterpb"
 )
 
@@ -69,7 +70,7 @@
 func (e *Exchanger) apply(view *clusterpb.View) {
 	e.directory.addMembers(view)
 	for _, message := range view.Crashes {
-		if crash := crashOf(message); e.directory.AddCrash(time.Now(), crash) {
+		if crash := crashOf(message); e.directory.AddCrash(clock.Now(), crash) {
 			e.crashed(crash)
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -44,11 +44,14 @@
 	}
 }
 
-// mayPlace reports whether tasks of a job may be placed now. Jobs that may not do not hold up later ones.
+// mayPlace reports whether tasks of a job may be placed now. Jobs that may not do not hold up later ones. One that has expired
+// waits for its end with the next tick, which is late after a suspension of the VM.
 func (d *Dispatcher) mayPlace(now time.Time, j *job) bool {
 	switch {
 	case j.isDurable:
 		return !d.isShuttingDown() && !d.awaitsAgents(now, j)
+	case now.After(j.expiresAt()):
+		return false
 	case j.lateRetry && !j.everSent:
 		return d.hasSpareCapacity(j.Kind.Service)
 	default:
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/session"
@@ -109,7 +110,7 @@
 // for forgetAfter.
 func (e *Entry) keepSession(ctx context.Context, agent cluster.Member) {
 	delay := minRedialDelay
-	reached := time.Now()
+	reached := clock.Now()
 	defer e.choice.setLost(agent.Name, false)
 	for ctx.Err() == nil {
 		conn, err := session.Dial(ctx, agent.Address, e.self.Name)
@@ -117,12 +118,12 @@
 			delay = minRedialDelay
 			e.choice.setLost(agent.Name, false)
 			err = e.serveSession(ctx, agent, conn)
-			reached = time.Now()
+			reached = clock.Now()
 		}
-		if time.Since(reached) > lostAfter {
+		if clock.Since(reached) > lostAfter {
 			e.choice.setLost(agent.Name, true)
 		}
-		if time.Since(reached) > forgetAfter {
+		if clock.Since(reached) > forgetAfter {
 			e.forgetAgent(agent)
 			return
 		}
@@ -141,5 +142,5 @@
 	if err := e.store.RemoveMember(agent); err != nil {
 		_ = level.Warn(e.logger).Log("msg", "unable to remove the agent's record", "agent", agent.Name, "err", err)
 	}
-	e.directory.ForgetMember(time.Now(), agent)
+	e.directory.ForgetMember(clock.Now(), agent)
 }
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/metric"
@@ -140,8 +141,8 @@
 			e.post(dispatch.AgentWanted{Agent: dispatch.AgentID(name)})
 		case isWanted:
 		case d.unwantedSince.IsZero():
-			d.unwantedSince = time.Now()
-		case time.Since(d.unwantedSince) >= releaseAfter:
+			d.unwantedSince = clock.Now()
+		case clock.Since(d.unwantedSince) >= releaseAfter:
 			e.release(dials, name)
 		}
 	}
@@ -169,7 +170,7 @@
 // close ends the goroutine that keeps the session with an agent, and the session, unless the agent is wanted again.
 func (d dials) close(id dispatch.AgentID) {
 	one, ok := d[string(id)]
-	if !ok || one.unwantedSince.IsZero() || time.Since(one.unwantedSince) < releaseAfter {
+	if !ok || one.unwantedSince.IsZero() || clock.Since(one.unwantedSince) < releaseAfter {
 		return
 	}
 	one.stop()
--- a/internal/entry/durable.go
+++ b/internal/entry/durable.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/durable"
 	"sailhead/internal/metric"
 	"sailhead/internal/session"
@@ -69,7 +70,7 @@
 	store := e.settings.Durable
 	switch effect := effect.(type) {
 	case durable.CallLease:
-		sent := time.Now()
+		sent := clock.Now()
 		e.postDurable(durable.LeaseAnswered{Lease: effect.Lease, Sent: sent, Result: store.Lease(effect.Lease, effect.Time)})
 	case durable.EndLease:
 		store.EndLease(effect.Lease)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
@@ -132,7 +133,7 @@
 	}
 	e.decider = &decider{
 		dispatcher:  dispatch.New(dispatch.Limits{Jobs: settings.Jobs}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		coordinator: e.newCoordinator(), now: time.Now, perform: e.perform,
+		coordinator: e.newCoordinator(), now: clock.Now, perform: e.perform,
 	}
 	e.SetSeeds(settings.Seeds)
 	exchanger, closeExchanger := cluster.NewExchanger(e.directory, configurations.Accept, e.crashHeard)
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
@@ -41,7 +42,7 @@
 		case <-ticker.C:
 			e.accepted.flush(e.logger)
 			events = append(events, dispatch.Ticked{})
-			durableEvent = durable.Ticked{DurableRuns: e.decider.dispatcher.DurableRuns(time.Now())}
+			durableEvent = durable.Ticked{DurableRuns: e.decider.dispatcher.DurableRuns(clock.Now())}
 		}
 		e.decider.expire()
 		if len(events) > 0 {
@@ -139,7 +140,7 @@
 	case dispatch.CloseAgent:
 		e.agentIdle(effect.Agent)
 	case dispatch.SpreadCrash:
-		e.directory.AddCrash(time.Now(), cluster.Crash{Agent: string(effect.Agent), Crash: effect.Crash})
+		e.directory.AddCrash(clock.Now(), cluster.Crash{Agent: string(effect.Agent), Crash: effect.Crash})
 	case dispatch.DecisionMade:
 		e.log(effect)
 	}
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
@@ -23,7 +24,7 @@
 const livenessInterval = 50 * time.Millisecond
 
 // epoch is the origin of the times in agentSession.
-var epoch = time.Now()
+var epoch = clock.Now()
 
 // agentSession is the session with one agent; it hands the agent's messages to the event loop. The session's reading
 // goroutine calls the methods of session.AgentHandler.
@@ -41,7 +42,7 @@
 
 // MessageReceived records that the agent is alive.
 func (s *agentSession) MessageReceived() {
-	s.lastMessage.Store(int64(time.Since(epoch)))
+	s.lastMessage.Store(int64(clock.Since(epoch)))
 }
 
 // Incarnation records which process of the agent the session is with.
@@ -150,7 +151,7 @@
 
 // checkLiveness compares the time since an agent's last message with timing.SuspectAfter and timing.CloseAfter.
 func (e *Entry) checkLiveness(s *agentSession) {
-	silence := time.Since(epoch) - time.Duration(s.lastMessage.Load())
+	silence := clock.Since(epoch) - time.Duration(s.lastMessage.Load())
 	isSuspect := silence > timing.SuspectAfter
 	switch {
 	case silence > timing.CloseAfter:
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
 	"sailhead/internal/metric"
@@ -103,13 +104,13 @@
 // askOwner asks the owner of a job's shard, here or at another entry. While nobody answers as the owner it tries again,
 // up to ownerWait.
 func (e *Entry) askOwner(ctx context.Context, request ownerRequest) durable.Answer {
-	deadline := time.Now().Add(ownerWait)
+	deadline := clock.Now().Add(ownerWait)
 	for {
 		answer := e.askOwnerOnce(ctx, request)
 		if _, isNotOwner := answer.(durable.NotOwner); !isNotOwner {
 			return answer
 		}
-		if time.Now().After(deadline) || !e.pause(ownerPollInterval) {
+		if clock.Now().After(deadline) || !e.pause(ownerPollInterval) {
 			return answer
 		}
 	}
@@ -185,7 +186,7 @@
 
 // HasDurableJobs reports whether there may be durable jobs, so that a job that is unknown here has to be asked for.
 func (e *Entry) HasDurableJobs() bool {
-	return e.shards.mayHaveJobs(time.Now())
+	return e.shards.mayHaveJobs(clock.Now())
 }
 
 // pendingCount is one owner's number of jobs that have not begun; ok is false if it is not known.
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
 )
@@ -53,13 +54,13 @@
 // requests were cut off. The clean-up of New comes after it.
 func (e *Entry) Shutdown(ingress Ingress) error {
 	stopBy := e.BeginShutdown()
-	time.Sleep(min(balancerDelay, time.Until(stopBy)))
-	for ingress.SinceConnection() < quietTime && time.Now().Before(stopBy) {
+	time.Sleep(min(balancerDelay, clock.Until(stopBy)))
+	for ingress.SinceConnection() < quietTime && clock.Now().Before(stopBy) {
 		time.Sleep(shutdownPollInterval)
 	}
 	ingress.StopListening()
 	ingress.CloseIdle()
-	for !e.IsIdle() && time.Now().Before(stopBy) {
+	for !e.IsIdle() && clock.Now().Before(stopBy) {
 		time.Sleep(shutdownPollInterval)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
@@ -71,7 +72,7 @@
 // when the process must have answered everything.
 func (e *Entry) BeginShutdown() (stopBy time.Time) {
 	e.shuttingDown.Store(true)
-	stopBy = time.Now().Add(e.settings.StopTimeout - stopMargin)
+	stopBy = clock.Now().Add(e.settings.StopTimeout - stopMargin)
 	e.post(dispatch.ShutdownRequested{Until: stopBy})
 	e.postDurable(durable.ShutdownRequested{Until: stopBy.Add(-releaseMargin)})
 	_ = level.Info(e.logger).Log("msg", "stopping", "within", e.settings.StopTimeout)
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/durable"
 )
@@ -112,7 +113,7 @@
 
 // applyClaims hands the changed claims to the coordinator.
 func (e *Entry) applyClaims(update StoreUpdate) {
-	isFirst := e.shards.storeUpdated(time.Now(), update.HasDurableJobs)
+	isFirst := e.shards.storeUpdated(clock.Now(), update.HasDurableJobs)
 	for _, claim := range update.Claims {
 		e.postDurable(durable.ClaimObserved{Claim: claim})
 	}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -24,9 +24,14 @@
 	return now.Sub(i.lastAnswered) > timing.WorkerUnresponsiveAfter
 }
 
+// maxClockAge is how old a reading of the worker's clock may be for a lease to be computed from it. The worker's clock stands still
+// while the VM is suspended and this process's does not, so an old reading would give a lease that is longer by the suspension.
+// Every answer brings a new one, at least every idleRenewInterval. Design, not measured.
+const maxClockAge = time.Second
+
 // leaseUntil returns the end of a lease that begins now, on the worker's clock, or zero if that clock is unknown.
 func (r *Runner) leaseUntil(now time.Time) time.Duration {
-	if r.worker.clock == 0 {
+	if r.worker.clock == 0 || now.Sub(r.worker.clockRead) > maxClockAge {
 		return 0
 	}
 	return r.worker.clock + now.Sub(r.worker.clockRead) + r.limits.Lease
@@ -37,6 +42,21 @@
 	return withDrift(r.limits.Lease) + r.limits.Stop
 }
 
+// maxTickGap is the time between two ticks above which this process may have been suspended with its VM. Design: a shorter
+// suspension is within the lease, which is renewed as soon as it is over.
+const maxTickGap = 500 * time.Millisecond
+
+// noteTick lets the lease of the runs end later by the time for which the process may have been suspended: the worker's clock then
+// stood still too, and a run that is reported as lost must have ended. If the process alone was stopped, a listing shows the ends.
+func (r *Runner) noteTick(now time.Time) {
+	gap := now.Sub(r.lastTick)
+	isLate := !r.lastTick.IsZero() && gap > maxTickGap
+	r.lastTick = now
+	if isLate && r.worker != nil && !r.worker.lastRenewal.IsZero() {
+		r.worker.lastRenewal = r.worker.lastRenewal.Add(gap)
+	}
+}
+
 // expireLease reports the runs as lost whose leases must have expired on the worker.
 func (r *Runner) expireLease(now time.Time) {
 	if r.worker.lastRenewal.IsZero() {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -66,9 +66,11 @@
 	reservations []*reservation
 	offers       map[OfferID]*offer
 	// offered is the sum of what is unused of the offers.
-	offered      worker.Resources
-	lastOffer    OfferID
-	lastStart    uint64
+	offered   worker.Resources
+	lastOffer OfferID
+	lastStart uint64
+	// lastTick is when the latest tick was handled.
+	lastTick     time.Time
 	shuttingDown bool
 	health       health
 	// effects collects the effects of the event that is being handled.
@@ -137,6 +139,7 @@
 // tick runs the checks that depend on time. Their order matters: sessions end and queued tasks expire also while no
 // worker is known, and the lease is checked after the renewal.
 func (r *Runner) tick(now time.Time) {
+	r.noteTick(now)
 	r.tickSessions(now)
 	r.expireQueued(now)
 	r.expireOffers(now)
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -115,6 +115,10 @@
 	case "wait":
 		s.now = s.now.Add(time.Duration(number(t, d, "ms", 0)) * time.Millisecond)
 		return s.handle(Ticked{})
+	case "suspend":
+		// Time goes on, and the timers are late: the next event is handled before a tick.
+		s.now = s.now.Add(time.Duration(number(t, d, "ms", 0)) * time.Millisecond)
+		return ""
 	case "shutdown":
 		return s.handle(ShutdownRequested{})
 	default:
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/logging"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
@@ -42,7 +43,7 @@
 func NewServer(listener net.Listener, incarnation int64, post func(runner.Event), logger log.Logger) (*Server, func()) {
 	s := &Server{
 		listener: listener, post: post, logger: logging.NewLimited(logger, failuresPerSecond),
-		incarnation: incarnation, started: time.Now(), open: make(map[runner.SessionID]*connection),
+		incarnation: incarnation, started: clock.Now(), open: make(map[runner.SessionID]*connection),
 	}
 	go s.accept()
 	return s, s.close
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
 	"sailhead/internal/worker"
@@ -51,11 +52,11 @@
 // slack returns the time until StartBy in milliseconds. Times do not go over the wire, as clocks differ; the time of the
 // message on its way is neglected.
 func slack(u runner.Urgency) int32 {
-	return int32(max(math.MinInt32, min(time.Until(u.StartBy).Milliseconds(), math.MaxInt32)))
+	return int32(max(math.MinInt32, min(clock.Until(u.StartBy).Milliseconds(), math.MaxInt32)))
 }
 
 func urgency(hasBegun bool, priority uint32, slackMillis int32) runner.Urgency {
-	startBy := time.Now().Add(time.Duration(slackMillis) * time.Millisecond)
+	startBy := clock.Now().Add(time.Duration(slackMillis) * time.Millisecond)
 	return runner.Urgency{HasBegun: hasBegun, Priority: int(priority), StartBy: startBy}
 }
 
