--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/runner"
 )
 
@@ -22,8 +23,8 @@
 
 func TestCrashesAreExchangedInBothDirections(t *testing.T) {
 	own, other := NewDirectory(), NewDirectory()
-	own.AddCrash(time.Now(), testCrash("own"))
-	other.AddCrash(time.Now(), testCrash("other"))
+	own.AddCrash(clock.Now(), testCrash("own"))
+	other.AddCrash(clock.Now(), testCrash("other"))
 	heard := make(map[string][]Crash)
 	served, closeServed := NewExchanger(other, accept, func(c Crash) { heard["other"] = append(heard["other"], c) })
 	defer closeServed()
--- a/internal/entry/choice_test.go
+++ b/internal/entry/choice_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/subset"
@@ -67,7 +68,7 @@
 	if one.unwantedSince.IsZero() || len(e.events) != 0 {
 		t.Fatal("an agent that was just left out must stay for releaseAfter")
 	}
-	one.unwantedSince = time.Now().Add(-2 * releaseAfter)
+	one.unwantedSince = clock.Now().Add(-2 * releaseAfter)
 	e.releaseUnwanted(all, nil)
 	if event := <-e.events; event != (dispatch.AgentUnwanted{Agent: "agent-1"}) || isStopped {
 		t.Fatalf("event %v, stopped %t: the dispatcher has to be asked first", event, isStopped)
@@ -83,7 +84,7 @@
 func TestAnAgentThatIsWantedAgainKeepsItsSession(t *testing.T) {
 	e := &Entry{context: t.Context(), sessions: newSessionTable(), events: make(chan dispatch.Event, 4), choice: newAgentChoice()}
 	isStopped := false
-	one := &dial{stop: func() { isStopped = true }, unwantedSince: time.Now().Add(-2 * releaseAfter)}
+	one := &dial{stop: func() { isStopped = true }, unwantedSince: clock.Now().Add(-2 * releaseAfter)}
 	all := dials{"agent-1": one}
 	e.releaseUnwanted(all, map[string]cluster.Member{"agent-1": {}})
 	if event := <-e.events; event != (dispatch.AgentWanted{Agent: "agent-1"}) {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sailhead/internal/clock"
 	"sailhead/internal/logging"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
@@ -74,7 +75,7 @@
 	task := runner.Task{
 		Name: "j.0.0.1", Run: 3, Payload: "p", Needs: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Checkpoint: "c",
 		MaxWait: time.Second, Expected: 2 * time.Second, Offer: 5, IsSuspect: true,
-		Urgency: runner.Urgency{HasBegun: true, Priority: 4, StartBy: time.Now().Add(time.Minute)},
+		Urgency: runner.Urgency{HasBegun: true, Priority: 4, StartBy: clock.Now().Add(time.Minute)},
 	}
 	entry.Start(9, task)
 	entry.Stop("j.0.0.1")
@@ -88,7 +89,7 @@
 	}
 	reservation := runner.Reservation{
 		Job: "j", Needs: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Count: 8,
-		Urgency: runner.Urgency{Priority: 2, StartBy: time.Now().Add(-time.Minute)},
+		Urgency: runner.Urgency{Priority: 2, StartBy: clock.Now().Add(-time.Minute)},
 	}
 	entry.Reserve(reservation)
 	entry.AnswerOffer(6)
@@ -131,7 +132,7 @@
 func TestPongCarriesTimeOfPing(t *testing.T) {
 	_, server, entrySide, events := pair(t)
 	opened := next(t, events).(runner.SessionOpened)
-	sent := time.Now().Add(-time.Minute)
+	sent := clock.Now().Add(-time.Minute)
 	server.Send(runner.SendPing{Session: opened.Session, Time: sent})
 	pong := next(t, events).(runner.PongReceived)
 	if got := entrySide.incarnation.Load(); got != 77 {
@@ -150,7 +151,7 @@
 		t.Fatalf("%+v", got)
 	}
 	// Messages on a closed session are dropped.
-	server.Send(runner.SendPing{Session: opened.Session, Time: time.Now()})
+	server.Send(runner.SendPing{Session: opened.Session, Time: clock.Now()})
 }
 
 func TestSessionWithUnreadMessagesIsClosed(t *testing.T) {
@@ -180,11 +181,11 @@
 	start := packStart(100_000, runner.Task{
 		Name: "5c0e7a21d94b36f8.0.1.17", Run: 1, Payload: string(make([]byte, 100)),
 		Needs: worker.Resources{CPU: 3100, Memory: 64}, Expected: 200 * time.Millisecond, Offer: 100_000,
-		Urgency: runner.Urgency{Priority: 1, StartBy: time.Now().Add(100 * time.Millisecond)},
+		Urgency: runner.Urgency{Priority: 1, StartBy: clock.Now().Add(100 * time.Millisecond)},
 	})
 	reserve := packReservation(runner.Reservation{
 		Job: "5c0e7a21d94b36f8", Needs: worker.Resources{CPU: 3100, Memory: 64}, Count: 8,
-		Urgency: runner.Urgency{Priority: 1, StartBy: time.Now().Add(100 * time.Millisecond)},
+		Urgency: runner.Urgency{Priority: 1, StartBy: clock.Now().Add(100 * time.Millisecond)},
 	})
 	offer := packOffer(runner.Offer{ID: 100_000, Job: "5c0e7a21d94b36f8", Resources: worker.Resources{CPU: 24_800, Memory: 512}, Left: 1})
 	update := packUpdate(runner.Update{Name: "5c0e7a21d94b36f8.0.1.17", Run: 1, Outcome: runner.OutcomeDone})
