--- a/internal/entry/choice_test.go
+++ b/internal/entry/choice_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"time"
 
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
