--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -68,7 +67,7 @@
 	worker    Worker
 	store     Store
 	sessions  *session.Server
-	exchanger *cluster.Exchanger
+	announcer *cluster.Announcer
 	logger    log.Logger
 	metrics   *metric.Set
 	runs      runRecorder
@@ -107,8 +106,8 @@
 	}
 	a.SetSeeds(settings.Seeds)
 	a.context, a.cancel = context.WithCancel(context.Background())
-	exchanger, closeExchanger := cluster.NewExchanger(cluster.NewDirectory(), rejectDocument, ignoreCrash)
-	a.exchanger = exchanger
+	announcer, closeAnnouncer := cluster.NewAnnouncer()
+	a.announcer = announcer
 	sessions, closeSessions := session.NewServer(settings.Sessions, a.self.Incarnation, a.post, a.logger)
 	a.sessions = sessions
 	a.goroutines.Go(a.run)
@@ -119,7 +118,7 @@
 		a.shutDown()
 		a.cancel()
 		closeSessions()
-		closeExchanger()
+		closeAnnouncer()
 		a.goroutines.Wait()
 		return nil
 	}
@@ -159,11 +158,3 @@
 	}
 	_ = level.Warn(a.logger).Log("msg", "stopped with tasks that still run")
 }
-
-// rejectDocument rejects the configuration that an entry may send in an exchange: agents have no use for it.
-func rejectDocument([]byte) (uint64, error) {
-	return 0, errors.New("agent: agents accept no configuration")
-}
-
-// ignoreCrash ignores a crash that an entry may pass on in an exchange: entries count them.
-func ignoreCrash(cluster.Crash) {}
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -27,7 +27,7 @@
 	logger := logging.NewLimited(a.logger, announceFailuresPerSecond)
 	for {
 		if seed, ok := a.randomSeed(); ok && !a.status.hasSessions() {
-			if err := a.exchanger.AnnounceTo(a.context, seed, a.self); err != nil {
+			if err := a.announcer.AnnounceTo(a.context, seed, a.self); err != nil {
 				_ = level.Info(logger).Log("msg", "unable to announce the agent", "entry", seed, "err", err)
 			}
 		}
--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sailhead/internal/metric"
 	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
@@ -92,6 +93,17 @@
 		"crash", e.IsCrash, "count", len(e.Runs), "runs", strings.Join(runs, ","))
 }
 
+// evacuationChanged logs and shows whether the worker's availability zone is evacuated. runs are those that go on to their end.
+func (a *Agent) evacuationChanged(e runner.EvacuationChanged) {
+	if e.IsEvacuated {
+		a.metrics.Set(metric.ZonesEvacuated, 1)
+		_ = level.Info(a.logger).Log("msg", "zone evacuated", "zone", e.Zone, "runs", e.Runs)
+		return
+	}
+	a.metrics.Set(metric.ZonesEvacuated, 0)
+	_ = level.Info(a.logger).Log("msg", "zone taken back", "zone", e.Zone, "runs", e.Runs)
+}
+
 // describe returns the name of a result, followed by its reason if it has one. The names are values of log fields and
 // labels of the metric start_time, and keep their form.
 func describe(result worker.Result) string {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -71,6 +71,8 @@
 		a.logDropped(e)
 	case runner.IncarnationEnded:
 		a.logIncarnationEnded(e)
+	case runner.EvacuationChanged:
+		a.evacuationChanged(e)
 	case runner.SendPing, runner.SendWorker, runner.SendLoad, runner.SendOffer, runner.SendCrash:
 		a.sessions.Send(effect)
 	}
@@ -78,11 +80,12 @@
 
 // publish makes the runner's state visible to other goroutines.
 func (a *Agent) publish() {
-	sessions, _, _ := a.runner.Counts()
+	sessions, _, active := a.runner.Counts()
 	idle := a.runner.IsIdle()
 	if a.status.set(idle, sessions) {
 		a.metrics.Set(metric.Sessions, int64(sessions))
 	}
+	a.runs.countActive(active)
 	if idle {
 		a.runs.forgetStarts()
 	}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -19,6 +19,8 @@
 	startTimes *metric.Times
 	// runTimes are the times from a start to the end of the run, by outcome.
 	runTimes *metric.Times
+	// active is the number of tasks that may be on the worker, as last shown.
+	active int
 	// startSent is when the latest start of each task was sent.
 	startSent map[string]time.Time
 }
@@ -38,6 +40,14 @@
 	r.startSent[task] = time.Now()
 }
 
+// countActive shows the number of tasks that may be on the worker.
+func (r *runRecorder) countActive(active int) {
+	if active != r.active {
+		r.active = active
+		r.metrics.Set(metric.ActiveRuns, int64(active))
+	}
+}
+
 // startAnswered records the result of a call to start a run. It is safe for concurrent use.
 func (r *runRecorder) startAnswered(result worker.StartResult, took time.Duration) {
 	kind, _, _ := strings.Cut(describe(result), ":")
--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -26,11 +26,11 @@
 	own.AddCrash(clock.Now(), testCrash("own"))
 	other.AddCrash(clock.Now(), testCrash("other"))
 	heard := make(map[string][]Crash)
-	served, closeServed := NewExchanger(other, accept, func(c Crash) { heard["other"] = append(heard["other"], c) })
+	served, closeServed := NewExchanger(other, testListener{crashed: func(c Crash) { heard["other"] = append(heard["other"], c) }})
 	defer closeServed()
 	server := httptest.NewServer(served.Handler())
 	defer server.Close()
-	caller, closeCaller := NewExchanger(own, accept, func(c Crash) { heard["own"] = append(heard["own"], c) })
+	caller, closeCaller := NewExchanger(own, testListener{crashed: func(c Crash) { heard["own"] = append(heard["own"], c) }})
 	defer closeCaller()
 	for range 2 {
 		if err := caller.ExchangeWith(context.Background(), server.Listener.Addr().String()); err != nil {
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -23,6 +23,7 @@
 
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster/clusterpb"
+	"sailhead/internal/evacuation"
 	"sailhead/internal/worker"
 )
 
@@ -90,6 +91,8 @@
 	digest uint64
 	// crashes are the latest crashes of workers.
 	crashes crashes
+	// evacuations are the latest known changes of the availability zones.
+	evacuations evacuation.State
 	// version is the version of document, or 0 before the first.
 	version  uint64
 	document []byte
@@ -210,7 +213,15 @@
 func (d *Directory) summary() *clusterpb.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(clock.Now())}
+	return d.summaryView()
+}
+
+// summaryView returns what every view holds. The caller holds mu.
+func (d *Directory) summaryView() *clusterpb.View {
+	return &clusterpb.View{
+		Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(clock.Now()),
+		Evacuations: zoneMessages(d.evacuations), EvacuationsAsOf: int64(d.evacuations.AsOf()),
+	}
 }
 
 // viewFor returns the directory as a message to another process, whose summary is known: with the members if they differ, and
@@ -219,7 +230,7 @@
 func (d *Directory) viewFor(other *clusterpb.View, withDocument bool) *clusterpb.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	view := &clusterpb.View{Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(clock.Now())}
+	view := d.summaryView()
 	if d.digest != other.Digest {
 		for _, m := range d.members {
 			view.Members = append(view.Members, m.message())
--- a/internal/cluster/directory_test.go
+++ b/internal/cluster/directory_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"sailhead/internal/cluster/clusterpb"
+	"sailhead/internal/evacuation"
 )
 
 func agentOf(incarnation int64) Member {
@@ -59,15 +60,30 @@
 	}
 }
 
-// accept accepts documents of one byte, which is their version.
-func accept(document []byte) (uint64, error) {
+// testListener accepts documents of one byte, which is their version, and passes the rest on to functions, which may be nil.
+type testListener struct {
+	crashed   func(Crash)
+	evacuated func(evacuation.State)
+}
+
+func (testListener) Accept(document []byte) (uint64, error) {
 	if len(document) != 1 {
 		return 0, errors.New("no document")
 	}
 	return uint64(document[0]), nil
 }
 
-func ignoreCrash(Crash) {}
+func (l testListener) CrashHeard(crash Crash) {
+	if l.crashed != nil {
+		l.crashed(crash)
+	}
+}
+
+func (l testListener) EvacuationsHeard(state evacuation.State) {
+	if l.evacuated != nil {
+		l.evacuated(state)
+	}
+}
 
 func TestExchangeUpdatesBothSides(t *testing.T) {
 	for name, versions := range map[string][2]byte{"caller is newer": {7, 3}, "other is newer": {3, 7}, "same version": {7, 7}} {
@@ -76,11 +92,11 @@
 			own.SetDocument(uint64(versions[0]), []byte{versions[0]})
 			other.SetDocument(uint64(versions[1]), []byte{versions[1]})
 			own.AddMember(agentOf(1))
-			served, closeServed := NewExchanger(other, accept, ignoreCrash)
+			served, closeServed := NewExchanger(other, testListener{})
 			defer closeServed()
 			server := httptest.NewServer(served.Handler())
 			defer server.Close()
-			caller, closeCaller := NewExchanger(own, accept, ignoreCrash)
+			caller, closeCaller := NewExchanger(own, testListener{})
 			defer closeCaller()
 			if err := caller.ExchangeWith(context.Background(), server.Listener.Addr().String()); err != nil {
 				t.Fatal(err)
@@ -105,7 +121,7 @@
 		d.AddMember(agentOf(1))
 		d.AddMember(Member{Name: "entry-1", Role: RoleEntry, Address: "127.0.0.1:2", Incarnation: 1})
 	}
-	served, closeServed := NewExchanger(other, accept, ignoreCrash)
+	served, closeServed := NewExchanger(other, testListener{})
 	defer closeServed()
 	exchange := func(request *clusterpb.View) *clusterpb.View {
 		answer, err := served.Exchange(context.Background(), request)
@@ -137,7 +153,7 @@
 
 func TestInvalidDocumentFromAnotherEntryIsIgnored(t *testing.T) {
 	d := NewDirectory()
-	e, closeExchanger := NewExchanger(d, accept, ignoreCrash)
+	e, closeExchanger := NewExchanger(d, testListener{})
 	defer closeExchanger()
 	other := NewDirectory()
 	other.SetDocument(9, []byte("broken"))
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -13,6 +13,7 @@
 
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster/clusterpb"
+	"sailhead/internal/evacuation"
 )
 
 const (
@@ -22,26 +23,37 @@
 	idleTimeout = 10 * time.Second
 )
 
+// Listener is told what other processes knew and this one did not. Its methods must not block for long.
+type Listener interface {
+	// Accept checks a document and returns its version. A document for which it returns an error is ignored; Accept logs it.
+	Accept(document []byte) (version uint64, err error)
+	// CrashHeard is called with each crash of a worker that was not known.
+	CrashHeard(Crash)
+	// EvacuationsHeard is called when the directory's evacuations have changed, before Accept for a document that came with them.
+	EvacuationsHeard(evacuation.State)
+}
+
 // Exchanger exchanges the content of a directory with other processes.
 type Exchanger struct {
 	directory *Directory
-	// accept checks a document from another process and returns its version.
-	accept func(document []byte) (version uint64, err error)
-	// crashed is called with each crash that was not known.
-	crashed func(Crash)
-	client  *http.Client
+	listener  Listener
+	client    *http.Client
 }
 
-// NewExchanger returns an exchanger for a directory. accept checks a document that another process sent and returns its
-// version; documents for which it returns an error are ignored. crashed is called with each crash of a worker of which another
-// process knew and the directory did not; it must not block for long. The clean-up closes idle connections.
-func NewExchanger(directory *Directory, accept func([]byte) (uint64, error), crashed func(Crash)) (*Exchanger, func()) {
+// NewExchanger returns an exchanger for a directory. The listener is told what comes from other processes. The clean-up closes
+// idle connections.
+func NewExchanger(directory *Directory, listener Listener) (*Exchanger, func()) {
+	client, closeIdle := newClient()
+	return &Exchanger{directory: directory, listener: listener, client: client}, closeIdle
+}
+
+// newClient returns a client for calls to entries. The clean-up closes idle connections.
+func newClient() (*http.Client, func()) {
 	transport := &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: callTimeout}).DialContext,
 		IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1, DisableCompression: true,
 	}
-	e := &Exchanger{directory: directory, accept: accept, crashed: crashed, client: &http.Client{Transport: transport, Timeout: callTimeout}}
-	return e, transport.CloseIdleConnections
+	return &http.Client{Transport: transport, Timeout: callTimeout}, transport.CloseIdleConnections
 }
 
 // Handler returns the HTTP handler for calls from other processes.
@@ -64,20 +76,22 @@
 	return e.directory.summary(), nil
 }
 
-// apply adds the members, the crashes and the document of another entry's view. An error of accept is not logged: agents refuse all
-// documents on purpose, and an entry sends only documents that passed the same check there, where a bad one is logged when
-// it is read from the store.
+// apply adds the evacuations, the members, the crashes and the document of another entry's view, in this order: nothing is placed
+// without agents or a configuration, so neither comes before it is known which availability zones are evacuated.
 func (e *Exchanger) apply(view *clusterpb.View) {
+	if state, isChanged := e.directory.MergeEvacuations(evacuationsOf(view)); isChanged {
+		e.listener.EvacuationsHeard(state)
+	}
 	e.directory.addMembers(view)
 	for _, message := range view.Crashes {
 		if crash := crashOf(message); e.directory.AddCrash(clock.Now(), crash) {
-			e.crashed(crash)
+			e.listener.CrashHeard(crash)
 		}
 	}
 	if len(view.Document) == 0 {
 		return
 	}
-	if version, err := e.accept(view.Document); err == nil {
+	if version, err := e.listener.Accept(view.Document); err == nil {
 		e.directory.SetDocument(version, view.Document)
 	}
 }
@@ -106,9 +120,20 @@
 	return nil
 }
 
-// AnnounceTo sends the record of this process to the entry at an address. An error names the address.
-func (e *Exchanger) AnnounceTo(ctx context.Context, address string, self Member) error {
-	client := clusterpb.NewClusterProtobufClient("http://"+address, e.client)
+// Announcer announces a process to entries.
+type Announcer struct {
+	client *http.Client
+}
+
+// NewAnnouncer returns an announcer. The clean-up closes idle connections.
+func NewAnnouncer() (*Announcer, func()) {
+	client, closeIdle := newClient()
+	return &Announcer{client: client}, closeIdle
+}
+
+// AnnounceTo sends the record of a process to the entry at an address. An error names the address.
+func (a *Announcer) AnnounceTo(ctx context.Context, address string, self Member) error {
+	client := clusterpb.NewClusterProtobufClient("http://"+address, a.client)
 	view := &clusterpb.View{Members: []*clusterpb.Member{self.message()}}
 	if _, err := client.Announce(ctx, view); err != nil {
 		return errors.Wrapf(err, "cluster: unable to announce to %s", address)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -38,6 +38,10 @@
 func (d *Dispatcher) admit(now time.Time, e Submitted) {
 	j := newJob(now, e.Job, d.runTimes)
 	j.waiters = []Waiter{e.Waiter}
+	if reason := d.evacuatedReason(j); reason != "" {
+		d.finish(now, j, d.evacuatedAnswer(reason))
+		return
+	}
 	if reason := d.refusalReason(now, j); reason != "" {
 		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.soon()})
 		return
@@ -149,13 +153,20 @@
 // describeCapacity returns the figures behind the refusal of a job that could not be placed: CPU in thousandths of a
 // core, numbers of agents and jobs, and the caller's remaining time.
 func (d *Dispatcher) describeCapacity(j *job) string {
-	var accepting, free int
+	var accepting, evacuated, free int
 	for _, a := range d.agents {
+		if a.evacuated {
+			evacuated++
+		}
 		if a.accepts(j.Kind.Service) {
 			accepting++
 			free += max(a.free().CPU, 0)
 		}
 	}
-	return fmt.Sprintf("tasks=%d needs_cpu=%d agents=%d accepting=%d free_cpu=%d waiting=%d overdue=%t patience=%s",
+	text := fmt.Sprintf("tasks=%d needs_cpu=%d agents=%d accepting=%d free_cpu=%d waiting=%d overdue=%t patience=%s",
 		len(j.tasks), j.Steps[0].Needs.CPU, len(d.agents), accepting, free, len(d.waiting), j.lateRetry, j.RemainingTime)
+	if evacuated > 0 {
+		text += fmt.Sprintf(" evacuated=%d", evacuated)
+	}
+	return text
 }
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -20,6 +20,8 @@
 	unresponsive bool
 	// unwanted is set while the session is to be closed; see agentUnwanted.
 	unwanted bool
+	// evacuated is set while the worker's availability zone is evacuated; see evacuation.go.
+	evacuated bool
 	// lastStart is the number of the last start sent in this session.
 	lastStart uint64
 	// uncounted holds the starts that the load does not count yet.
@@ -72,7 +74,12 @@
 
 // accepts reports whether tasks of a service may be placed on the worker.
 func (a *agent) accepts(service string) bool {
-	return !a.unresponsive && !a.unwanted && a.load.Accepts && !a.load.ShuttingDown && a.record.Service == service
+	return !a.unresponsive && a.mayGetTasks() && a.load.Accepts && !a.load.ShuttingDown && a.record.Service == service
+}
+
+// mayGetTasks reports whether the entry starts tasks at the agent at all, whatever the agent says.
+func (a *agent) mayGetTasks() bool {
+	return !a.unwanted && !a.evacuated
 }
 
 // agentUp adds an agent without worker and load. It replaces an agent of the same id.
@@ -129,6 +136,7 @@
 		return
 	}
 	a.record = e.Record
+	a.evacuated = d.evacuations.Has(a.record.Zone)
 	d.forgetReservationsAt(e.Agent)
 	d.emit(DecisionMade{Decision: DecisionWorker{ID: e.Record.ID}, Agent: e.Agent})
 	d.workerReplaced(now, a)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"sailhead/internal/evacuation"
 )
 
 // Limits bounds what a dispatcher holds.
@@ -34,8 +36,12 @@
 	isPlaceDue bool
 	// view counts the changes of which agents accept tasks. Reservations are looked at again when it changes.
 	view uint64
+	// evacuations holds the availability zones in which nothing is started.
+	evacuations evacuation.State
 	// knownAgents is the number of registered agents, with or without a session.
 	knownAgents int
+	// chosenAgents is the number of those with which the entry keeps sessions, open ones or not.
+	chosenAgents int
 	// candidates is a buffer that plans reuse.
 	candidates []candidate
 	// endingRuns holds, by the task's name, the runs of dropped jobs that may not have ended. A job submitted again
@@ -103,7 +109,7 @@
 	case DurableTaskEnded:
 		d.endDurableTask(now, e)
 	case AgentsCounted:
-		d.knownAgents = e.Agents
+		d.knownAgents, d.chosenAgents = e.Agents, e.Chosen
 	case AgentUp:
 		d.agentUp(e.Agent)
 	case AgentUnresponsive:
@@ -126,6 +132,8 @@
 		d.updateRun(now, e)
 	case WorkerCrashed:
 		d.workerCrashed(now, e.Agent, e.Crash)
+	case EvacuationsChanged:
+		d.evacuationsChanged(now, e.State)
 	case ShutdownRequested:
 		d.shutdownAt = e.Until
 	case Ticked:
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -45,5 +45,6 @@
 //	health.go     which workers are healthy
 //	attempts.go   how many failed runs end a job
 //	move.go       when a run is stopped to run elsewhere
+//	evacuation.go what an evacuated availability zone means
 //	rerun.go      when a task runs again after its agent was lost
 package dispatch
--- /dev/null
+++ b/internal/dispatch/evacuation.go
@@ -0,0 +1,85 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"sailhead/internal/evacuation"
+)
+
+// This file decides what an evacuated availability zone means for jobs.
+
+// evacuationsChanged applies which zones are evacuated.
+//
+// Inputs: the evacuated zones, the zones of the workers.
+//
+// Rule: the workers of an evacuated zone get no tasks and no reservations, what is reserved there is cancelled, and offers are
+// not used. Runs that were sent go on to their end. A job of which nothing can have begun is refused once every worker of its
+// service is in an evacuated zone (evacuatedReason).
+//
+// Reason: operators empty a zone before they work on it. Agents refuse starts as well (package runner), for those on their way.
+//
+// Measured: not applicable; random schedules with lost and late news start nothing in an evacuated zone (random_test.go).
+func (d *Dispatcher) evacuationsChanged(now time.Time, state evacuation.State) {
+	d.evacuations = d.evacuations.Merge(state)
+	for _, a := range d.ordered {
+		is := d.evacuations.Has(a.record.Zone)
+		if is == a.evacuated {
+			continue
+		}
+		a.evacuated = is
+		d.agentsChanged()
+		if is {
+			d.cancelReservationsAt(a.id)
+		}
+	}
+	d.refuseEvacuated(now)
+}
+
+// refuseEvacuated ends the waiting jobs of which nothing can have begun and whose workers are all in evacuated zones.
+func (d *Dispatcher) refuseEvacuated(now time.Time) {
+	for _, j := range slices.Clone(d.waiting) {
+		if reason := d.evacuatedReason(j); reason != "" && !j.isDurable && !j.mayHaveBegun() {
+			d.finish(now, j, d.evacuatedAnswer(reason))
+		}
+	}
+}
+
+// evacuatedReason returns why no worker may run the tasks of a job, or "" if one may.
+//
+// Inputs: the agents in session, the services and zones of their workers, the number of agents with which the entry keeps sessions.
+//
+// Rule: there is a worker of the service, all that are known are in evacuated zones, and at least half of the sessions are open.
+//
+// Reason: after a restart the first sessions may all be with agents of evacuated zones; a job waits for the others then, as long
+// as it waits for room.
+//
+// Measured: not applicable; with all sessions but one closed, scripts show the wait and the refusal.
+func (d *Dispatcher) evacuatedReason(j *job) string {
+	evacuated := 0
+	for _, a := range d.ordered {
+		switch {
+		case a.evacuated && a.record.Service == j.Kind.Service:
+			evacuated++
+		case a.record.Service == j.Kind.Service, a.record.ID == "":
+			return ""
+		}
+	}
+	if evacuated == 0 || 2*len(d.agents) < d.chosenAgents {
+		return ""
+	}
+	return "all known workers of the service are in evacuated availability zones"
+}
+
+// evacuatedAnswer returns the answer to a job whose workers are all in evacuated zones.
+//
+// Rule: the caller may retry after RetryAfter.
+//
+// Reason: nobody knows when the operators take a zone back, so the time says only how often it is worth to ask: workers of a
+// zone that was taken back are in use within a second.
+func (d *Dispatcher) evacuatedAnswer(reason string) NotRun {
+	return NotRun{Reason: reason, RetryAfter: RetryAfter}
+}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
@@ -58,8 +59,13 @@
 	Failed bool
 }
 
-// AgentsCounted reports that the number of registered agents, with or without a session, has changed.
-type AgentsCounted struct{ Agents int }
+// AgentsCounted reports that the number of registered agents has changed, or of those with which the entry keeps sessions.
+type AgentsCounted struct {
+	// Agents is the number of registered agents, with or without a session.
+	Agents int
+	// Chosen is the number of those with which the entry keeps sessions, open ones or not.
+	Chosen int
+}
 
 // AgentUp reports that a session with an agent was opened.
 type AgentUp struct{ Agent AgentID }
@@ -113,6 +119,9 @@
 	Crash runner.Crash
 }
 
+// EvacuationsChanged reports which availability zones are evacuated, as far as this entry knows.
+type EvacuationsChanged struct{ State evacuation.State }
+
 // ShutdownRequested reports that the process ends at a given time. Jobs that would end later are refused, and no task
 // of a durable job is placed.
 type ShutdownRequested struct{ Until time.Time }
@@ -120,24 +129,25 @@
 // Ticked lets the dispatcher apply the rules that depend on time alone. It comes at short intervals.
 type Ticked struct{}
 
-func (Submitted) isEvent()         {}
-func (CallerLeft) isEvent()        {}
-func (CancelRequested) isEvent()   {}
-func (StateRequested) isEvent()    {}
-func (DurableAccepted) isEvent()   {}
-func (DurableDropped) isEvent()    {}
-func (DurableTaskEnded) isEvent()  {}
-func (AgentsCounted) isEvent()     {}
-func (AgentUp) isEvent()           {}
-func (AgentUnresponsive) isEvent() {}
-func (AgentResponsive) isEvent()   {}
-func (AgentDown) isEvent()         {}
-func (AgentUnwanted) isEvent()     {}
-func (AgentWanted) isEvent()       {}
-func (WorkerDescribed) isEvent()   {}
-func (LoadReceived) isEvent()      {}
-func (RunUpdated) isEvent()        {}
-func (OfferReceived) isEvent()     {}
-func (WorkerCrashed) isEvent()     {}
-func (ShutdownRequested) isEvent() {}
-func (Ticked) isEvent()            {}
+func (Submitted) isEvent()          {}
+func (CallerLeft) isEvent()         {}
+func (CancelRequested) isEvent()    {}
+func (StateRequested) isEvent()     {}
+func (DurableAccepted) isEvent()    {}
+func (DurableDropped) isEvent()     {}
+func (DurableTaskEnded) isEvent()   {}
+func (AgentsCounted) isEvent()      {}
+func (AgentUp) isEvent()            {}
+func (AgentUnresponsive) isEvent()  {}
+func (AgentResponsive) isEvent()    {}
+func (AgentDown) isEvent()          {}
+func (AgentUnwanted) isEvent()      {}
+func (AgentWanted) isEvent()        {}
+func (WorkerDescribed) isEvent()    {}
+func (LoadReceived) isEvent()       {}
+func (RunUpdated) isEvent()         {}
+func (OfferReceived) isEvent()      {}
+func (WorkerCrashed) isEvent()      {}
+func (EvacuationsChanged) isEvent() {}
+func (ShutdownRequested) isEvent()  {}
+func (Ticked) isEvent()             {}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/timing"
 	"sailhead/internal/worker"
@@ -62,6 +63,12 @@
 	began      map[string]bool
 	// ghosts holds, by the task's name, until when runs of ended sessions may continue.
 	ghosts map[string]time.Time
+	// evacuating draws the operators' changes of the availability zones and the way of their news; nil for none. It is a source of
+	// its own, so that the schedule of a seed is the same without them.
+	evacuating *rand.Rand
+	// history are all changes in order, and told what the dispatcher has been told of.
+	history []evacuation.Change
+	told    evacuation.State
 }
 
 const (
@@ -217,6 +224,9 @@
 	if !a.up {
 		s.t.Fatalf("%s was sent to %s, which has no session", e.Task.Name, e.Agent)
 	}
+	if s.told.Has(zoneOf(a.id)) {
+		s.t.Fatalf("%s was sent to %s, whose availability zone is evacuated", e.Task.Name, e.Agent)
+	}
 	if a.unwanted {
 		s.t.Fatalf("%s was sent to %s, whose session is to be closed", e.Task.Name, e.Agent)
 	}
@@ -295,7 +305,9 @@
 	case !a.up && s.now.Sub(a.downSince) > s.millis(0, 2000):
 		*a = *newFakeAgent(a.id, true)
 		s.handle(AgentUp{Agent: a.id})
-		s.handle(WorkerDescribed{Agent: a.id, Record: worker.Record{ID: "w", Service: "service", Capacity: worker.Resources{CPU: capacity}}})
+		s.handle(WorkerDescribed{Agent: a.id, Record: worker.Record{
+			ID: "w", Service: "service", Zone: zoneOf(a.id), Capacity: worker.Resources{CPU: capacity},
+		}})
 		s.load(a)
 	case a.up && a.isClosing && a.unwanted:
 		*a = fakeAgent{id: a.id, downSince: s.now}
@@ -379,10 +391,61 @@
 		for _, a := range s.agents {
 			s.act(a)
 		}
+		if s.evacuating != nil {
+			s.evacuate()
+		}
 		s.handle(Ticked{})
 	}
 }
 
+// zoneOf returns the availability zone of an agent: there are two.
+func zoneOf(id AgentID) string {
+	return []string{"north", "south"}[id[len(id)-1]%2]
+}
+
+// evacuate changes a zone now and then. News of the changes come late, repeated and in any order, and some are lost.
+func (s *schedule) evacuate() {
+	if s.evacuating.Float64() < 0.01 {
+		zone := []string{"north", "south"}[s.evacuating.IntN(2)]
+		isEvacuated := !evacuation.New(0, s.history).Has(zone)
+		s.history = append(s.history, evacuation.Change{Zone: zone, Revision: evacuation.Revision(len(s.history) + 1), IsEvacuated: isEvacuated})
+	}
+	if len(s.history) > 0 && s.evacuating.Float64() < 0.05 {
+		news := s.history[len(s.history)-1-s.evacuating.IntN(min(len(s.history), 4))]
+		s.tell(evacuation.New(0, []evacuation.Change{news}))
+	}
+}
+
+// tell tells the dispatcher of evacuations. It fails if something is reserved in an evacuated zone afterwards.
+func (s *schedule) tell(state evacuation.State) {
+	s.told = s.told.Merge(state)
+	s.handle(EvacuationsChanged{State: state})
+	for _, a := range s.agents {
+		if a.up && s.told.Has(zoneOf(a.id)) && len(a.reservations) > 0 {
+			s.t.Fatalf("%d reservations at %s, whose availability zone is evacuated", len(a.reservations), a.id)
+		}
+	}
+}
+
+func TestRandomSchedulesWithEvacuationsStartNothingThere(t *testing.T) {
+	for seed := *first; seed < *first+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed)
+		s.evacuating = rand.New(rand.NewPCG(seed, 4))
+		s.run(6*time.Second, true)
+		s.evacuating = nil
+		// The zones are taken back, and used again.
+		s.tell(evacuation.New(evacuation.Revision(len(s.history)+1), nil))
+		s.run(time.Second, true)
+		s.run(4*time.Second, false)
+		if len(s.waiting) > 0 {
+			t.Fatalf("seed %d: %d callers were not answered", seed, len(s.waiting))
+		}
+		if jobs, waiting, _ := s.dispatcher.Counts(); jobs > 0 || waiting > 0 {
+			t.Fatalf("seed %d: %d jobs are under way at the end, %d of them waiting", seed, jobs, waiting)
+		}
+	}
+}
+
 func TestRandomSchedules(t *testing.T) {
 	for seed := *first; seed < *first+uint64(*schedules); seed++ {
 		s := newSchedule(t, seed)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -149,7 +149,8 @@
 // Inputs: the offered resources, the waiting jobs in their order.
 //
 // Rule: the tasks of the most urgent waiting jobs that fit use the offer, whichever job it was made for. A task uses no offer
-// of a worker that it avoids, unless it avoids all. Offers of an agent whose session is to be closed are not used.
+// of a worker that it avoids, unless it avoids all. Offers of an agent whose session is to be closed, or whose availability zone
+// is evacuated, are not used.
 //
 // Reason: the job that led to the offer may have been placed meanwhile.
 //
@@ -167,7 +168,7 @@
 	d.sortWaiting(now)
 	left := e.Offer.Resources
 	for _, j := range d.waiting {
-		if !a.unwanted && j.Kind.Service == a.record.Service && j.canUse(left) && d.mayPlace(now, j) {
+		if a.mayGetTasks() && j.Kind.Service == a.record.Service && j.canUse(left) && d.mayPlace(now, j) {
 			left = d.placeInOffer(now, j, a, e.Offer.ID, left)
 		}
 	}
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
@@ -29,6 +30,8 @@
 	printsAnswers bool
 	// printsReservations is set once the command "reservations" came.
 	printsReservations bool
+	// revision is that of the latest change of an availability zone.
+	revision evacuation.Revision
 }
 
 func TestScripts(t *testing.T) {
@@ -70,6 +73,10 @@
 	case "reservations":
 		s.printsReservations = true
 		return ""
+	case "evacuate", "take_back":
+		return s.evacuate(d.CmdArgs[0].Key, d.Cmd == "evacuate", evacuation.Revision(number(d, "revision", 0)))
+	case "chosen":
+		return s.handle(AgentsCounted{Agents: number(d, "agents", 0), Chosen: number(d, "agents", 0)})
 	case "offer":
 		return s.handle(OfferReceived{Agent: AgentID(d.CmdArgs[0].Key), Offer: runner.Offer{
 			ID: runner.OfferID(number(d, "id", 1)), Job: text(d, "job"), Left: number(d, "left", 0),
@@ -133,13 +140,23 @@
 	}})
 }
 
+// evacuate changes an availability zone, at the next revision unless one is given.
+func (s *script) evacuate(zone string, isEvacuated bool, revision evacuation.Revision) string {
+	if revision == 0 {
+		s.revision++
+		revision = s.revision
+	}
+	change := evacuation.Change{Zone: zone, Revision: revision, IsEvacuated: isEvacuated}
+	return s.handle(EvacuationsChanged{State: evacuation.New(0, []evacuation.Change{change})})
+}
+
 // describeWorker describes the worker of an agent. Its incarnation is "w" unless the argument "id" says otherwise.
 func (s *script) describeWorker(agent AgentID, d *datadriven.TestData) string {
 	id := text(d, "id")
 	if id == "" {
 		id = "w"
 	}
-	record := worker.Record{ID: id, Service: "svc", Capacity: worker.Resources{CPU: number(d, "cpu", 8000)}}
+	record := worker.Record{ID: id, Service: "svc", Zone: text(d, "zone"), Capacity: worker.Resources{CPU: number(d, "cpu", 8000)}}
 	return s.handle(WorkerDescribed{Agent: agent, Record: record})
 }
 
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -14,6 +14,7 @@
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
+	"sailhead/internal/evacuation"
 	"sailhead/internal/metric"
 	"sailhead/internal/subset"
 )
@@ -35,6 +36,8 @@
 // agentChoice holds what the choice of the agents depends on beside the directory. It is safe for concurrent use.
 type agentChoice struct {
 	mu sync.Mutex
+	// evacuations are the availability zones in which no agent gets tasks.
+	evacuations evacuation.State
 	// lost are the agents that could not be reached for lostAfter.
 	lost map[string]bool
 	// needsAll is set once there may be durable jobs: the end of a durable task is reported to the entries in session, and
@@ -65,6 +68,14 @@
 	c.notify()
 }
 
+// setEvacuations sets the availability zones in which no agent gets tasks.
+func (c *agentChoice) setEvacuations(state evacuation.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuations = c.evacuations.Merge(state)
+	c.notify()
+}
+
 // requireAll makes the entry keep sessions with all agents from now on.
 func (c *agentChoice) requireAll() {
 	c.mu.Lock()
@@ -84,18 +95,20 @@
 	}
 }
 
-// choose returns the names of the agents to keep sessions with, of those given, and how many of them are lost. isChanged
-// reports whether their number differs from the previous choice.
-func (c *agentChoice) choose(entry string, agents []string, entries int) (chosen []string, lost int, isChanged bool) {
+// choose returns the names of the agents to keep sessions with, of those given, and how many of them get no tasks: they are lost,
+// or in an evacuated availability zone. Others are chosen beside these, whose sessions stay, as runs may go on there. isChanged
+// reports whether the number of the chosen differs from the previous choice.
+func (c *agentChoice) choose(entry string, agents map[string]cluster.Member, entries int) (chosen []string, lost int, isChanged bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	size := subset.Size(len(agents), entries)
 	if c.needsAll {
 		size = len(agents)
 	}
-	chosen = subset.Choose(entry, agents, size, func(agent string) bool { return c.lost[agent] })
+	isLost := func(agent string) bool { return c.lost[agent] || c.evacuations.Has(agents[agent].Zone) }
+	chosen = subset.Choose(entry, slices.Collect(maps.Keys(agents)), size, isLost)
 	for _, agent := range chosen {
-		if c.lost[agent] {
+		if isLost(agent) {
 			lost++
 		}
 	}
@@ -106,28 +119,27 @@
 
 // chooseAgents returns the agents with which the entry keeps sessions, of those that are registered.
 func (e *Entry) chooseAgents(agents map[string]cluster.Member) map[string]cluster.Member {
-	e.countAgents(len(agents))
-	names := slices.Collect(maps.Keys(agents))
 	entries := len(e.directory.Members(cluster.RoleEntry))
-	chosen, lost, isChanged := e.choice.choose(e.self.Name, names, entries)
+	chosen, lost, isChanged := e.choice.choose(e.self.Name, agents, entries)
+	e.countAgents(len(agents), len(chosen))
 	wanted := make(map[string]cluster.Member, len(chosen))
 	for _, name := range chosen {
 		wanted[name] = agents[name]
 	}
 	if isChanged {
-		e.metrics.Set(metric.AgentsChosen, int64(len(chosen)))
 		_ = level.Info(e.logger).Log("msg", "agents chosen", "agents", len(chosen), "of", len(agents), "lost", lost, "entries", entries)
 	}
 	return wanted
 }
 
-// countAgents tells the dispatcher how many agents are registered, if that has changed.
-func (e *Entry) countAgents(agents int) {
-	if e.metrics.Value(metric.AgentsKnown) == int64(agents) {
+// countAgents tells the dispatcher how many agents are registered and how many of them are chosen, if that has changed.
+func (e *Entry) countAgents(agents, chosen int) {
+	if e.metrics.Value(metric.AgentsKnown) == int64(agents) && e.metrics.Value(metric.AgentsChosen) == int64(chosen) {
 		return
 	}
 	e.metrics.Set(metric.AgentsKnown, int64(agents))
-	e.post(dispatch.AgentsCounted{Agents: agents})
+	e.metrics.Set(metric.AgentsChosen, int64(chosen))
+	e.post(dispatch.AgentsCounted{Agents: agents, Chosen: chosen})
 }
 
 // releaseUnwanted asks the dispatcher to close the sessions with agents that were left out of the subset for releaseAfter, and
--- a/internal/entry/choice_test.go
+++ b/internal/entry/choice_test.go
@@ -14,17 +14,19 @@
 	"sailhead/internal/subset"
 )
 
-func agentNames(count int) []string {
-	var names []string
+// agentMembers returns so many agents by name, in three availability zones in turn.
+func agentMembers(count int) map[string]cluster.Member {
+	agents := make(map[string]cluster.Member)
 	for i := range count {
-		names = append(names, fmt.Sprintf("agent-%d", i))
+		name := fmt.Sprintf("agent-%d", i)
+		agents[name] = cluster.Member{Name: name, Zone: string(rune('a' + i%3))}
 	}
-	return names
+	return agents
 }
 
 func TestALostAgentIsReplacedUntilItComesBack(t *testing.T) {
 	c := newAgentChoice()
-	agents := agentNames(240)
+	agents := agentMembers(240)
 	before, _, _ := c.choose("entry", agents, 55)
 	if len(before) != subset.MinAgents {
 		t.Fatalf("%d agents, want %d", len(before), subset.MinAgents)
@@ -47,7 +49,7 @@
 func TestDurableJobsNeedSessionsWithAllAgents(t *testing.T) {
 	c := newAgentChoice()
 	c.requireAll()
-	if chosen, _, _ := c.choose("entry", agentNames(240), 55); len(chosen) != 240 {
+	if chosen, _, _ := c.choose("entry", agentMembers(240), 55); len(chosen) != 240 {
 		t.Errorf("%d of 240 agents", len(chosen))
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,8 @@
 
 	sessions *sessionTable
 	choice   *agentChoice
+	// evacuations are those that were logged; the directory has those in force.
+	evacuations shownEvacuations
 	// idleAgents are agents whose sessions may be closed, from the event loop to the duty connect.
 	idleAgents chan dispatch.AgentID
 	shards     shardView
@@ -136,7 +138,7 @@
 		coordinator: e.newCoordinator(), now: clock.Now, perform: e.perform,
 	}
 	e.SetSeeds(settings.Seeds)
-	exchanger, closeExchanger := cluster.NewExchanger(e.directory, configurations.Accept, e.crashHeard)
+	exchanger, closeExchanger := cluster.NewExchanger(e.directory, e)
 	e.exchanger = exchanger
 	stopServing := servePeers(settings.Peers, exchanger, e)
 	e.directory.AddMember(e.self)
--- /dev/null
+++ b/internal/entry/evacuation.go
@@ -0,0 +1,52 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"sync"
+
+	"github.com/go-kit/log/level"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/evacuation"
+	"sailhead/internal/metric"
+)
+
+// EvacuationsHeard passes on what the directory now knows of the evacuated availability zones: to the dispatcher, which places
+// nothing there, to the agents in session, which start nothing, and to the choice of agents. It implements cluster.Listener.
+//
+// Calls for two changes may overtake each other. All receivers merge the states, so the newest change of each zone counts.
+func (e *Entry) EvacuationsHeard(state evacuation.State) {
+	e.evacuations.show(e, state)
+	e.post(dispatch.EvacuationsChanged{State: state})
+	for _, s := range e.sessions.all() {
+		s.conn.SendEvacuations(state)
+	}
+	e.choice.setEvacuations(state)
+}
+
+// shownEvacuations is what was logged and counted of the evacuated availability zones. It is safe for concurrent use.
+type shownEvacuations struct {
+	mu    sync.Mutex
+	state evacuation.State
+}
+
+// show logs each availability zone that was evacuated or taken back since the last call, and counts the evacuated ones.
+func (s *shownEvacuations) show(e *Entry, state evacuation.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.state
+	s.state = before.Merge(state)
+	for _, zone := range s.state.Zones() {
+		if !before.Has(zone) {
+			_ = level.Info(e.logger).Log("msg", "zone evacuated", "zone", zone)
+		}
+	}
+	for _, zone := range before.Zones() {
+		if !s.state.Has(zone) {
+			_ = level.Info(e.logger).Log("msg", "zone taken back", "zone", zone)
+		}
+	}
+	e.metrics.Set(metric.ZonesEvacuated, int64(len(s.state.Zones())))
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -109,7 +109,16 @@
 	}
 }
 
-// crashHeard hands a crash of which another entry knew to the event loop.
-func (e *Entry) crashHeard(crash cluster.Crash) {
+// Accept checks a configuration of another entry and takes it into use if it is newer. It implements cluster.Listener.
+func (e *Entry) Accept(document []byte) (version uint64, err error) {
+	version, err = e.configurations.Accept(document)
+	if err != nil {
+		_ = e.others.Log("msg", "unable to use the configuration of another entry", "err", err)
+	}
+	return version, err
+}
+
+// CrashHeard hands a crash of which another entry knew to the event loop. It implements cluster.Listener.
+func (e *Entry) CrashHeard(crash cluster.Crash) {
 	e.post(dispatch.WorkerCrashed{Agent: dispatch.AgentID(crash.Agent), Crash: crash.Crash})
 }
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -126,6 +126,8 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	e.sessions.add(s)
+	// After the session was added, so that a change in between goes to the agent too.
+	conn.SendEvacuations(e.directory.Evacuations())
 	e.post(dispatch.AgentUp{Agent: s.id})
 	err := conn.Serve(s)
 	e.sessions.remove(s.id)
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -11,6 +11,7 @@
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/durable"
+	"sailhead/internal/evacuation"
 )
 
 // Store is the platform's store as an entry follows it. Read and Watch are called by one goroutine only.
@@ -34,6 +35,8 @@
 	// Claims are the claims of shards that were written, ClaimsGone those that were removed.
 	Claims     []durable.Claim
 	ClaimsGone []durable.ClaimGone
+	// Evacuations are the changes of evacuated availability zones, and after a reading of all the zones that are evacuated.
+	Evacuations evacuation.State
 	// HasDurableJobs is set if there was ever a durable job.
 	HasDurableJobs bool
 }
@@ -84,8 +87,12 @@
 	return update, err
 }
 
-// applyUpdate takes a change of the store into use.
+// applyUpdate takes a change of the store into use. The evacuations come first: nothing is placed without agents or a
+// configuration, so neither comes before it is known which availability zones are evacuated.
 func (e *Entry) applyUpdate(update StoreUpdate) {
+	if state, isChanged := e.directory.MergeEvacuations(update.Evacuations); isChanged {
+		e.EvacuationsHeard(state)
+	}
 	for _, m := range update.Members {
 		if e.directory.AddMember(m) {
 			_ = level.Info(e.logger).Log("msg", "member", "name", m.Name, "role", m.Role, "address", m.Address)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -40,6 +40,8 @@
 	CallsUnanswered  = "calls_unanswered"
 	JobsKept         = "jobs_kept"
 	Commits          = "commits"
+	ActiveRuns       = "active_runs"
+	ZonesEvacuated   = "zones_evacuated"
 )
 
 // NewSet returns an empty set. Publish makes it visible.
--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -22,6 +22,7 @@
 	reasonShuttingDown       = "the agent is shutting down"
 	reasonNoWorker           = "the worker is down"
 	reasonDraining           = "the worker is draining"
+	reasonEvacuated          = "the worker's availability zone is evacuated"
 	reasonUnresponsive       = "the worker is unresponsive"
 	reasonNotSurveyed        = "the runs on the worker are not known yet"
 	reasonUnhealthy          = "the worker is unhealthy"
@@ -48,6 +49,8 @@
 		return reasonNoWorker
 	case r.worker.record.Draining:
 		return reasonDraining
+	case r.evacuations.Has(r.worker.record.Zone):
+		return reasonEvacuated
 	case r.worker.isUnresponsive(now):
 		return reasonUnresponsive
 	case !r.worker.isSurveyed:
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -93,18 +93,27 @@
 	Runs []RunID
 }
 
-func (CallStart) isEffect()        {}
-func (CallStop) isEffect()         {}
-func (CallRenew) isEffect()        {}
-func (SendPing) isEffect()         {}
-func (SendWorker) isEffect()       {}
-func (SendLoad) isEffect()         {}
-func (SendUpdate) isEffect()       {}
-func (SendOffer) isEffect()        {}
-func (SendCrash) isEffect()        {}
-func (CloseSession) isEffect()     {}
-func (EndDropped) isEffect()       {}
-func (IncarnationEnded) isEffect() {}
+// EvacuationChanged reports that the worker's availability zone was evacuated or taken back. It is for the log and metrics.
+type EvacuationChanged struct {
+	Zone        string
+	IsEvacuated bool
+	// Runs is how many tasks may be on the worker.
+	Runs int
+}
+
+func (CallStart) isEffect()         {}
+func (CallStop) isEffect()          {}
+func (CallRenew) isEffect()         {}
+func (SendPing) isEffect()          {}
+func (SendWorker) isEffect()        {}
+func (SendLoad) isEffect()          {}
+func (SendUpdate) isEffect()        {}
+func (SendOffer) isEffect()         {}
+func (SendCrash) isEffect()         {}
+func (CloseSession) isEffect()      {}
+func (EndDropped) isEffect()        {}
+func (IncarnationEnded) isEffect()  {}
+func (EvacuationChanged) isEffect() {}
 
 // Load is the state of the worker that entries use for placement.
 type Load struct {
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/worker"
 )
 
@@ -120,6 +121,9 @@
 	Result      worker.RenewResult
 }
 
+// EvacuationsReceived reports what an entry knows of the evacuated availability zones.
+type EvacuationsReceived struct{ State evacuation.State }
+
 // ShutdownRequested starts the shutdown: queued and new tasks are rejected, active ones continue.
 type ShutdownRequested struct{}
 
@@ -140,5 +144,6 @@
 func (StartAnswered) isEvent()        {}
 func (StopAnswered) isEvent()         {}
 func (RenewAnswered) isEvent()        {}
+func (EvacuationsReceived) isEvent()  {}
 func (ShutdownRequested) isEvent()    {}
 func (Ticked) isEvent()               {}
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/worker"
 )
 
@@ -43,8 +44,15 @@
 	// resizing draws the changes of the workers' capacity; nil for none. It is a source of its own, so that the schedule of a seed
 	// is the same without them.
 	resizing *rand.Rand
-	tasks    int
-	fence    uint64
+	// evacuating draws the operators' changes of the worker's availability zone and the way of their news; nil for none.
+	evacuating *rand.Rand
+	// history are all changes in order, and told what the present process of the agent has been told of.
+	history []evacuation.Change
+	told    evacuation.State
+	// starts counts the starts sent to the worker.
+	starts int
+	tasks  int
+	fence  uint64
 }
 
 // fakeEntry is an entry's end of a session.
@@ -126,7 +134,7 @@
 
 // delayHeartbeat lets the last heartbeat of an incarnation arrive some time after it has crashed.
 func (s *schedule) delayHeartbeat(w *fakeWorker) {
-	record := worker.Record{ID: w.id, Service: "service", Capacity: w.capacity, Draining: true, Sequence: 1 << 20, Clock: w.clock(s.now)}
+	record := worker.Record{ID: w.id, Service: "service", Zone: testZone, Capacity: w.capacity, Draining: true, Sequence: 1 << 20, Clock: w.clock(s.now)}
 	s.after(s.between(0, 5*time.Second), func() { s.handle(HeartbeatReceived{Record: record}) })
 }
 
@@ -140,7 +148,7 @@
 	if s.worker != w {
 		return
 	}
-	record := worker.Record{ID: w.id, Service: "service", Capacity: w.capacity, Sequence: sequence, Clock: w.clock(s.now)}
+	record := worker.Record{ID: w.id, Service: "service", Zone: testZone, Capacity: w.capacity, Sequence: sequence, Clock: w.clock(s.now)}
 	s.after(s.between(0, 5*time.Millisecond), func() { s.handle(HeartbeatReceived{Record: record}) })
 	s.after(1500*time.Millisecond, func() { s.beat(w, sequence+1) })
 }
@@ -185,6 +193,9 @@
 }
 
 func (s *schedule) applyEvent(event Event) {
+	if news, ok := event.(EvacuationsReceived); ok {
+		s.told = s.told.Merge(news.State)
+	}
 	for _, effect := range s.runner.Handle(s.now, event) {
 		s.applyEffect(effect)
 	}
@@ -215,6 +226,10 @@
 func (s *schedule) applyEffect(effect Effect) {
 	switch e := effect.(type) {
 	case CallStart:
+		if s.told.Has(testZone) {
+			s.t.Fatalf("%s is started although the agent knows that its zone is evacuated", e.Start.Name)
+		}
+		s.starts++
 		takes, fails := s.between(20*time.Millisecond, 900*time.Millisecond), s.chance(0.05)
 		s.call(func() worker.Result { return s.worker.start(s.now, e.Incarnation, e.Start, takes, fails) }, func(result worker.Result) Event {
 			return StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Result: result.(worker.StartResult)}
@@ -337,6 +352,9 @@
 	s.sessions++
 	s.entries[s.sessions] = &fakeEntry{name: name, open: make(map[string]bool), outcomes: make(map[string]Outcome), reserved: make(map[string][]string)}
 	s.handle(SessionOpened{Session: s.sessions, Entry: name})
+	if s.evacuating != nil {
+		s.tell(s.anyNews())
+	}
 	return s.sessions
 }
 
@@ -365,6 +383,9 @@
 	if s.resizing != nil {
 		s.resize()
 	}
+	if s.evacuating != nil {
+		s.evacuate()
+	}
 	for s.queue.Len() > 0 && s.queue[0].at.Before(end) {
 		next := heap.Pop(&s.queue).(action)
 		s.now = next.at
@@ -441,9 +462,47 @@
 	s.inbox = nil
 	s.fence++
 	s.runner = New(s.limits, s.fence)
+	s.told = evacuation.State{}
 	s.entries = make(map[SessionID]*fakeEntry)
 }
 
+// testZone is the availability zone of the workers.
+const testZone = "z"
+
+// evacuate changes the zone now and then. News of the changes come late, repeated and in any order, and some are lost.
+func (s *schedule) evacuate() {
+	if s.evacuating == nil {
+		return
+	}
+	if s.evacuating.Float64() < 0.1 {
+		change := evacuation.Change{Zone: testZone, Revision: evacuation.Revision(len(s.history) + 1), IsEvacuated: len(s.history)%2 == 0}
+		s.history = append(s.history, change)
+	}
+	if s.evacuating.Float64() < 0.4 {
+		news, epoch := s.anyNews(), s.epoch
+		s.after(time.Duration(s.evacuating.Int64N(int64(300*time.Millisecond))), func() {
+			if epoch == s.epoch {
+				s.tell(news)
+			}
+		})
+	}
+	s.after(time.Duration(s.evacuating.Int64N(int64(200*time.Millisecond))), s.evacuate)
+}
+
+// anyNews returns what an entry may know: one of the latest changes.
+func (s *schedule) anyNews() evacuation.State {
+	if len(s.history) == 0 {
+		return evacuation.State{}
+	}
+	latest := s.history[len(s.history)-1-s.evacuating.IntN(min(len(s.history), 3))]
+	return evacuation.New(0, []evacuation.Change{latest})
+}
+
+// tell tells the agent what an entry knows.
+func (s *schedule) tell(state evacuation.State) {
+	s.handle(EvacuationsReceived{State: state})
+}
+
 // resize gives the worker another capacity now and then, from none at all to more than the first one. A heartbeat says so soon, as
 // on the platform within its interval.
 func (s *schedule) resize() {
@@ -459,7 +518,7 @@
 
 // beatSize sends a heartbeat with the present capacity of an incarnation, which counts as its latest.
 func (s *schedule) beatSize(w *fakeWorker) {
-	record := worker.Record{ID: w.id, Service: "service", Capacity: w.capacity, Sequence: 1 << 19, Clock: w.clock(s.now)}
+	record := worker.Record{ID: w.id, Service: "service", Zone: testZone, Capacity: w.capacity, Sequence: 1 << 19, Clock: w.clock(s.now)}
 	s.after(time.Millisecond, func() { s.handle(HeartbeatReceived{Record: record}) })
 }
 
@@ -493,6 +552,32 @@
 	}
 }
 
+// TestRandomSchedulesWithEvacuationsStartNothingThere evacuates the worker's zone again and again, with lost, late and reordered
+// news, while calls are lost and late and worker, agent and entries restart. The agent starts nothing while it knows, and tasks
+// start again once the zone was taken back.
+func TestRandomSchedulesWithEvacuationsStartNothingThere(t *testing.T) {
+	for seed := *first; seed < *first+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed, []float64{0, 0.05, 0.3}[seed%3], seed%2 == 0)
+		s.evacuating = rand.New(rand.NewPCG(seed, 4))
+		s.run(20*time.Second, true)
+		s.faults, s.evacuating = 0, nil
+		s.tell(evacuation.New(evacuation.Revision(len(s.history)+1), nil))
+		s.starts = 0
+		s.run(16*time.Second, false)
+		if s.starts == 0 {
+			t.Fatalf("seed %d: nothing started after the zone was taken back", seed)
+		}
+		for _, entry := range s.entries {
+			for name := range entry.open {
+				t.Fatalf("seed %d: %s has no outcome", seed, name)
+			}
+		}
+		if len(s.runner.tasks) > 0 || len(s.worker.runs) > 0 {
+			t.Fatalf("seed %d: %d tasks and %d runs are left", seed, len(s.runner.tasks), len(s.worker.runs))
+		}
+	}
+}
+
 func TestScheduleWithoutFaultsLosesNoTask(t *testing.T) {
 	s := newSchedule(t, 7, 0, false)
 	s.run(30*time.Second, false)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
@@ -72,7 +73,10 @@
 	// lastTick is when the latest tick was handled.
 	lastTick     time.Time
 	shuttingDown bool
-	health       health
+	// evacuations is what the entries have told of the evacuated availability zones, and isEvacuated whether the worker's is one.
+	evacuations evacuation.State
+	isEvacuated bool
+	health      health
 	// effects collects the effects of the event that is being handled.
 	effects []Effect
 }
@@ -93,6 +97,7 @@
 func (r *Runner) Handle(now time.Time, event Event) []Effect {
 	r.effects = nil
 	r.apply(now, event)
+	r.applyEvacuation()
 	r.startQueued(now)
 	r.offerFree(now)
 	r.sendLoads(now)
@@ -129,6 +134,8 @@
 		r.handleStopAnswer(now, e)
 	case RenewAnswered:
 		r.handleRenewAnswer(now, e)
+	case EvacuationsReceived:
+		r.evacuations = r.evacuations.Merge(e.State)
 	case ShutdownRequested:
 		r.beginShutdown()
 	case Ticked:
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/worker"
 )
 
@@ -23,6 +24,8 @@
 	number uint64
 	// ends counts the ends that were listed.
 	ends uint64
+	// revision is that of the latest change of an availability zone.
+	revision evacuation.Revision
 }
 
 func TestScripts(t *testing.T) {
@@ -58,7 +61,7 @@
 	switch d.Cmd {
 	case "worker":
 		output := s.handle(HeartbeatReceived{Record: worker.Record{
-			ID: first, Service: "svc", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
+			ID: first, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
 			Sequence: uint64(s.now.UnixMilli()), Clock: s.clock(),
 		}})
 		if s.runner.candidate != nil {
@@ -70,11 +73,11 @@
 		return output
 	case "heartbeat":
 		return s.handle(HeartbeatReceived{Record: worker.Record{
-			ID: first, Service: "svc", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
+			ID: first, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
 			Sequence: uint64(s.now.UnixMilli()), Clock: s.clock(),
 		}})
 	case "recall":
-		return s.handle(WorkerRecalled{Record: worker.Record{ID: first, Service: "svc", Capacity: worker.Resources{CPU: 4000}}})
+		return s.handle(WorkerRecalled{Record: worker.Record{ID: first, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: 4000}}})
 	case "left":
 		return s.handle(WorkerLeft{ID: first})
 	case "open":
@@ -96,6 +99,8 @@
 		}})
 	case "answer":
 		return s.handle(OfferAnswered{Session: session, Offer: OfferID(number(t, d, "offer", 0))})
+	case "evacuate", "take_back":
+		return s.evacuate(first, d.Cmd == "evacuate", evacuation.Revision(number(t, d, "revision", 0)))
 	case "acknowledged":
 		return s.handle(EndAcknowledged{Name: first, Run: run})
 	case "stop":
@@ -127,6 +132,16 @@
 	}
 }
 
+// evacuate changes an availability zone, at the next revision unless one is given. Workers are in zone "z".
+func (s *script) evacuate(zone string, isEvacuated bool, revision evacuation.Revision) string {
+	if revision == 0 {
+		s.revision++
+		revision = s.revision
+	}
+	change := evacuation.Change{Zone: zone, Revision: revision, IsEvacuated: isEvacuated}
+	return s.handle(EvacuationsReceived{State: evacuation.New(0, []evacuation.Change{change})})
+}
+
 // urgency reads the urgency of a task or reservation. Its job can be in time if it starts within 100 ms, by default.
 func (s *script) urgency(t *testing.T, d *datadriven.TestData) Urgency {
 	slack := time.Duration(number(t, d, "slack", 100)) * time.Millisecond
@@ -206,6 +221,8 @@
 			fmt.Fprintf(&out, "crash %d: %s%s\n", e.Session, e.Crash.Incarnation, describeRuns(e.Crash.Runs))
 		case IncarnationEnded:
 			fmt.Fprintf(&out, "ended %s: %s, with %v\n", e.ID, e.Reason, e.Runs)
+		case EvacuationChanged:
+			fmt.Fprintf(&out, "zone %s evacuated=%t runs=%d\n", e.Zone, e.IsEvacuated, e.Runs)
 		}
 	}
 	return out.String()
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -129,6 +129,8 @@
 		s.post(runner.OfferAnswered{Session: id, Offer: runner.OfferID(message.OfferAnswer.Offer)})
 	case *sessionpb.FromEntry_Noted:
 		s.post(runner.EndAcknowledged{Name: message.Noted.Task, Run: message.Noted.Run})
+	case *sessionpb.FromEntry_Evacuations:
+		s.post(runner.EvacuationsReceived{State: unpackEvacuations(message.Evacuations)})
 	case *sessionpb.FromEntry_Stop:
 		s.post(runner.StopRequested{Session: id, Name: message.Stop.Task})
 	}
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sailhead/internal/clock"
+	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
 	"sailhead/internal/worker"
@@ -150,3 +151,19 @@
 	}
 	return crash
 }
+
+func packEvacuations(state evacuation.State) *sessionpb.FromEntry {
+	evacuations := &sessionpb.Evacuations{AsOf: int64(state.AsOf())}
+	for _, c := range state.Changes() {
+		evacuations.Changes = append(evacuations.Changes, &sessionpb.ZoneChange{Zone: c.Zone, Revision: int64(c.Revision), Evacuated: c.IsEvacuated})
+	}
+	return &sessionpb.FromEntry{Message: &sessionpb.FromEntry_Evacuations{Evacuations: evacuations}}
+}
+
+func unpackEvacuations(e *sessionpb.Evacuations) evacuation.State {
+	var changes []evacuation.Change
+	for _, c := range e.Changes {
+		changes = append(changes, evacuation.Change{Zone: c.Zone, Revision: evacuation.Revision(c.Revision), IsEvacuated: c.Evacuated})
+	}
+	return evacuation.New(evacuation.Revision(e.AsOf), changes)
+}
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
 	"sailhead/internal/worker"
@@ -104,6 +105,11 @@
 	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_OfferAnswer{OfferAnswer: answer}})
 }
 
+// SendEvacuations tells the agent what the entry knows of the evacuated availability zones.
+func (s *AgentConn) SendEvacuations(state evacuation.State) {
+	s.connection.send(packEvacuations(state))
+}
+
 // AcknowledgeEnd reports to the agent that the end of a run has been recorded in the store.
 func (s *AgentConn) AcknowledgeEnd(name string, run uint32) {
 	acknowledgement := &sessionpb.EndAcknowledgement{Task: name, Run: run}
