Records of other writers name no worker and lose no neighbour

Cause: a heartbeat with an unknown state, or none, made a worker that is used; one under the id of the present incarnation with another service ended its use; one route of another type lost the whole configuration; claims without an owner, members with an unknown role or no reachable address counted; negative and huge figures went through.

Change: heartbeats, routes, limits, claims and members are checked where they are decoded. What cannot be used is left out, logged in bounded lines and counted by kind (unreadable_*); the rest of the same document, reading or watch stays. A heartbeat that changes the service or zone of an incarnation is of another writer.

Safe: only records that name nothing are dropped.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,12 @@
 VERSION ?= dev
 GENERATED := internal/native/peer/peerpb internal/session/sessionpb internal/cluster/clusterpb internal/durable/durablepb
 
-.PHONY: all build demo test tools format vet generated generate spec unit
+# FUZZ lists the readers of what other processes wrote, each as PACKAGE:TARGET; FUZZTIME how many inputs CI plays of each.
+FUZZ := platform:FuzzHeartbeat platform:FuzzRoute platform:FuzzConfiguration platform:FuzzStoredRecord platform:FuzzListing \
+  internal/cluster:FuzzView internal/durable:FuzzBatch
+FUZZTIME ?= 20000x
+
+.PHONY: all build demo test tools format vet generated generate spec fuzz unit
 
 all: build
 
@@ -16,7 +21,7 @@
 	$(GO) run . demo
 
 # test installs the tools that are missing and runs every check.
-test: tools format vet generated spec unit
+test: tools format vet generated spec fuzz unit
 
 tools:
 	@command -v protoc >/dev/null && command -v spin >/dev/null || \
@@ -47,6 +52,12 @@
 spec:
 	spec/check.sh
 
+# fuzz plays new inputs; those in testdata/fuzz are played by unit too.
+fuzz:
+	@for target in $(FUZZ); do \
+	  $(GO) test ./$${target%%:*} -run '^$$' -fuzz "^$${target##*:}$$" -fuzztime $(FUZZTIME) || exit 1; \
+	done
+
 # unit runs every test; failures of the tests in KNOWN-RED.txt are printed and do not fail it.
 unit:
 	@GO="$(GO)" .ci/unit
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,9 @@
 // wait for running tasks. Other values were not measured.
 const stopMargin = 700 * time.Millisecond
 
+// rejectionsPerSecond bounds the log lines about rejected heartbeats: the worker beside the agent sends one in 1.5 s.
+const rejectionsPerSecond = 1
+
 // Agent is a running agent. Its methods are safe for concurrent use.
 type Agent struct {
 	settings Settings
@@ -71,7 +74,9 @@
 	logger    log.Logger
 	metrics   *metric.Set
 	runs      runRecorder
-	seeds     atomic.Pointer[[]string]
+	// rejections is the limited log of heartbeats that were rejected.
+	rejections log.Logger
+	seeds      atomic.Pointer[[]string]
 
 	// runner belongs to the event loop, which receives from events.
 	runner *runner.Runner
@@ -104,6 +109,7 @@
 		events:       make(chan runner.Event, settings.Ring),
 		registration: newRegistration(),
 	}
+	a.rejections = logging.NewLimited(a.logger, rejectionsPerSecond)
 	a.SetSeeds(settings.Seeds)
 	a.context, a.cancel = context.WithCancel(context.Background())
 	announcer, closeAnnouncer := cluster.NewAnnouncer()
@@ -140,6 +146,12 @@
 	a.post(runner.HeartbeatReceived{Record: record})
 }
 
+// HeartbeatRejected logs and counts a heartbeat that names no worker to use.
+func (a *Agent) HeartbeatRejected(id string, err error) {
+	a.metrics.Add(metric.UnreadablePrefix+"heartbeat", 1)
+	_ = level.Warn(a.rejections).Log("msg", "heartbeat rejected", "life", id, "err", err)
+}
+
 // WorkerLeft handles the end of an incarnation of the worker. It returns once the event is queued.
 func (a *Agent) WorkerLeft(id string) {
 	a.post(runner.WorkerLeft{ID: id})
--- a/internal/cli/platformagent.go
+++ b/internal/cli/platformagent.go
@@ -25,7 +25,7 @@
 	agent, closeAgent := agent.New(agent.Settings{
 		Name: s.Name, Zone: s.Zone, Sessions: sessions, Seeds: s.SeedAddresses(),
 		Limits: runner.DefaultLimits(s.MaxWorkerLease, s.StopTime), StopTimeout: s.StopTimeout, Ring: s.Ring,
-	}, worker, platform.NewStoreWatcher(store, logger), logger, metrics)
+	}, worker, platform.NewStoreWatcher(store, logger, metrics), logger, metrics)
 	closeHeartbeats := platform.NewHeartbeats(heartbeats, agent)
 	return onPlatform{setSeeds: agent.SetSeeds, stop: func() error {
 		err := closeAgent()
--- a/internal/cli/platformentry.go
+++ b/internal/cli/platformentry.go
@@ -22,12 +22,12 @@
 	}
 	callers, balancer, peers := listeners[0], listeners[1], listeners[2]
 	store, closeStore := platform.NewStore(string(s.PlatformAddress))
-	configurations := platform.NewConfigurations()
+	configurations := platform.NewConfigurations(logger, metrics)
 	e, closeEntry := entry.New(entry.Settings{
 		Name: s.Name, Zone: s.Zone, Peers: peers, Seeds: s.SeedAddresses(),
 		StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs,
 		Durable: platform.NewDurableJobs(store), StoreWrites: s.StoreWrites,
-	}, configurations, platform.NewStoreWatcher(store, logger), logger, metrics)
+	}, configurations, platform.NewStoreWatcher(store, logger, metrics), logger, metrics)
 	closeReady := platform.NewReadiness(balancer, e)
 	ingress := platform.NewIngress(callers, configurations, e, logger)
 	return onPlatform{setSeeds: e.SetSeeds, stop: func() error {
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"sort"
 	"strconv"
 	"strings"
@@ -53,19 +54,40 @@
 	Worker *worker.Record `json:"worker,omitempty"`
 }
 
-// ParseMember decodes a record that Encode made. It returns an error if data is no such JSON, or if the name or the
-// address is missing.
+// ParseMember decodes a record that Encode made. It returns an error if data is no such JSON, or if it names no process that can be
+// reached. A worker that cannot be used is left out.
 func ParseMember(data []byte) (Member, error) {
 	var m Member
 	if err := json.Unmarshal(data, &m); err != nil {
 		return Member{}, errors.Wrap(err, "cluster: unable to read a member")
 	}
-	if m.Name == "" || m.Address == "" {
-		return Member{}, errors.New("cluster: a member has no name or no address")
+	if err := m.check(); err != nil {
+		return Member{}, err
+	}
+	if m.Worker != nil && !m.Worker.IsUsable() {
+		m.Worker = nil
 	}
 	return m, nil
 }
 
+// check returns an error if no process can be reached by the record: it has no name, no address of the form HOST:PORT, a role
+// that is not known, or no incarnation.
+func (m Member) check() error {
+	if m.Name == "" {
+		return errors.New("cluster: a member has no name")
+	}
+	if _, port, err := net.SplitHostPort(m.Address); err != nil || port == "" {
+		return errors.Errorf("cluster: the member %s has no address", m.Name)
+	}
+	if m.Role != RoleEntry && m.Role != RoleAgent {
+		return errors.Errorf("cluster: the member %s has the role %.20q", m.Name, m.Role)
+	}
+	if m.Incarnation <= 0 {
+		return errors.Errorf("cluster: the member %s has the incarnation %d", m.Name, m.Incarnation)
+	}
+	return nil
+}
+
 // Encode returns the member as JSON for the platform's store.
 func (m Member) Encode() []byte {
 	// Marshal fails on channels, functions, cycles and special floats only; Member and worker.Record have none.
@@ -247,13 +269,14 @@
 	return &clusterpb.Member{Name: m.Name, Role: string(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation}
 }
 
-// membersOf returns the members of a view. Records without a name or an address are skipped, as nothing can be done with
-// them; ParseMember keeps them from being read from the store, so no current process sends one.
+// membersOf returns the members of a view. Records that name no process are skipped without a line: ParseMember keeps them from
+// being read from the store, where they are logged, so no current process sends one.
 func membersOf(view *clusterpb.View) []Member {
 	var members []Member
 	for _, m := range view.Members {
-		if m.GetName() != "" && m.GetAddress() != "" {
-			members = append(members, Member{Name: m.Name, Role: Role(m.Role), Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation})
+		member := Member{Name: m.GetName(), Role: Role(m.GetRole()), Zone: m.GetZone(), Address: m.GetAddress(), Incarnation: m.GetIncarnation()}
+		if member.check() == nil {
+			members = append(members, member)
 		}
 	}
 	return members
--- /dev/null
+++ b/internal/cluster/fuzz_test.go
@@ -0,0 +1,48 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"sailhead/internal/cluster/clusterpb"
+)
+
+// FuzzView applies the view of another entry, which may be of another version, beside what the directory holds.
+func FuzzView(f *testing.F) {
+	other := NewDirectory()
+	other.AddMember(agentOf(3))
+	other.SetDocument(7, []byte{7})
+	other.MergeEvacuations(evacuated(3, 2, "a"))
+	for _, view := range []*clusterpb.View{other.viewFor(&clusterpb.View{}, true), {}, {Members: []*clusterpb.Member{{Name: "x", Incarnation: -1}}}} {
+		data, err := proto.Marshal(view)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var view clusterpb.View
+		if proto.Unmarshal(data, &view) != nil {
+			return
+		}
+		d := NewDirectory()
+		d.AddMember(Member{Name: "entry-1", Role: RoleEntry, Address: "127.0.0.1:2", Incarnation: 1})
+		e, closeExchanger := NewExchanger(d, testListener{})
+		defer closeExchanger()
+		e.apply(&view)
+		if len(d.Members(RoleEntry)) == 0 {
+			t.Fatalf("%x: the member that was known is lost", data)
+		}
+		for _, role := range []Role{RoleEntry, RoleAgent} {
+			for _, m := range d.Members(role) {
+				if err := m.check(); err != nil {
+					t.Fatalf("%x: %s", data, err)
+				}
+			}
+		}
+	})
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -12,7 +12,7 @@
 	vars *expvar.Map
 }
 
-// The names of counters and gauges. Those that end in Prefix are followed by an outcome.
+// The names of counters and gauges. Those that end in Prefix are followed by an outcome, or UnreadablePrefix by the kind of record.
 const (
 	JobsReceived     = "jobs_received"
 	JobsPrefix       = "jobs_"
@@ -42,6 +42,7 @@
 	Commits          = "commits"
 	ActiveRuns       = "active_runs"
 	ZonesEvacuated   = "zones_evacuated"
+	UnreadablePrefix = "unreadable_"
 )
 
 // NewSet returns an empty set. Publish makes it visible.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -81,6 +81,8 @@
 		r.beginIncarnation(now, record)
 	case r.worker.record.ID != record.ID:
 		r.handleUnknownIncarnation(record)
+	case record.Service != r.worker.record.Service, record.Zone != r.worker.record.Zone:
+		// An incarnation keeps both, so this heartbeat is of another writer.
 	case record.Sequence >= r.worker.record.Sequence:
 		r.updateRecord(now, record)
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -67,6 +67,11 @@
 	Clock time.Duration
 }
 
+// IsUsable reports whether the record names a worker: it has an id and a service, and no negative capacity.
+func (r Record) IsUsable() bool {
+	return r.ID != "" && r.Service != "" && (Resources{}).Fits(r.Capacity)
+}
+
 // HasLabel reports whether the worker has a label.
 func (r Record) HasLabel(label string) bool {
 	return slices.Contains(r.Labels, label)
