Bound a commit at a release, tell package durable of a lost begin, accept sessions after an error

A release could make a commit of 36 entries where the store takes 32 (test: 36, failed first); parts are now counted by what they take. A durable job whose agent was lost before it had answered was marked as begun without DurableBegun (test failed first). An agent accepted no session after any error of its listener (test failed first). completeTask asked twice whether the step was done, and agentDown sorted the jobs twice.

Dispatcher.place needs no change: it sorts at each call, and its order within a call only decides among jobs that have not begun.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sailhead/internal/clock"
+	"sailhead/internal/logging"
 	"sailhead/internal/metric"
 	"sailhead/internal/runner"
 )
@@ -29,6 +30,7 @@
 func (a *Agent) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	lateness := logging.NewLateness(a.logger, tickInterval)
 	for {
 		select {
 		case <-a.context.Done():
@@ -36,6 +38,7 @@
 		case event := <-a.events:
 			a.handle(event)
 		case <-ticker.C:
+			lateness.Ticked(clock.Now())
 			a.handle(runner.Ticked{})
 		}
 	}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -192,26 +192,23 @@
 	at          time.Time
 }
 
-// sessionLost remembers the runs at an agent whose session has ended, before they are scheduled to run again. Whether its
-// worker has crashed under them may not be reported: the agent may have died with the worker or restarted since. Nor is it known
-// whether they were still running.
-func (d *Dispatcher) sessionLost(now time.Time, a *agent) {
-	lost := lostSession{incarnation: a.record.ID, at: now}
-	for _, j := range d.jobsByArrival() {
-		for _, t := range j.tasks {
-			if t.isAt(a.id) {
-				lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: t.name, Run: t.run}})
-			}
-		}
+// rememberLost remembers the runs at an agent whose session has ended, if there are any. Whether its worker has crashed under them
+// may not be reported: the agent may have died with the worker or restarted since. Nor is it known whether they were still running.
+func (d *Dispatcher) rememberLost(id AgentID, lost lostSession) {
+	if len(lost.runs) > 0 {
+		d.lostSessions[id] = lost
 	}
+}
+
+// endingRunsAt returns the runs of dropped jobs at an agent in session that have not ended, in the order of their names.
+func (d *Dispatcher) endingRunsAt(id AgentID) []runner.CrashedRun {
+	var runs []runner.CrashedRun
 	for _, name := range slices.Sorted(maps.Keys(d.endingRuns)) {
-		if run := d.endingRuns[name]; run.agent == a.id && run.endedBy.IsZero() {
-			lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: name, Run: run.run}})
+		if run := d.endingRuns[name]; run.agent == id && run.endedBy.IsZero() {
+			runs = append(runs, runner.CrashedRun{RunID: runner.RunID{Task: name, Run: run.run}})
 		}
 	}
-	if len(lost.runs) > 0 {
-		d.lostSessions[a.id] = lost
-	}
+	return runs
 }
 
 // workerReplaced counts a crash if an agent's worker is another incarnation than when the session with the agent was lost.
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/runner"
 	"sailhead/internal/timing"
 )
 
@@ -37,19 +38,21 @@
 	if !ok {
 		return
 	}
-	d.sessionLost(now, a)
 	d.removeAgent(id)
 	d.forgetReservationsAt(id)
 	d.emit(DecisionMade{Decision: DecisionAgentDown{}, Agent: id})
+	lost := lostSession{incarnation: a.record.ID, at: now, runs: d.endingRunsAt(id)}
 	d.boundEndingRuns(now, id)
 	for _, j := range d.jobsByArrival() {
 		for _, t := range j.tasks {
 			if t.isAt(id) {
-				j.begun = true
+				lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: t.name, Run: t.run}})
+				d.markBegun(j)
 				d.rerunAfter(now, j, t, j.rerunDelay())
 			}
 		}
 	}
+	d.rememberLost(id, lost)
 }
 
 // agentRecovered shortens the wait of durable tasks that were at an agent whose session ended.
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -73,17 +73,16 @@
 	d.returns.done(now, workOf(1, j.Steps[t.step].Needs.CPU, now.Sub(t.placed)))
 	t.showsRunTime = t.showsRunTime && d.isAgentHealthy(t.agent)
 	j.open[t.step]--
-	if j.open[t.step] == 0 {
-		d.observeStep(j, t.step)
+	if j.open[t.step] > 0 {
+		return
 	}
+	d.observeStep(j, t.step)
 	if j.isDone() {
 		d.endJob(now, j, Completed{})
 		return
 	}
-	if j.open[t.step] == 0 {
-		// Tasks of later steps may be ready now.
-		d.enqueue(j)
-	}
+	// Tasks of later steps may be ready now.
+	d.enqueue(j)
 }
 
 // failTask counts a failed run. The task runs again, on another worker if possible, or its job has failed.
--- a/internal/durable/commit.go
+++ b/internal/durable/commit.go
@@ -27,10 +27,13 @@
 // (docs/MEASUREMENTS.md).
 
 const (
-	// maxParts bounds the shards of a commit, and maxRemovals the batches that it removes. A transaction of the store has at
-	// most 32 entries. A part takes three: the claim, the free key of the batch, and the batch; a part that releases its
-	// shard takes a fourth, for the removal of the claim. A removed batch takes one.
-	maxParts    = 7
+	// maxEntries is the largest number of entries in a transaction of the store. A part takes partEntries: the claim, the free
+	// key of the batch, and the batch; one that releases its shard takes releaseEntries more, for the removal of the claim. A
+	// removed batch takes one.
+	maxEntries     = 32
+	partEntries    = 3
+	releaseEntries = 1
+	// maxRemovals bounds the batches that a commit removes.
 	maxRemovals = 8
 	// commitRetryInterval is the time between two tries of a commit that was not confirmed. Not measured.
 	commitRetryInterval = 40 * time.Millisecond
@@ -74,13 +77,14 @@
 func (c *Coordinator) startCommit(now time.Time) {
 	c.commitNumber++
 	open := &openCommit{commit: Commit{Number: c.commitNumber}}
-	removals := maxRemovals
+	removals, entries := maxRemovals, maxEntries-maxRemovals
 	for i := range c.shards {
 		// Each commit starts with another shard, so that all get their turn.
 		s := c.shards[(uint64(i)+c.commitNumber)%Shards]
-		if s.state != owned || len(s.queue) == 0 || len(open.commit.Parts) >= maxParts {
+		if s.state != owned || len(s.queue) == 0 || entries < s.nextPartEntries() {
 			continue
 		}
+		entries -= s.nextPartEntries()
 		part, changes := s.nextPart(removals)
 		removals -= len(part.Remove)
 		open.commit.Parts = append(open.commit.Parts, part)
@@ -93,6 +97,14 @@
 	c.emit(open.commit)
 }
 
+// nextPartEntries returns how many entries the next part of the shard takes at most, without its removals.
+func (s *shard) nextPartEntries() int {
+	if s.releasing {
+		return partEntries + releaseEntries
+	}
+	return partEntries
+}
+
 // nextPart takes the next batch off the queue and returns the part of the commit that writes it.
 func (s *shard) nextPart(maxRemovals int) (Part, []*change) {
 	changes := s.nextBatch()
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -10,6 +10,7 @@
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
+	"sailhead/internal/logging"
 	"sailhead/internal/metric"
 	"sailhead/internal/session"
 )
@@ -28,6 +29,7 @@
 func (e *Entry) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	lateness := logging.NewLateness(e.logger, tickInterval)
 	events := make([]dispatch.Event, 0, batchSize)
 	for {
 		events = events[:0]
@@ -40,6 +42,7 @@
 			events = e.gather(append(events, event))
 		case durableEvent = <-e.durableEvents:
 		case <-ticker.C:
+			lateness.Ticked(clock.Now())
 			e.accepted.flush(e.logger)
 			events = append(events, dispatch.Ticked{})
 			durableEvent = durable.Ticked{DurableRuns: e.decider.dispatcher.DurableRuns(clock.Now())}
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -49,21 +49,23 @@
 	return s, s.close
 }
 
-// accept serves the sessions that entries open until the listener fails or is closed.
+// acceptRetryDelay is the pause after a connection could not be accepted, as while the process has too many open files. It is
+// within the time that an entry takes to dial again.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// accept serves the sessions that entries open until the listener is closed.
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
-			s.logAcceptError(err)
+		switch {
+		case err == nil:
+			go s.serve(newConnection(conn))
+		case errors.Is(err, net.ErrClosed):
 			return
+		default:
+			_ = level.Error(s.logger).Log("msg", "unable to accept sessions", "address", s.listener.Addr(), "err", err)
+			time.Sleep(acceptRetryDelay)
 		}
-		go s.serve(newConnection(conn))
-	}
-}
-
-func (s *Server) logAcceptError(err error) {
-	if !errors.Is(err, net.ErrClosed) {
-		_ = level.Error(s.logger).Log("msg", "unable to accept sessions", "address", s.listener.Addr(), "err", err)
 	}
 }
 
