--- a/internal/dispatch/containment.go
+++ b/internal/dispatch/containment.go
@@ -30,7 +30,8 @@
 // Reason: each job that crashes its workers takes two of them away for seconds. If they come faster than workers come back, nobody
 // is served, of any kind. Contained, they take the kind's share of the workers only. Every entry hears of every crash with the kinds of
 // the runs, so all decide the same and choose nearly the same agents without asking each other: the smaller choice is part of the
-// larger. That a rack loses power is no evidence: it makes suspects, and a job is only given up with a second crash in which it was
+// larger. An entry that has just started hears from the agents of crashes under contained jobs, which tell that others contain the
+// kind. That a rack loses power is no evidence: it makes suspects, and a job is only given up with a second crash in which it was
 // the latest start. Nor is one job that many callers wait for: jobs count, not requests.
 //
 // Cost if the kind is innocent: the kind has no more than its share of the workers for a trial, and others no more than theirs. A worker
@@ -84,7 +85,9 @@
 type kindRecord struct {
 	// evidence has when each job was given up, or interrupted while the kind was contained, as a worker crashed under it.
 	evidence map[string]time.Time
-	// done counts the jobs that were done here since the latest of them.
+	// isTold is set while an isolated crash tells that other entries contain the kind.
+	isTold bool
+	// done counts the jobs that were done here since the latest evidence.
 	done int
 	// arrivals is the work that callers submitted, over arrivalWindow.
 	arrivals recentWork
@@ -134,16 +137,18 @@
 	return ok && k.agents != nil
 }
 
-// add records that a worker crashed under a job so that it was given up or interrupted.
-func (c *containment) add(now time.Time, kind, job string) {
+// add records that a worker crashed under a job so that it was given up or interrupted. isIsolated is set if the job was contained.
+func (c *containment) add(crashedAt time.Time, kind, job string, isIsolated bool) {
 	if kind == "" {
 		return
 	}
 	k := c.kind(kind)
-	if _, isKnown := k.evidence[job]; !isKnown {
-		k.evidence[job] = now
-		k.done = 0
+	if _, isKnown := k.evidence[job]; isKnown {
+		return
 	}
+	k.evidence[job] = crashedAt
+	k.isTold = k.isTold || isIsolated
+	k.done = 0
 }
 
 // succeeded counts a job that was done.
@@ -170,7 +175,7 @@
 		recent := k.countSince(now.Add(-evidenceTime))
 		isMost := k.agents == nil && c.shareOf(now, k) > maxKindShare
 		isOnTrial := k.agents != nil && len(k.evidence) > 0 && (recent > 0 || k.done < trialJobs)
-		return recent >= needed && !isMost || isOnTrial
+		return recent >= needed && !isMost || k.isTold && len(k.evidence) > 0 && k.agents == nil || isOnTrial
 	})
 }
 
@@ -295,20 +300,20 @@
 	if d.limits.NoContainment {
 		return
 	}
-	if d.isEvidence(run) || d.suspects.mustGiveUp(run.Task) {
-		d.containment.add(crashedAt, run.Kind, JobOf(run.Task))
+	if isEvidence(run) || d.suspects.mustGiveUp(run.Task) {
+		d.containment.add(crashedAt, run.Kind, JobOf(run.Task), isEvidence(run))
 	}
 }
 
-// isEvidence reports whether a single crash speaks against the job of a run: its kind is contained, and it was started last.
-func (d *Dispatcher) isEvidence(run runner.CrashedRun) bool {
-	return run.WasRunning && run.IsIsolated && d.containment.isContained(run.Kind)
+// isEvidence reports whether a single crash speaks against the job of a run: it was contained, and was started last.
+func isEvidence(run runner.CrashedRun) bool {
+	return run.WasRunning && run.IsIsolated
 }
 
 // interruptIfContained ends a job that is not durable if a single crash speaks against it: it would take a second worker away to
 // be sure. It has not failed, and may be submitted again.
 func (d *Dispatcher) interruptIfContained(now time.Time, j *job, run runner.CrashedRun) {
-	if _, isOpen := d.jobs[j.ID]; isOpen && !j.isDurable && d.isEvidence(run) {
+	if _, isOpen := d.jobs[j.ID]; isOpen && !j.isDurable && isEvidence(run) {
 		d.finish(now, j, Interrupted{Reason: fmt.Sprintf("a worker crashed under task %s, and jobs of its kind crash workers", run.Task)})
 	}
 }
@@ -321,6 +326,9 @@
 	if slices.Equal(due, before) {
 		return
 	}
+	for _, kind := range before {
+		d.containment.kinds[kind].isTold = d.containment.kinds[kind].isTold && slices.Contains(due, kind)
+	}
 	d.chooseContained(now, due)
 	for _, kind := range due {
 		if !slices.Contains(before, kind) {
