--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -70,7 +70,7 @@
 		tasks = d.placeable(now, j)
 	}
 	if len(tasks) > 0 && d.isContained(j) {
-		// It waits for a worker without other tasks, and leaves all others to later jobs.
+		// It reserves nothing, as all agents of its kind are tried again soon, and holds up no later job.
 		return true
 	}
 	if len(tasks) > 0 {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -176,7 +176,8 @@
 	d.isPlaceDue = true
 }
 
-// mayUseOffer reports whether a job may use an offer of an agent. One that is contained does not: an offer is part of a worker.
+// mayUseOffer reports whether a job may use an offer of an agent. One that is contained does not, as it reserves nothing: what it
+// used would be lost to the job that did.
 func (d *Dispatcher) mayUseOffer(j *job, a *agent) bool {
 	return j.Kind.Service == a.record.Service && d.containment.permits(j, a.id) && !d.isContained(j)
 }
