--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -10,7 +10,7 @@
 	// isTooSlow and the rule of moves, against 3.5 without them: worth +0.028 +-0.005 on a day with slow workers.
 	maxSlowness = 2.5
 	// maxFailureRate is the failure rate from which a worker is unhealthy; see isHealthy. Measured: 0.5 in its place makes no
-	// difference that is shown, worth +0.001 +-0.001 on days with failing workers.
+	// difference that is shown, worth +0.001 +-0.001 on a day with failing workers and one with hanging ones.
 	maxFailureRate = 0.25
 )
 
