runner, dispatch: one function for the job of a task; a contained job is refused where the others are

Cause: runner and dispatch each cut the id of the job from a task's name, and admit had a second refusal beside refusalReason with the same answer. Change: runner.JobOf serves both packages and durable. refusalReason has the reason of a contained kind first, in the order in which it was asked before. Answers and Retry-After stay.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -43,10 +43,6 @@
 		d.finish(now, j, d.evacuatedAnswer(reason))
 		return
 	}
-	if reason := d.containedReason(j); reason != "" {
-		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.soon()})
-		return
-	}
 	if reason := d.refusalReason(now, j); reason != "" {
 		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.soon()})
 		return
@@ -60,15 +56,19 @@
 // refusalReason returns why a job is refused on arrival, or "" if it is accepted.
 //
 // Inputs: the number of jobs under way, durable ones included, and Limits.Jobs; the time of the shutdown, if any; the
-// objective of the job.
+// objective of the job; whether its kind is contained.
 //
-// Rule: a job is refused if Limits.Jobs are under way, or if the process ends before the job's objective.
+// Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, or if its kind is contained
+// and no agent of the kind accepts tasks (containment.go).
 //
 // Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
 // submitted to another entry, while one that is interrupted may have run.
 //
 // Measured: no; Limits.Jobs is a setting.
 func (d *Dispatcher) refusalReason(now time.Time, j *job) string {
+	if reason := d.containedReason(j); reason != "" {
+		return reason
+	}
 	switch {
 	case len(d.jobs) >= d.limits.Jobs:
 		return "too many jobs are under way"
--- a/internal/dispatch/containment.go
+++ b/internal/dispatch/containment.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if isEvidence(run) || d.suspects.mustGiveUp(run.Task) {
-		d.containment.add(crashedAt, run.Kind, JobOf(run.Task), isEvidence(run))
+		d.containment.add(crashedAt, run.Kind, runner.JobOf(run.Task), isEvidence(run))
 	}
 }
 
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -6,8 +6,9 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
+
+	"sailhead/internal/runner"
 )
 
 // taskState is the state of a task.
@@ -77,15 +78,9 @@
 	return fmt.Sprintf("%s.0.%d.%d", job, step, index)
 }
 
-// JobOf returns the id of the job from the name of one of its tasks.
-func JobOf(task string) string {
-	job, _, _ := strings.Cut(task, ".")
-	return job
-}
-
 // find returns a task by its name and its job. The task is nil if there is none of the name.
 func (d *Dispatcher) find(name string) (*job, *task) {
-	if j, ok := d.jobs[JobOf(name)]; ok {
+	if j, ok := d.jobs[runner.JobOf(name)]; ok {
 		return j, j.task(name)
 	}
 	return nil, nil
--- a/internal/durable/ends.go
+++ b/internal/durable/ends.go
@@ -3,7 +3,10 @@
 
 package durable
 
-import "sailhead/internal/dispatch"
+import (
+	"sailhead/internal/dispatch"
+	"sailhead/internal/runner"
+)
 
 // An agent keeps the end of a durable run, and its worker keeps it too, until an entry acknowledges it.
 //
@@ -24,7 +27,7 @@
 
 // taskEnded records the end of a run and acknowledges it once it is written.
 func (c *Coordinator) taskEnded(e TaskEnded) {
-	id := dispatch.JobOf(e.Update.Name)
+	id := runner.JobOf(e.Update.Name)
 	s := c.shards[ShardOf(id)]
 	acknowledgement := AcknowledgeEnd{Agent: e.Agent, Name: e.Update.Name, Run: e.Update.Run}
 	j, ok := s.jobs[id]
--- a/internal/durable/random_test.go
+++ b/internal/durable/random_test.go
@@ -235,7 +235,7 @@
 	case ToDispatcher:
 		s.dispatch(e, effect.Event)
 	case AcknowledgeEnd:
-		if tasks, ok := s.promised[dispatch.JobOf(effect.Name)]; ok {
+		if tasks, ok := s.promised[runner.JobOf(effect.Name)]; ok {
 			tasks[effect.Name] = true
 		}
 	}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -68,12 +68,15 @@
 // id returns the current run.
 func (t *task) id() RunID { return RunID{Task: t.Name, Run: t.Run} }
 
-// job returns the id of the task's job.
-func (t *task) job() string {
-	job, _, _ := strings.Cut(t.Name, ".")
+// JobOf returns the id of the job from the name of one of its tasks.
+func JobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
 	return job
 }
 
+// job returns the id of the task's job.
+func (t *task) job() string { return JobOf(t.Name) }
+
 // active returns the tasks that may have a run on the worker, in the order of their names.
 func (r *Runner) active() []*task {
 	var active []*task
