wire: the messages that sessions and exchanges have in common, once

Cause: the changes of availability zones and the runs on a worker that crashed stood in session.proto and in cluster.proto, each with its own conversion to and from the same types. Change: package wire has the two messages and their conversions; both protocols import them.

--- a/internal/cluster/crash.go
+++ b/internal/cluster/crash.go
@@ -8,6 +8,7 @@
 
 	"sailhead/internal/cluster/clusterpb"
 	"sailhead/internal/runner"
+	"sailhead/internal/wire"
 )
 
 // Crashes of workers spread with each exchange, so that an entry without a session with the agent knows them too when a job
@@ -90,25 +91,14 @@
 // message returns what exchanges carry of a crash that was heard of some time ago.
 func (c Crash) message(heardAgo time.Duration) *clusterpb.Crash {
 	age := (c.Age + heardAgo).Milliseconds()
-	message := &clusterpb.Crash{Agent: c.Agent, Incarnation: c.Incarnation, AgeMs: uint32(age)}
-	for _, run := range c.Runs {
-		message.Runs = append(message.Runs, &clusterpb.CrashedRun{
-			Task: run.Task, Run: run.Run, Kind: run.Kind, Running: run.WasRunning, Latest: run.IsLatest, Isolated: run.IsIsolated,
-		})
-	}
-	return message
+	return &clusterpb.Crash{Agent: c.Agent, Incarnation: c.Incarnation, AgeMs: uint32(age), Runs: wire.PackRuns(c.Runs)}
 }
 
 func crashOf(message *clusterpb.Crash) Crash {
 	age := time.Duration(message.GetAgeMs()) * time.Millisecond
-	crash := Crash{Agent: message.GetAgent(), Crash: runner.Crash{Incarnation: message.GetIncarnation(), Age: age}}
-	for _, run := range message.GetRuns() {
-		id := runner.RunID{Task: run.GetTask(), Run: run.GetRun()}
-		crash.Runs = append(crash.Runs, runner.CrashedRun{
-			RunID: id, Kind: run.GetKind(), WasRunning: run.GetRunning(), IsLatest: run.GetLatest(), IsIsolated: run.GetIsolated(),
-		})
-	}
-	return crash
+	return Crash{Agent: message.GetAgent(), Crash: runner.Crash{
+		Incarnation: message.GetIncarnation(), Age: age, Runs: wire.UnpackRuns(message.GetRuns()),
+	}}
 }
 
 // AddCrash stores a crash, which is then passed on for some seconds. It reports whether the crash was not known.
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -25,6 +25,7 @@
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster/clusterpb"
 	"sailhead/internal/evacuation"
+	"sailhead/internal/wire"
 	"sailhead/internal/worker"
 )
 
@@ -242,7 +243,7 @@
 func (d *Directory) summaryView() *clusterpb.View {
 	return &clusterpb.View{
 		Version: d.version, Digest: d.digest, Crashes: d.crashes.messages(clock.Now()),
-		Evacuations: zoneMessages(d.evacuations), EvacuationsAsOf: int64(d.evacuations.AsOf()),
+		Evacuations: wire.PackChanges(d.evacuations), EvacuationsAsOf: int64(d.evacuations.AsOf()),
 	}
 }
 
--- a/internal/cluster/evacuation.go
+++ b/internal/cluster/evacuation.go
@@ -3,10 +3,7 @@
 
 package cluster
 
-import (
-	"sailhead/internal/cluster/clusterpb"
-	"sailhead/internal/evacuation"
-)
+import "sailhead/internal/evacuation"
 
 // MergeEvacuations adds what is known of the evacuated availability zones. It returns the result, and whether it differs from what
 // the directory held.
@@ -25,20 +22,3 @@
 	defer d.mu.Unlock()
 	return d.evacuations
 }
-
-func zoneMessages(state evacuation.State) []*clusterpb.ZoneChange {
-	var messages []*clusterpb.ZoneChange
-	for _, c := range state.Changes() {
-		messages = append(messages, &clusterpb.ZoneChange{Zone: c.Zone, Revision: int64(c.Revision), Evacuated: c.IsEvacuated})
-	}
-	return messages
-}
-
-// evacuationsOf returns the evacuations of a view.
-func evacuationsOf(view *clusterpb.View) evacuation.State {
-	var changes []evacuation.Change
-	for _, c := range view.GetEvacuations() {
-		changes = append(changes, evacuation.Change{Zone: c.GetZone(), Revision: evacuation.Revision(c.GetRevision()), IsEvacuated: c.GetEvacuated()})
-	}
-	return evacuation.New(evacuation.Revision(view.GetEvacuationsAsOf()), changes)
-}
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -15,6 +15,7 @@
 	"sailhead/internal/cluster/clusterpb"
 	"sailhead/internal/evacuation"
 	"sailhead/internal/timing"
+	"sailhead/internal/wire"
 )
 
 // idleTimeout is how long an unused connection to another process stays open. An entry calls each other one once in some seconds:
@@ -77,7 +78,7 @@
 // apply adds the evacuations, the members, the crashes and the document of another entry's view, in this order: nothing is placed
 // without agents or a configuration, so neither comes before it is known which availability zones are evacuated.
 func (e *Exchanger) apply(view *clusterpb.View) {
-	if state, isChanged := e.directory.MergeEvacuations(evacuationsOf(view)); isChanged {
+	if state, isChanged := e.directory.MergeEvacuations(wire.UnpackEvacuations(view.GetEvacuationsAsOf(), view.GetEvacuations())); isChanged {
 		e.listener.EvacuationsHeard(state)
 	}
 	e.directory.addMembers(view)
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -18,6 +18,7 @@
 	"sailhead/internal/logging"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
+	"sailhead/internal/wire"
 )
 
 // failuresPerSecond bounds the log lines about sessions that failed. Design: half of the sessions of an agent of a large site.
@@ -132,7 +133,7 @@
 	case *sessionpb.FromEntry_Noted:
 		s.post(runner.EndAcknowledged{Name: message.Noted.Task, Run: message.Noted.Run})
 	case *sessionpb.FromEntry_Evacuations:
-		s.post(runner.EvacuationsReceived{State: unpackEvacuations(message.Evacuations)})
+		s.post(runner.EvacuationsReceived{State: wire.UnpackEvacuations(message.Evacuations.AsOf, message.Evacuations.Changes)})
 	case *sessionpb.FromEntry_Stop:
 		s.post(runner.StopRequested{Session: id, Name: message.Stop.Task})
 	}
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -11,6 +11,7 @@
 	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
+	"sailhead/internal/wire"
 	"sailhead/internal/worker"
 )
 
@@ -136,38 +137,15 @@
 }
 
 func packCrash(c runner.Crash) *sessionpb.FromAgent {
-	crash := &sessionpb.Crash{Incarnation: c.Incarnation, AgeMs: millis(c.Age)}
-	for _, run := range c.Runs {
-		crash.Runs = append(crash.Runs, &sessionpb.CrashedRun{
-			Task: run.Task, Run: run.Run, Kind: run.Kind, Running: run.WasRunning, Latest: run.IsLatest, Isolated: run.IsIsolated,
-		})
-	}
+	crash := &sessionpb.Crash{Incarnation: c.Incarnation, AgeMs: millis(c.Age), Runs: wire.PackRuns(c.Runs)}
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Crash{Crash: crash}}
 }
 
 func unpackCrash(c *sessionpb.Crash) runner.Crash {
-	crash := runner.Crash{Incarnation: c.Incarnation, Age: duration(c.AgeMs)}
-	for _, run := range c.Runs {
-		crash.Runs = append(crash.Runs, runner.CrashedRun{
-			RunID: runner.RunID{Task: run.Task, Run: run.Run}, Kind: run.Kind,
-			WasRunning: run.Running, IsLatest: run.Latest, IsIsolated: run.Isolated,
-		})
-	}
-	return crash
+	return runner.Crash{Incarnation: c.Incarnation, Age: duration(c.AgeMs), Runs: wire.UnpackRuns(c.Runs)}
 }
 
 func packEvacuations(state evacuation.State) *sessionpb.FromEntry {
-	evacuations := &sessionpb.Evacuations{AsOf: int64(state.AsOf())}
-	for _, c := range state.Changes() {
-		evacuations.Changes = append(evacuations.Changes, &sessionpb.ZoneChange{Zone: c.Zone, Revision: int64(c.Revision), Evacuated: c.IsEvacuated})
-	}
+	evacuations := &sessionpb.Evacuations{AsOf: int64(state.AsOf()), Changes: wire.PackChanges(state)}
 	return &sessionpb.FromEntry{Message: &sessionpb.FromEntry_Evacuations{Evacuations: evacuations}}
 }
-
-func unpackEvacuations(e *sessionpb.Evacuations) evacuation.State {
-	var changes []evacuation.Change
-	for _, c := range e.Changes {
-		changes = append(changes, evacuation.Change{Zone: c.Zone, Revision: evacuation.Revision(c.Revision), IsEvacuated: c.Evacuated})
-	}
-	return evacuation.New(evacuation.Revision(e.AsOf), changes)
-}
--- a/internal/session/sessionpb/generate.sh
+++ b/internal/session/sessionpb/generate.sh
@@ -8,4 +8,4 @@
 trap 'rm -rf "$bin"' EXIT
 cd "$here"
 go build -o "$bin/" google.golang.org/protobuf/cmd/protoc-gen-go
-PATH="$bin:$PATH" protoc --proto_path="$here" --go_out="$out" --go_opt=paths=source_relative session.proto
+PATH="$bin:$PATH" protoc --proto_path="$here" --proto_path="$here/../../wire/wirepb" --go_out="$out" --go_opt=paths=source_relative session.proto
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,52 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+// Package wire converts what sessions between entries and agents, and exchanges between entries, have in common.
+package wire
+
+import (
+	"sailhead/internal/evacuation"
+	"sailhead/internal/runner"
+	"sailhead/internal/wire/wirepb"
+)
+
+// PackChanges returns the changes of the availability zones that a state holds.
+func PackChanges(state evacuation.State) []*wirepb.ZoneChange {
+	var messages []*wirepb.ZoneChange
+	for _, c := range state.Changes() {
+		messages = append(messages, &wirepb.ZoneChange{Zone: c.Zone, Revision: int64(c.Revision), Evacuated: c.IsEvacuated})
+	}
+	return messages
+}
+
+// UnpackEvacuations returns the state that changes make, with the revision of the store at the latest full reading.
+func UnpackEvacuations(asOf int64, messages []*wirepb.ZoneChange) evacuation.State {
+	var changes []evacuation.Change
+	for _, m := range messages {
+		changes = append(changes, evacuation.Change{Zone: m.GetZone(), Revision: evacuation.Revision(m.GetRevision()), IsEvacuated: m.GetEvacuated()})
+	}
+	return evacuation.New(evacuation.Revision(asOf), changes)
+}
+
+// PackRuns returns the messages of runs that were on a worker when it crashed.
+func PackRuns(runs []runner.CrashedRun) []*wirepb.CrashedRun {
+	var messages []*wirepb.CrashedRun
+	for _, run := range runs {
+		messages = append(messages, &wirepb.CrashedRun{
+			Task: run.Task, Run: run.Run, Kind: run.Kind, Running: run.WasRunning, Latest: run.IsLatest, Isolated: run.IsIsolated,
+		})
+	}
+	return messages
+}
+
+// UnpackRuns returns the runs of messages that PackRuns made.
+func UnpackRuns(messages []*wirepb.CrashedRun) []runner.CrashedRun {
+	var runs []runner.CrashedRun
+	for _, m := range messages {
+		runs = append(runs, runner.CrashedRun{
+			RunID: runner.RunID{Task: m.GetTask(), Run: m.GetRun()}, Kind: m.GetKind(),
+			WasRunning: m.GetRunning(), IsLatest: m.GetLatest(), IsIsolated: m.GetIsolated(),
+		})
+	}
+	return runs
+}
