entry: the choice of agents reads the evacuated zones from the directory; a test of it

Cause: agentChoice, which holds what the choice depends on beside the directory, kept a merged copy of the evacuations that the directory has. Change: choose is given the directory's state, and a change only wakes the duty connect; it is merged into the directory before that, so the choice sees it. A test shows that others are chosen beside the agents of an evacuated zone, which no unit test did.

--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -36,8 +36,6 @@
 // agentChoice holds what the choice of the agents depends on beside the directory. It is safe for concurrent use.
 type agentChoice struct {
 	mu sync.Mutex
-	// evacuations are the availability zones in which no agent gets tasks.
-	evacuations evacuation.State
 	// lost are the agents that could not be reached for lostAfter.
 	lost map[string]bool
 	// needsAll is set once there may be durable jobs: the end of a durable task is reported to the entries in session, and
@@ -68,14 +66,6 @@
 	c.notify()
 }
 
-// setEvacuations sets the availability zones in which no agent gets tasks.
-func (c *agentChoice) setEvacuations(state evacuation.State) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.evacuations = c.evacuations.Merge(state)
-	c.notify()
-}
-
 // requireAll makes the entry keep sessions with all agents from now on.
 func (c *agentChoice) requireAll() {
 	c.mu.Lock()
@@ -86,7 +76,7 @@
 	}
 }
 
-// notify wakes the duty connect. The caller holds mu.
+// notify wakes the duty connect.
 func (c *agentChoice) notify() {
 	select {
 	case c.changed <- struct{}{}:
@@ -98,14 +88,14 @@
 // choose returns the names of the agents to keep sessions with, of those given, and how many of them get no tasks: they are lost,
 // or in an evacuated availability zone. Others are chosen beside these, whose sessions stay, as runs may go on there. isChanged
 // reports whether the number of the chosen differs from the previous choice.
-func (c *agentChoice) choose(entry string, agents map[string]cluster.Member, entries int) (chosen []string, lost int, isChanged bool) {
+func (c *agentChoice) choose(entry string, agents map[string]cluster.Member, evacuations evacuation.State, entries int) (chosen []string, lost int, isChanged bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	size := subset.Size(len(agents), entries)
 	if c.needsAll {
 		size = len(agents)
 	}
-	isLost := func(agent string) bool { return c.lost[agent] || c.evacuations.Has(agents[agent].Zone) }
+	isLost := func(agent string) bool { return c.lost[agent] || evacuations.Has(agents[agent].Zone) }
 	chosen = subset.Choose(entry, slices.Collect(maps.Keys(agents)), size, isLost)
 	for _, agent := range chosen {
 		if isLost(agent) {
@@ -120,7 +110,7 @@
 // chooseAgents returns the agents with which the entry keeps sessions, of those that are registered.
 func (e *Entry) chooseAgents(agents map[string]cluster.Member) map[string]cluster.Member {
 	entries := len(e.directory.Members(cluster.RoleEntry))
-	chosen, lost, isChanged := e.choice.choose(e.self.Name, agents, entries)
+	chosen, lost, isChanged := e.choice.choose(e.self.Name, agents, e.directory.Evacuations(), entries)
 	e.tellRegistered(slices.Sorted(maps.Keys(agents)), len(chosen))
 	wanted := make(map[string]cluster.Member, len(chosen))
 	for _, name := range chosen {
--- a/internal/entry/choice_test.go
+++ b/internal/entry/choice_test.go
@@ -11,6 +11,7 @@
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
+	"sailhead/internal/evacuation"
 	"sailhead/internal/subset"
 )
 
@@ -27,17 +28,17 @@
 func TestALostAgentIsReplacedUntilItComesBack(t *testing.T) {
 	c := newAgentChoice()
 	agents := agentMembers(240)
-	before, _, _ := c.choose("entry", agents, 55)
+	before, _, _ := c.choose("entry", agents, evacuation.State{}, 55)
 	if len(before) != subset.MinAgents {
 		t.Fatalf("%d agents, want %d", len(before), subset.MinAgents)
 	}
 	c.setLost(before[3], true)
-	during, lost, isChanged := c.choose("entry", agents, 55)
+	during, lost, isChanged := c.choose("entry", agents, evacuation.State{}, 55)
 	if len(during) != subset.MinAgents+1 || lost != 1 || !isChanged || !slices.Contains(during, before[3]) {
 		t.Errorf("with one lost: %d agents, %d lost, changed %t", len(during), lost, isChanged)
 	}
 	c.setLost(before[3], false)
-	if after, _, _ := c.choose("entry", agents, 55); !slices.Equal(after, before) {
+	if after, _, _ := c.choose("entry", agents, evacuation.State{}, 55); !slices.Equal(after, before) {
 		t.Error("the subset differs from the one before the loss")
 	}
 	if len(c.changed) != 1 {
@@ -45,11 +46,27 @@
 	}
 }
 
+func TestOthersAreChosenBesideTheAgentsOfAnEvacuatedZone(t *testing.T) {
+	c := newAgentChoice()
+	agents := agentMembers(240)
+	before, _, _ := c.choose("entry", agents, evacuation.State{}, 55)
+	state := evacuation.New(3, []evacuation.Change{{Zone: "a", Revision: 2, IsEvacuated: true}})
+	during, without, isChanged := c.choose("entry", agents, state, 55)
+	if without == 0 || len(during) != len(before)+without || !isChanged {
+		t.Errorf("%d agents, %d of them in the evacuated zone, changed: %t; want %d beside those", len(during), without, isChanged, len(before))
+	}
+	for _, agent := range before {
+		if !slices.Contains(during, agent) {
+			t.Errorf("%s is left out, although its runs go on", agent)
+		}
+	}
+}
+
 // An end of a durable task reaches the entries in session only, and any entry may have to take over its shard.
 func TestDurableJobsNeedSessionsWithAllAgents(t *testing.T) {
 	c := newAgentChoice()
 	c.requireAll()
-	if chosen, _, _ := c.choose("entry", agentMembers(240), 55); len(chosen) != 240 {
+	if chosen, _, _ := c.choose("entry", agentMembers(240), evacuation.State{}, 55); len(chosen) != 240 {
 		t.Errorf("%d of 240 agents", len(chosen))
 	}
 }
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -23,7 +23,7 @@
 	for _, s := range e.sessions.all() {
 		s.conn.SendEvacuations(state)
 	}
-	e.choice.setEvacuations(state)
+	e.choice.notify()
 }
 
 // shownEvacuations is what was logged and counted of the evacuated availability zones. It is safe for concurrent use.
