--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -69,10 +69,19 @@
 	// allCrashes counts the crashes of workers, each of which is away for restartAfter.
 	allCrashes   int
 	restartAfter time.Duration
+	// runTimes has the run times of some tasks, in place of that in their payload.
+	runTimes map[string]time.Duration
+	// onStart is called after each start that a worker has accepted, unless it is nil.
+	onStart func(w *fakeWorker, task string)
 }
 
 // started counts a start of a task.
-func (s *site) started(task string) { s.starts[task]++ }
+func (s *site) started(w *fakeWorker, task string) {
+	s.starts[task]++
+	if s.onStart != nil {
+		s.onStart(w, task)
+	}
+}
 
 // crashed counts the crash of a worker under its runs.
 func (s *site) crashed(running map[string]fakeRun) {
@@ -143,11 +152,13 @@
 	runner  *runner.Runner
 	worker  *fakeWorker
 	entries map[runner.SessionID]*entry
+	// delay is the time of a message between the agent and its worker.
+	delay time.Duration
 }
 
 func (s *site) addAgent(id dispatch.AgentID) {
 	limits := runner.DefaultLimits(time.Second, 50*time.Millisecond)
-	a := &agent{site: s, id: id, runner: runner.New(limits, 1), entries: make(map[runner.SessionID]*entry)}
+	a := &agent{site: s, id: id, runner: runner.New(limits, 1), entries: make(map[runner.SessionID]*entry), delay: workerDelay}
 	a.worker = newFakeWorker(a)
 	s.agents[id] = a
 	s.every(agentTick, func() { a.handle(runner.Ticked{}) })
@@ -175,7 +186,7 @@
 	case runner.SendPing:
 		a.site.after(2*sessionDelay, func() { a.handle(runner.PongReceived{Session: e.Session, Sent: e.Time}) })
 	case runner.CallStart, runner.CallStop, runner.CallRenew:
-		a.site.after(workerDelay, func() { a.call(effect) })
+		a.call(effect)
 	}
 }
 
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -12,8 +12,13 @@
 	"sailhead/internal/worker"
 )
 
-// workerDelay is the time of a message between an agent and its worker.
-const workerDelay = 200 * time.Microsecond
+const (
+	// workerDelay is the time of a message between an agent and its worker, unless agent.delay says otherwise.
+	workerDelay = 200 * time.Microsecond
+	// callTimeout bounds a start or a stop, renewTimeout a renewal beyond the time that it may wait, as in the client of the worker.
+	callTimeout  = 25 * time.Millisecond
+	renewTimeout = 50 * time.Millisecond
+)
 
 // fakeRun is a run on a fakeWorker.
 type fakeRun struct {
@@ -76,7 +81,7 @@
 	w.isDown = true
 	w.site.crashed(w.running)
 	if w.poll != nil {
-		w.poll(worker.Unanswered{Reason: "the connection was closed"})
+		w.poll(worker.Unanswered{Reason: "the connection was closed", IsClosed: true})
 	}
 	w.site.after(w.site.restartAfter, w.begin)
 }
@@ -106,12 +111,15 @@
 	if err != nil {
 		return worker.Invalid{Reply: w.reply(), Reason: err.Error()}
 	}
-	w.site.started(request.Name)
+	if own, ok := w.site.runTimes[request.Name]; ok {
+		length = own
+	}
 	if crashes && strings.HasSuffix(request.Name, ".0.0.0") {
 		w.site.after(crashAfter, func() { w.crashUnder(incarnation, request.Name, request.Run) })
 	}
 	w.running[request.Name] = fakeRun{run: request.Run, began: w.site.now, length: length}
 	w.site.after(length, func() { w.end(incarnation, request.Name, request.Run, worker.EndingDone) })
+	w.site.started(w, request.Name)
 	return worker.Accepted{Reply: w.reply()}
 }
 
@@ -176,22 +184,41 @@
 	return listing
 }
 
-// call carries out a call of an agent to its worker and hands the agent the answer.
+// call sends a call of an agent to its worker and hands the agent the answer, or none if that takes too long.
 func (a *agent) call(effect runner.Effect) {
-	back := func(event runner.Event) {
-		a.site.after(workerDelay, func() { a.handle(event) })
-	}
 	switch e := effect.(type) {
 	case runner.CallStart:
-		result := a.worker.start(e.Incarnation, e.Start)
-		back(runner.StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Result: result})
+		answer := func(result worker.StartResult) runner.Event {
+			return runner.StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Result: result}
+		}
+		exchange(a, callTimeout, answer, func(back func(worker.StartResult)) { back(a.worker.start(e.Incarnation, e.Start)) })
 	case runner.CallStop:
-		result := a.worker.stop(e.Incarnation, e.Stop)
-		back(runner.StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: result})
+		answer := func(result worker.StopResult) runner.Event {
+			return runner.StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: result}
+		}
+		exchange(a, callTimeout, answer, func(back func(worker.StopResult)) { back(a.worker.stop(e.Incarnation, e.Stop)) })
 	case runner.CallRenew:
-		sent := a.site.now.Add(-workerDelay)
-		a.worker.renew(e.Incarnation, e.Renew, func(result worker.RenewResult) {
-			back(runner.RenewAnswered{Incarnation: e.Incarnation, Sent: sent, Fence: e.Renew.Fence, LongPoll: e.Renew.Wait > 0, Result: result})
-		})
+		sent := a.site.now
+		answer := func(result worker.RenewResult) runner.Event {
+			return runner.RenewAnswered{Incarnation: e.Incarnation, Sent: sent, Fence: e.Renew.Fence, LongPoll: e.Renew.Wait > 0, Result: result}
+		}
+		exchange(a, e.Renew.Wait+renewTimeout, answer, func(back func(worker.RenewResult)) { a.worker.renew(e.Incarnation, e.Renew, back) })
+	}
+}
+
+// exchange carries a call to the worker and the event made of its result back. The result is Unanswered after the timeout.
+func exchange[Result any](a *agent, timeout time.Duration, event func(Result) runner.Event, call func(back func(Result))) {
+	isOver := false
+	end := func(result Result) {
+		if !isOver {
+			isOver = true
+			a.handle(event(result))
+		}
+	}
+	a.site.after(a.delay, func() {
+		call(func(result Result) { a.site.after(a.delay, func() { end(result) }) })
+	})
+	if unanswered, ok := any(worker.Unanswered{Reason: "timeout"}).(Result); ok && a.delay > workerDelay {
+		a.site.after(timeout, func() { end(unanswered) })
 	}
 }
