--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -85,12 +86,13 @@
 // logIncarnationEnded logs why an incarnation of the worker ended and the runs that ended with it: any of them may have
 // caused it.
 func (a *Agent) logIncarnationEnded(e runner.IncarnationEnded) {
-	var runs []string
+	var runs, ages []string
 	for _, run := range e.Runs[:min(len(e.Runs), maxLoggedRuns)] {
 		runs = append(runs, fmt.Sprintf("%s/%d", run.Task, run.Run))
+		ages = append(ages, run.Age.Round(time.Millisecond).String())
 	}
 	_ = level.Info(a.logger).Log("msg", "worker ended", "life", e.ID, "reason", e.Reason,
-		"crash", e.IsCrash, "count", len(e.Runs), "runs", strings.Join(runs, ","))
+		"crash", e.IsCrash, "count", len(e.Runs), "runs", strings.Join(runs, ","), "ages", strings.Join(ages, ","))
 }
 
 // evacuationChanged logs and shows whether the worker's availability zone is evacuated. runs are those that go on to their end.
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -90,7 +90,14 @@
 	// IsCrash is set if it ended without having said so.
 	IsCrash bool
 	// Runs are those that may have been on the worker, in the order of their tasks' names.
-	Runs []RunID
+	Runs []EndedRun
+}
+
+// EndedRun is a run that ended with the worker's incarnation.
+type EndedRun struct {
+	RunID
+	// Age is the time from when the start was sent until the end of the incarnation was first noticed. The run itself is younger.
+	Age time.Duration
 }
 
 // EvacuationChanged reports that the worker's availability zone was evacuated or taken back. It is for the log and metrics.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -184,7 +184,7 @@
 	}
 	ended := IncarnationEnded{ID: record.ID, Reason: string(end), IsCrash: end.isCrash(record)}
 	for _, t := range active {
-		ended.Runs = append(ended.Runs, t.id())
+		ended.Runs = append(ended.Runs, EndedRun{RunID: t.id(), Age: crashedAt.Sub(t.began)})
 	}
 	r.emit(ended)
 	for _, t := range active {
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -220,7 +220,11 @@
 		case SendCrash:
 			fmt.Fprintf(&out, "crash %d: %s%s\n", e.Session, e.Crash.Incarnation, describeRuns(e.Crash.Runs))
 		case IncarnationEnded:
-			fmt.Fprintf(&out, "ended %s: %s, with %v\n", e.ID, e.Reason, e.Runs)
+			var runs []RunID
+			for _, run := range e.Runs {
+				runs = append(runs, run.RunID)
+			}
+			fmt.Fprintf(&out, "ended %s: %s, with %v\n", e.ID, e.Reason, runs)
 		case EvacuationChanged:
 			fmt.Fprintf(&out, "zone %s evacuated=%t runs=%d\n", e.Zone, e.IsEvacuated, e.Runs)
 		}
