--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// noteAnswered notes that the worker has answered a call that was sent at a time: if it had closed connections before, it had not crashed.
-func (i *incarnation) noteAnswered(sent time.Time) {
+// noteAlive notes that the worker has answered a call that was sent at a time: if it closed connections before that, it had not crashed.
+func (i *incarnation) noteAlive(sent time.Time) {
 	if sent.After(i.closing.at) {
 		i.closing = closing{}
 	}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -12,22 +12,26 @@
 // The worker's lease and its expiry
 //
 // Inputs: when a lease was last requested, Limits.Lease and Limits.Stop, and the drift of the worker's clock.
-// Rule: a worker that has not answered a renewal for timing.WorkerUnresponsiveAfter gets no new tasks and no new leases.
+// Rule: a worker that has not answered a renewal for timing.WorkerUnresponsiveAfter, though it was asked timing.RenewInterval ago,
+// gets no new tasks and no new leases.
 // Once its last lease, the drift and the time of a stop have passed, its runs are reported as lost. A durable task
 // waits timing.DurableLossDelay longer. A start under way is left to its own answer.
 // Reason: the entry reruns a lost task elsewhere, so the run here must have ended. The end of a durable task's run that
 // was done must not be missed, as the task would run twice.
 // Measured: see timing.WorkerLease and timing.DurableLossDelay.
 
-// isUnresponsive reports whether the worker has left all renewals unanswered for timing.WorkerUnresponsiveAfter.
+// isUnresponsive reports whether the worker has left all renewals unanswered for timing.WorkerUnresponsiveAfter. One that was not asked
+// has not failed to answer: without that, each idle worker of a quiet day was unresponsive for a moment now and then, 31 times with 11
+// workers, and rejected starts.
 func (i *incarnation) isUnresponsive(now time.Time) bool {
-	return now.Sub(i.lastAnswered) > timing.WorkerUnresponsiveAfter
+	wasAsked := !i.askedAt.IsZero() && now.Sub(i.askedAt) >= timing.RenewInterval
+	return wasAsked && now.Sub(i.lastAnswered) > timing.WorkerUnresponsiveAfter
 }
 
 // maxClockAge is how old a reading of the worker's clock may be for a lease to be computed from it. The worker's clock stands still
 // while the VM is suspended and this process's does not, so an old reading would give a lease that is longer by the suspension.
-// Every answer brings a new one, at least every idleRenewInterval. Design, not measured.
-const maxClockAge = time.Second
+// Every answer brings a new one, at least every idleRenewInterval, and one lost answer is within this. Design.
+const maxClockAge = timing.WorkerUnresponsiveAfter
 
 // leaseUntil returns the end of a lease that begins now, on the worker's clock, or zero if that clock is unknown.
 func (r *Runner) leaseUntil(now time.Time) time.Duration {
--- a/internal/runner/renew.go
+++ b/internal/runner/renew.go
@@ -21,9 +21,8 @@
 
 const (
 	// idleRenewInterval is the time between two renewals while no run is active. They only show whether the worker
-	// responds. Design: equal to timing.WorkerUnresponsiveAfter, so one lost answer makes an idle worker unresponsive.
-	// Not measured.
-	idleRenewInterval = 300 * time.Millisecond
+	// responds. Design: after a lost answer another one is sent timing.RenewInterval later, within timing.WorkerUnresponsiveAfter.
+	idleRenewInterval = 200 * time.Millisecond
 	// longPollTimeout is how long a long poll waits for an end on the worker. Not measured.
 	longPollTimeout = 500 * time.Millisecond
 	// longPollBackoff is the pause after a long poll that brought no listing. Measured: without it a worker that closed
@@ -33,7 +32,7 @@
 
 // renew sends the renewal and the long poll if they are due.
 func (r *Runner) renew(now time.Time) {
-	if now.Sub(r.worker.lastRenewSent) >= r.nextRenewInterval() {
+	if now.Sub(r.worker.lastRenewSent) >= r.nextRenewInterval(now) {
 		r.requestListing(now)
 	}
 	r.pollIfDue(now)
@@ -48,13 +47,15 @@
 }
 
 // nextRenewInterval returns the time between two renewals that do not wait.
-func (r *Runner) nextRenewInterval() time.Duration {
+func (r *Runner) nextRenewInterval(now time.Time) time.Duration {
 	switch {
+	case r.worker.isUnresponsive(now):
+		return timing.RenewInterval
 	case len(r.worker.unacknowledged) > 0:
 		return unacknowledgedRenewInterval
 	case !r.worker.isSurveyed, r.awaitsListing():
 		return minRetryInterval
-	case r.hasActive():
+	case r.hasActive(), !r.worker.askedAt.IsZero():
 		return timing.RenewInterval
 	default:
 		return idleRenewInterval
@@ -84,6 +85,9 @@
 // requestListing sends a renewal that is answered at once.
 func (r *Runner) requestListing(now time.Time) {
 	r.worker.lastRenewSent = now
+	if r.worker.askedAt.IsZero() {
+		r.worker.askedAt = now
+	}
 	r.sendRenew(now, 0)
 }
 
@@ -93,6 +97,8 @@
 	request := worker.RenewRequest{Fence: r.fence, AcknowledgedEnd: r.worker.acknowledgedUpTo(), Wait: wait}
 	if !r.worker.isUnresponsive(now) {
 		request.LeaseUntil = r.leaseUntil(now)
+	}
+	if request.LeaseUntil > 0 {
 		r.worker.lastRenewal = now
 	}
 	r.emit(CallRenew{Incarnation: r.worker.record.ID, Renew: request})
@@ -175,15 +181,27 @@
 // markResponsive applies that the worker has answered a renewal that was sent at sent.
 func (r *Runner) markResponsive(now, sent time.Time) {
 	wasUnresponsive := r.worker.isUnresponsive(now)
-	r.worker.noteAnswered(sent)
+	r.worker.noteAlive(sent)
 	if sent.After(r.worker.lastAnswered) {
 		r.worker.lastAnswered = sent
 	}
+	r.worker.noteAnswer(sent)
 	if wasUnresponsive {
 		r.markLoadDue()
 	}
 }
 
+// noteAnswer notes that a renewal was answered that was sent at a time. One that was sent later is still to be answered.
+func (i *incarnation) noteAnswer(sent time.Time) {
+	switch {
+	case sent.Before(i.askedAt):
+	case sent.Before(i.lastRenewSent):
+		i.askedAt = i.lastRenewSent
+	default:
+		i.askedAt = time.Time{}
+	}
+}
+
 // applyEnd applies a listed end once; the worker lists it until it is acknowledged.
 func (r *Runner) applyEnd(now time.Time, end worker.End) {
 	if end.Number <= r.worker.lastEndNumber {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -67,7 +67,7 @@
 	switch result := e.Result.(type) {
 	case worker.Accepted:
 		r.worker.readClock(result.Clock, result.Received)
-		r.worker.noteAnswered(t.began)
+		r.worker.noteAlive(t.began)
 		r.markStarted(t)
 	case worker.Outdated:
 		r.requeue(t)
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -15,9 +15,10 @@
 // Stops and their retry
 //
 // Inputs: the worker's answer to a stop, and its listings.
-// Rule: a stop is repeated until the worker accepts it. A stopped run has ended when the worker lists its end, or when a
+// Rule: a stop is repeated until the worker accepts it, while the worker responds. A stopped run has ended when the worker lists its end, or when a
 // listing lacks it that was requested later than the answer plus Limits.Stop plus the drift of the worker's clock.
-// Reason: a run may continue for Limits.Stop after the answer, and the worker need not list it during that time.
+// Reason: an unresponsive worker does not carry out stops, and would have to work off all of them before it answers anything new;
+// without a lease its runs end by themselves. A run may continue for Limits.Stop after the answer, and the worker need not list it during that time.
 // Measured: without the wait a task ran twice on one day; with it 1,500 random
 // schedules pass; spec/session.pml, mutant STOPTIME.
 
@@ -123,6 +124,9 @@
 
 // retryStops repeats the stops that have not been accepted for stopRetryInterval.
 func (r *Runner) retryStops(now time.Time) {
+	if r.worker.isUnresponsive(now) {
+		return
+	}
 	for _, s := range r.stops() {
 		if s.awaitsAnswer() && now.Sub(s.lastSent) >= stopRetryInterval {
 			r.callStop(now, s)
