--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -14,11 +14,12 @@
 // Slowness and failure rate
 //
 // Inputs: for runs that have ended, their ending, run time and expected time; for running ones, also their progress when
-// they were last listed.
+// they were last listed. Times are those of the worker's own clock, as its answers tell it.
 // Rule: both are moving averages over the latest runs. At each tick the median over the jobs that have runs here now, of how
 // long those runs will have taken in units of their expected time, enters the average of the slowness.
 // Reason: entries avoid a slow or failing worker, and move runs off a slow one. The running tasks show a worker that hangs,
-// on which nothing ends.
+// on which nothing ends. The worker's clock tells how long a run took also if the answer was heard late, over a slow link or by
+// an agent that was paused.
 // Measured: judging by single long runs, or by the progress last seen against the present time, moved 40 to 73 healthy
 // runs on a quiet day (worth 0.955 -> 0.911). Hence the median over jobs, and the
 // progress against the time of its listing.
@@ -74,13 +75,14 @@
 	}
 }
 
-// recordEnd applies the end of a run. The time of one with a checkpoint is left out: it may have begun part-way.
-func (h *health) recordEnd(t *task, ending worker.Ending, now time.Time) {
+// recordEnd applies the end of a run that was listed at a time of the worker's clock. The time of one that began at a checkpoint is left
+// out: it began part-way.
+func (h *health) recordEnd(t *task, ending worker.Ending, listed time.Duration) {
 	switch ending {
 	case worker.EndingDone:
 		h.failures -= h.failures * healthWeight
-		if t.Expected > 0 && t.Checkpoint == "" {
-			h.stretch += (t.stretch(now) - 1 - h.stretch) * healthWeight
+		if t.Expected > 0 && t.Checkpoint == "" && t.acceptedAt > 0 {
+			h.stretch += (t.stretch(listed) - 1 - h.stretch) * healthWeight
 		}
 	case worker.EndingFailed:
 		h.failures += (1 - h.failures) * healthWeight
@@ -106,9 +108,9 @@
 	return math.Exp(-float64(elapsed) / float64(toOneOverE))
 }
 
-// stretch returns the run's time until now divided by its expected time.
-func (t *task) stretch(now time.Time) float64 {
-	return float64(now.Sub(t.began)) / float64(t.Expected)
+// stretch returns the run's time until a time of the worker's clock, divided by its expected time.
+func (t *task) stretch(until time.Duration) float64 {
+	return float64(until-t.acceptedAt) / float64(t.Expected)
 }
 
 // projectedStretch returns the stretch that the run will have at its end, if it continues at the speed that its
@@ -119,7 +121,7 @@
 
 // showsSpeed reports whether the progress of a task can be used.
 func (t *task) showsSpeed() bool {
-	return t.state == stateRunning && t.Expected > 0 && t.listedAt.Sub(t.began) >= minElapsed
+	return t.state == stateRunning && t.Expected > 0 && t.acceptedAt > 0 && t.listedAt-t.acceptedAt >= minElapsed
 }
 
 // medianRunningStretch returns the median over the jobs of their running tasks' mean projected stretch less one. ok is false
--- a/internal/runner/health_test.go
+++ b/internal/runner/health_test.go
@@ -4,22 +4,26 @@
 package runner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"sailhead/internal/worker"
 )
 
-// testListedAt is when the runs of the tests were listed.
-var testListedAt = time.Unix(1000, 0)
+// testListedAt is when the runs of the tests were listed, on the worker's clock.
+const testListedAt = time.Hour
 
-func runningTask(name string, began time.Time, expected time.Duration, progress int) *task {
-	return &task{Task: Task{Name: name, Expected: expected}, state: stateRunning, began: began, progress: progress, listedAt: testListedAt}
+// runningTask returns a task whose run began some time before it was listed.
+func runningTask(name string, ago, expected time.Duration, progress int) *task {
+	return &task{
+		Task: Task{Name: name, Expected: expected}, state: stateRunning, acceptedAt: testListedAt - ago, progress: progress, listedAt: testListedAt,
+	}
 }
 
 func TestSlownessFollowsProgressOfRunningTasks(t *testing.T) {
 	now := time.Unix(1000, 0)
-	began := now.Add(-100 * time.Millisecond)
+	began := 100 * time.Millisecond
 	expected := 100 * time.Millisecond
 	cases := []struct {
 		name   string
@@ -30,7 +34,7 @@
 		{"hardly any progress", []*task{runningTask("a.0.0.0", began, expected, 4), runningTask("b.0.0.0", began, expected, 0), runningTask("c.0.0.1", began, expected, 10)}, true},
 		{"one job whose expected time is too short", []*task{runningTask("a.0.0.0", began, expected, 9), runningTask("a.0.0.1", began, expected, 9), runningTask("a.0.0.2", began, expected, 9)}, false},
 		{"too few jobs", []*task{runningTask("a.0.0.0", began, expected, 1), runningTask("b.0.0.0", began, expected, 1)}, false},
-		{"runs shorter than minElapsed", []*task{runningTask("a.0.0.0", now, expected, 0), runningTask("b.0.0.0", now, expected, 0), runningTask("c.0.0.0", now, expected, 0)}, false},
+		{"runs shorter than minElapsed", []*task{runningTask("a.0.0.0", 0, expected, 0), runningTask("b.0.0.0", 0, expected, 0), runningTask("c.0.0.0", 0, expected, 0)}, false},
 	}
 	for _, c := range cases {
 		var h health
@@ -43,8 +47,8 @@
 
 func TestAHangingWorkerIsTriedAgainAfterTwoSeconds(t *testing.T) {
 	const unhealthy = 2.5 // maxSlowness of package dispatch
-	now := testListedAt
-	began := now.Add(-100 * time.Millisecond)
+	now := time.Unix(1000, 0)
+	began := 100 * time.Millisecond
 	var hanging []*task
 	for _, name := range []string{"a.0.0.0", "b.0.0.0", "c.0.0.0"} {
 		hanging = append(hanging, runningTask(name, began, 100*time.Millisecond, 1))
@@ -70,8 +74,8 @@
 	now := time.Unix(1000, 0)
 	var h health
 	for range 20 {
-		h.recordEnd(runningTask("a.0.0.0", now.Add(-time.Second), 100*time.Millisecond, 0), worker.EndingDone, now)
-		h.recordEnd(runningTask("a.0.0.0", now, 100*time.Millisecond, 0), worker.EndingFailed, now)
+		h.recordEnd(runningTask("a.0.0.0", time.Second, 100*time.Millisecond, 0), worker.EndingDone, testListedAt)
+		h.recordEnd(runningTask("a.0.0.0", 0, 100*time.Millisecond, 0), worker.EndingFailed, testListedAt)
 	}
 	h.update(now, nil)
 	if h.slowness() < 3 || h.failureRate() < 0.3 {
@@ -85,3 +89,50 @@
 		t.Fatalf("after 10 s: slowness %.1f, want at most 1.5; failure rate %.2f, want at most 0.1", h.slowness(), h.failureRate())
 	}
 }
+
+// TestARunThatIsHeardLateIsNotSlow plays an agent that is paused for a second, or hears its worker over a slow link.
+//
+// Seen by reading: the time of a run was counted until the agent handled the answer with its end. After a pause of its process every
+// run looked ten times slower than usual, and its worker was avoided for a second or two, though it had done nothing wrong.
+func TestARunThatIsHeardLateIsNotSlow(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := newServingRunner(now, 1)
+	const runTime = 100 * time.Millisecond
+	for i := range 8 {
+		start := StartRequested{Session: 1, Number: uint64(i + 1), Task: Task{Name: fmt.Sprintf("j%d.0.0.0", i), Run: 1, Expected: runTime}}
+		r.Handle(now, start)
+		r.Handle(now, StartAnswered{Incarnation: "w", Name: start.Task.Name, Run: 1, Result: worker.Accepted{
+			Reply: worker.Reply{Clock: time.Hour, Received: now},
+		}})
+	}
+	late := now.Add(time.Second)
+	listing := worker.Listing{Reply: worker.Reply{Clock: time.Hour + runTime, Received: late}}
+	for i := range 8 {
+		listing.Ended = append(listing.Ended, worker.End{Number: uint64(i + 1), Name: fmt.Sprintf("j%d.0.0.0", i), Run: 1, Ending: worker.EndingDone})
+	}
+	r.Handle(late, RenewAnswered{Incarnation: "w", Sent: now, LongPoll: true, Result: listing})
+	if slowness := r.health.slowness(); slowness > 1.1 {
+		t.Errorf("slowness %.1f after runs that took their usual time, want 1", slowness)
+	}
+}
+
+// TestRunsThatSavedCheckpointsCount plays runs that take ten times their usual time and saved a checkpoint on the way.
+//
+// Seen by reading: the checkpoint of the end was stored before the time of the run was judged, so each run with one was taken for one
+// that had begun part-way, and a worker that slowed down only such tasks stayed healthy.
+func TestRunsThatSavedCheckpointsCount(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := newServingRunner(now, 1)
+	const usual = 100 * time.Millisecond
+	for i := range 8 {
+		name := fmt.Sprintf("j%d.0.0.0", i)
+		r.Handle(now, StartRequested{Session: 1, Number: uint64(i + 1), Task: Task{Name: name, Run: 1, Expected: usual}})
+		r.Handle(now, StartAnswered{Incarnation: "w", Name: name, Run: 1, Result: worker.Accepted{Reply: worker.Reply{Clock: time.Hour, Received: now}}})
+		end := worker.End{Number: uint64(i + 1), Name: name, Run: 1, Ending: worker.EndingDone, Checkpoint: "c"}
+		listing := worker.Listing{Reply: worker.Reply{Clock: time.Hour + 10*usual, Received: now.Add(10 * usual)}, Ended: []worker.End{end}}
+		r.Handle(now.Add(10*usual), RenewAnswered{Incarnation: "w", Sent: now, LongPoll: true, Result: listing})
+	}
+	if slowness := r.health.slowness(); slowness < 4 {
+		t.Errorf("slowness %.1f after runs that took ten times their usual time, want 4 at least", slowness)
+	}
+}
--- a/internal/runner/renew.go
+++ b/internal/runner/renew.go
@@ -163,16 +163,16 @@
 	// A listing that was requested before the end of another answer was applied may still contain the run that ended.
 	mayBeOutdated := !sent.After(r.worker.lastEnd)
 	for _, end := range listing.Ended {
-		r.applyEnd(now, end)
+		r.applyEnd(now, listing, end)
 	}
 	listed := make(map[string]worker.Run, len(listing.Running))
 	for _, run := range listing.Running {
 		listed[run.Name] = run
-		r.observeRun(now, mayBeOutdated, run)
+		r.observeRun(now, listing, mayBeOutdated, run)
 	}
 	for _, t := range r.active() {
 		run, isListed := listed[t.Name]
-		r.resolve(e, t, isListed && run.Run == t.Run)
+		r.resolve(e, listing, t, isListed && run.Run == t.Run)
 	}
 	r.resolveOrphans(sent, listed)
 	r.survey(sent, mayBeOutdated)
@@ -203,7 +203,7 @@
 }
 
 // applyEnd applies a listed end once; the worker lists it until it is acknowledged.
-func (r *Runner) applyEnd(now time.Time, end worker.End) {
+func (r *Runner) applyEnd(now time.Time, listing worker.Listing, end worker.End) {
 	if end.Number <= r.worker.lastEndNumber {
 		return
 	}
@@ -217,8 +217,8 @@
 	if t.IsDurable && hasResult(end.Ending) {
 		r.retainEnd(now, end)
 	}
+	r.health.recordEnd(t, end.Ending, listing.Clock)
 	t.Checkpoint = end.Checkpoint
-	r.health.recordEnd(t, end.Ending, now)
 	r.finishRun(t, end.Ending)
 }
 
@@ -238,7 +238,7 @@
 
 // observeRun applies a listed run: it updates the progress of a known one and stops an orphan. In an outdated listing
 // an unknown run may be one whose end was applied, which is no orphan.
-func (r *Runner) observeRun(now time.Time, mayBeOutdated bool, run worker.Run) {
+func (r *Runner) observeRun(now time.Time, listing worker.Listing, mayBeOutdated bool, run worker.Run) {
 	t, ok := r.activeRun(run.Name, run.Run)
 	if !ok {
 		if !mayBeOutdated {
@@ -247,15 +247,15 @@
 		return
 	}
 	t.progress = run.Percent
-	t.listedAt = now
+	t.listedAt = listing.Clock
 }
 
 // resolve decides on a run whose start or stop is unconfirmed, by the listing that answers a renewal.
-func (r *Runner) resolve(e RenewAnswered, t *task, isListed bool) {
+func (r *Runner) resolve(e RenewAnswered, listing worker.Listing, t *task, isListed bool) {
 	switch t.state {
 	case stateChecking:
 		if e.Fence > t.fence {
-			r.resolveStart(t, isListed)
+			r.resolveStart(t, listing, isListed)
 		}
 	case stateStopping:
 		if !isListed && t.stop.isOver(e.Sent, r.stopBound()) {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -42,7 +42,7 @@
 	r.lastStart++
 	t.startNumber = r.lastStart
 	t.progress = 0
-	t.listedAt = now
+	t.acceptedAt, t.listedAt = 0, 0
 	t.fence = r.fence
 	r.occupy(now, t)
 	r.worker.lastRenewal = now
@@ -68,7 +68,7 @@
 	case worker.Accepted:
 		r.worker.readClock(result.Clock, result.Received)
 		r.worker.noteAlive(t.began)
-		r.markStarted(t)
+		r.markStarted(t, result.Clock)
 	case worker.Outdated:
 		r.requeue(t)
 		t.Run += runStep
@@ -95,10 +95,11 @@
 	}
 }
 
-// markStarted reports that a run has begun.
-func (r *Runner) markStarted(t *task) {
+// markStarted reports that a run has begun. confirmed is when the worker confirmed it, on its clock.
+func (r *Runner) markStarted(t *task, confirmed time.Duration) {
 	t.state = stateRunning
 	t.hasBegun = true
+	t.acceptedAt = confirmed
 	t.mayHaveRun = true
 	r.sendUpdate(t.session, Update{Name: t.Name, Run: t.Run, Outcome: OutcomeStarted})
 }
@@ -111,9 +112,9 @@
 }
 
 // resolveStart decides on a start without an answer by a listing that fenced it.
-func (r *Runner) resolveStart(t *task, isListed bool) {
+func (r *Runner) resolveStart(t *task, listing worker.Listing, isListed bool) {
 	if isListed {
-		r.markStarted(t)
+		r.markStarted(t, listing.Clock)
 		return
 	}
 	r.rerun(t)
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -60,9 +60,11 @@
 	hasOffer bool
 	// supersededBy is the same task as a newer session requested it. It is queued when this one has finished.
 	supersededBy *task
-	// progress is the run's progress in percent when it was last listed, at listedAt.
+	// acceptedAt is when the worker confirmed the start of the current run, on its clock; zero until then.
+	acceptedAt time.Duration
+	// progress is the run's progress in percent when it was last listed, at listedAt of the worker's clock.
 	progress int
-	listedAt time.Time
+	listedAt time.Duration
 }
 
 // id returns the current run.
