--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -82,6 +82,12 @@
 	return !a.unwanted && !a.evacuated
 }
 
+// hasHeard reports whether the agent knew of all runs that have ended on its worker when it sent the latest load. One that accepts tasks
+// does.
+func (a *agent) hasHeard() bool {
+	return a.load.HasHeard || a.load.Accepts
+}
+
 // agentUp adds an agent without worker and load. It replaces an agent of the same id.
 func (d *Dispatcher) agentUp(id AgentID) {
 	d.removeAgent(id)
@@ -151,13 +157,13 @@
 		d.agentsChanged()
 		d.emit(DecisionMade{Decision: DecisionAccepts{Accepts: e.Load.Accepts}, Agent: e.Agent})
 	}
-	if e.Load.Accepts && !a.load.Accepts {
+	hadHeard, wasHealthy, before := a.hasHeard(), a.isHealthy(), a.unreserved()
+	a.applyLoad(e.Handled, e.Load)
+	if a.hasHeard() && !hadHeard {
+		d.isPlaceDue = true
 		d.agentRecovered(now, e.Agent)
 		d.workerHeard(a)
 	}
-	wasHealthy := a.isHealthy()
-	before := a.unreserved()
-	a.applyLoad(e.Handled, e.Load)
 	if hasMore := !a.unreserved().Fits(before); hasMore {
 		d.isPlaceDue = true
 	}
--- a/internal/dispatch/durable_test.go
+++ b/internal/dispatch/durable_test.go
@@ -117,8 +117,11 @@
 	if starts := started(d.Handle(now.Add(3*time.Second), Ticked{})); len(starts) > 0 {
 		t.Fatalf("started %v although an agent has no session", starts)
 	}
-	if starts := started(d.Handle(now.Add(3*time.Second), AgentUp{Agent: "b"})); starts["recovered.0.0.0"] != "a" {
-		t.Fatalf("started %v with all agents in session, want recovered.0.0.0 at a", starts)
+	if starts := started(d.Handle(now.Add(3*time.Second), AgentUp{Agent: "b"}, LoadReceived{Agent: "b"})); len(starts) > 0 {
+		t.Fatalf("started %v although an agent has not heard from its worker", starts)
+	}
+	if starts := started(d.Handle(now.Add(3*time.Second), LoadReceived{Agent: "b", Load: runner.Load{HasHeard: true}})); starts["recovered.0.0.0"] != "a" {
+		t.Fatalf("started %v when all agents have heard from their workers, want recovered.0.0.0 at a", starts)
 	}
 	left := durableJob("left", 1)
 	left.NotBefore = now.Add(3 * time.Second)
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -57,11 +57,12 @@
 
 // agentRecovered shortens the wait of durable tasks that were at an agent whose session ended.
 //
-// Inputs: the agent, which accepts tasks now and did not before.
+// Inputs: the agent, which has heard from its worker now and had not before.
 //
 // Rule: the tasks run again after timing.RerunDelay, if that is earlier.
 //
-// Reason: an agent that accepts tasks has heard from its worker and reports ends that are not recorded at once.
+// Reason: an agent that has heard from its worker reports ends that are not recorded at once, also one that accepts no tasks, as its
+// worker drains or its availability zone is evacuated.
 //
 // Measured: soak seed 803 runs a done task twice if a new session alone suffices, as the agent may not reach its worker.
 func (d *Dispatcher) agentRecovered(now time.Time, id AgentID) {
@@ -83,18 +84,32 @@
 // ended already.
 const recoveryWait = timing.DurableRerunDelay - timing.RerunDelay
 
-// awaitsAgents reports whether a durable job that an earlier owner started waits for agents to open a session.
+// awaitsAgents reports whether a durable job that an earlier owner started waits for agents to open a session and to hear from their
+// workers.
 //
-// Inputs: the number of registered agents and of those in session, the time since the earlier owner's runs ended.
+// Inputs: the number of registered agents and of those in session that have heard from their workers, the time since the earlier
+// owner's runs ended.
 //
 // Rule: it waits for all registered agents, but no longer than recoveryWait.
 //
-// Reason: an agent without a session may have an end that is not recorded, and the task would run twice.
+// Reason: an agent without a session may have an end that is not recorded, or its worker may have one of which the agent has not heard,
+// and the task would run twice.
 //
 // Measured: only together with the other rules for durable tasks, by soak seeds; recoveryWait was not varied.
 func (d *Dispatcher) awaitsAgents(now time.Time, j *job) bool {
 	isRecovered := !j.recoveredAt.IsZero()
-	return isRecovered && len(d.agents) < d.knownAgents && now.Before(j.recoveredAt.Add(recoveryWait))
+	return isRecovered && now.Before(j.recoveredAt.Add(recoveryWait)) && d.agentsThatHaveHeard() < d.knownAgents
+}
+
+// agentsThatHaveHeard returns how many agents in session have heard from their workers.
+func (d *Dispatcher) agentsThatHaveHeard() int {
+	count := 0
+	for _, a := range d.ordered {
+		if a.hasHeard() && !a.unresponsive {
+			count++
+		}
+	}
+	return count
 }
 
 // endingRun is a run of a dropped job that may not have ended.
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -130,6 +130,8 @@
 	HasReservations bool
 	// Accepts is false while new tasks are rejected; see refusalReason.
 	Accepts bool
+	// HasHeard is set while the agent has heard of all runs that have ended on the worker; see hasHeard.
+	HasHeard bool
 	// ShuttingDown is set while the agent shuts down.
 	ShuttingDown bool
 	// Slowness is the factor by which tasks here take longer than usual: 1 on a healthy worker.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -101,6 +101,7 @@
 	}
 	r.endIncarnation(now, endReplaced)
 	r.worker = newIncarnation(now, record)
+	r.hadWorker = true
 	r.health = health{}
 	r.worker.readClock(record.Clock, now)
 	r.announceWorker()
--- a/internal/runner/orphan.go
+++ b/internal/runner/orphan.go
@@ -65,6 +65,23 @@
 	r.markLoadDue()
 }
 
+// hasHeard reports whether this process has heard of all runs that have ended on the worker, but for the latest moment: it has learned what
+// an earlier process left there, and the worker responds. The ends of an incarnation that has ended are gone with it.
+func (r *Runner) hasHeard(now time.Time) bool {
+	if r.worker == nil {
+		return r.hadWorker
+	}
+	return r.worker.isSurveyed && !r.worker.isUnresponsive(now)
+}
+
+// noteHeard sends the load when hasHeard changes: an owner of durable jobs may wait for it.
+func (r *Runner) noteHeard(now time.Time) {
+	if hasHeard := r.hasHeard(now); hasHeard != r.lastHeard {
+		r.lastHeard = hasHeard
+		r.markLoadDue()
+	}
+}
+
 // retainOrphanEnd makes the worker remember the end of an orphan, for a limited time.
 func (r *Runner) retainOrphanEnd(now time.Time, end worker.End) {
 	expires := r.worker.firstSeen.Add(timing.OrphanEndTimeout)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -71,6 +71,10 @@
 	offered   worker.Resources
 	lastOffer OfferID
 	lastStart uint64
+	// hadWorker is set once this process has known an incarnation of the worker.
+	hadWorker bool
+	// lastHeard is what hasHeard was when the load was last marked as due for it.
+	lastHeard bool
 	// lastTick is when the latest tick was handled.
 	lastTick     time.Time
 	shuttingDown bool
@@ -102,6 +106,7 @@
 	r.startQueued(now)
 	r.pollIfDue(now)
 	r.offerFree(now)
+	r.noteHeard(now)
 	r.sendLoads(now)
 	return r.effects
 }
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -109,7 +109,7 @@
 func packLoad(handled uint64, l runner.Load) *sessionpb.FromAgent {
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Load{Load: &sessionpb.Load{
 		Handled: handled, Cpu: count(l.Used.CPU), Memory: count(l.Used.Memory), Gpu: count(l.Used.GPU),
-		Accepts: l.Accepts, Leaving: l.ShuttingDown, Reserved: l.HasReservations,
+		Accepts: l.Accepts, Leaving: l.ShuttingDown, Reserved: l.HasReservations, Heard: l.HasHeard,
 		Slowness: count(int(l.Slowness * hundred)), FailureRate: count(int(l.FailureRate * hundred)),
 	}}}
 }
@@ -117,7 +117,7 @@
 func unpackLoad(l *sessionpb.Load) runner.Load {
 	return runner.Load{
 		Used:    worker.Resources{CPU: int(l.Cpu), Memory: int(l.Memory), GPU: int(l.Gpu)},
-		Accepts: l.Accepts, ShuttingDown: l.Leaving, HasReservations: l.Reserved,
+		Accepts: l.Accepts, ShuttingDown: l.Leaving, HasReservations: l.Reserved, HasHeard: l.Heard,
 		Slowness: float64(l.Slowness) / hundred, FailureRate: float64(l.FailureRate) / hundred,
 	}
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -102,7 +102,7 @@
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
 	record := worker.Record{ID: "i", Service: "s", Zone: "z", Capacity: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Labels: []string{"a"}}
-	load := runner.Load{Used: worker.Resources{CPU: 7}, Accepts: true, HasReservations: true, ShuttingDown: true, Slowness: 1.5, FailureRate: 0.25}
+	load := runner.Load{Used: worker.Resources{CPU: 7}, Accepts: true, HasReservations: true, HasHeard: true, ShuttingDown: true, Slowness: 1.5, FailureRate: 0.25}
 	update := runner.Update{Name: "j.0.0.1", Run: 3, Outcome: runner.OutcomeFailed, Reason: "r", Checkpoint: "c"}
 	server.Send(runner.SendWorker{Session: opened.Session, Record: record})
 	server.Send(runner.SendLoad{Session: opened.Session, Handled: 9, Load: load})
