--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -28,14 +28,24 @@
 	case runner.WorkerLeft:
 		_ = level.Info(a.logger).Log("msg", "worker left", "life", e.ID)
 	case runner.StartAnswered:
+		a.countUnanswered(e.Result)
 		a.logRejected("start not accepted", e.Name, e.Run, e.Result)
 	case runner.StopAnswered:
+		a.countUnanswered(e.Result)
 		a.logRejected("stop not accepted", e.Name, e.Run, e.Result)
 	case runner.RenewAnswered:
+		a.countUnanswered(e.Result)
 		a.logRenewal(e)
 	}
 }
 
+// countUnanswered counts a call to the worker without an answer.
+func (a *Agent) countUnanswered(result worker.Result) {
+	if _, isUnanswered := result.(worker.Unanswered); isUnanswered {
+		a.metrics.Add(metric.CallsUnanswered, 1)
+	}
+}
+
 // logHeartbeat logs the first heartbeat of an incarnation and each change between draining and not.
 func (a *Agent) logHeartbeat(record worker.Record) {
 	known, ok := a.runner.Worker()
--- a/internal/durable/compatibility_test.go
+++ b/internal/durable/compatibility_test.go
@@ -147,3 +147,31 @@
 		t.Error("the owner of a released shard is called")
 	}
 }
+
+// TestARecordThatIsNotUnderstoodIsNoUnendedJob reads records of a later version: an end with a state that this version does not know,
+// and a record of an unknown kind.
+//
+// Seen by reading: the state of such an end counted as queued, so a job that had ended was run again, and an unknown record was left
+// out. The shard must stay unserved, as it does with a batch that cannot be decoded.
+func TestARecordThatIsNotUnderstoodIsNoUnendedJob(t *testing.T) {
+	ended := &durablepb.Record{Record: &durablepb.Record_Ended{Ended: &durablepb.Ended{Id: storedID, State: 17}}}
+	for name, record := range map[string]*durablepb.Record{"unknown state": ended, "unknown kind": {}} {
+		c, shard := newOwner(storedID)
+		effects := c.Handle(testStart, Loaded{Shard: shard, Token: 20, Batches: []StoredBatch{
+			{Sequence: 1, Data: storedBatch(t, "accepted")}, {Sequence: 2, Data: encodeBatch([]*durablepb.Record{record})},
+		}})
+		if accepted, ok := find[ToDispatcher](effects); ok {
+			t.Errorf("%s: the dispatcher gets %+v", name, accepted.Event)
+		}
+		if decision, ok := find[DecisionMade](effects); !ok || decision.Decision != DecisionUnreadable {
+			t.Errorf("%s: decided %+v, want that the shard is unreadable", name, decision)
+		}
+	}
+}
+
+func TestAnAnswerWithAnUnknownStateIsInDoubt(t *testing.T) {
+	answer := UnpackAnswer(&durablepb.Answer{Status: durablepb.Status_STATUS_KNOWN, State: 17})
+	if _, isInDoubt := answer.(InDoubt); !isInDoubt {
+		t.Errorf("got %+v, want InDoubt", answer)
+	}
+}
--- a/internal/durable/record.go
+++ b/internal/durable/record.go
@@ -78,29 +78,50 @@
 	return data
 }
 
-// decodeBatch returns the records of a stored batch.
+// decodeBatch returns the records of a stored batch. A record that this version does not know is an error: it may hold the end of a job,
+// and a job whose end is not understood has not been left unended.
 func decodeBatch(data []byte) ([]*durablepb.Record, error) {
 	var batch durablepb.Batch
 	if err := proto.Unmarshal(data, &batch); err != nil {
 		return nil, errors.Wrap(err, "durable: unable to decode a batch")
 	}
+	for i, record := range batch.Records {
+		if err := checkRecord(record); err != nil {
+			return nil, errors.Wrapf(err, "durable: record %d of a batch", i)
+		}
+	}
 	return batch.Records, nil
 }
 
+// checkRecord returns an error for a record that this version does not know, or the end of a job with a state that it does not know.
+func checkRecord(record *durablepb.Record) error {
+	switch r := record.Record.(type) {
+	case *durablepb.Record_Owned, *durablepb.Record_Accepted, *durablepb.Record_Progress:
+		return nil
+	case *durablepb.Record_Ended:
+		if state, ok := stateFromPB(r.Ended.State); !ok || !state.IsEnd() {
+			return errors.Errorf("the end of job %s has the unknown state %d", r.Ended.Id, r.Ended.State)
+		}
+		return nil
+	default:
+		return errors.New("a record of an unknown kind")
+	}
+}
+
 var stateToPB = map[State]durablepb.State{
 	StateQueued: durablepb.State_STATE_QUEUED, StateRunning: durablepb.State_STATE_RUNNING,
 	StateCompleted: durablepb.State_STATE_COMPLETED, StateFailed: durablepb.State_STATE_FAILED,
 	StateCancelled: durablepb.State_STATE_CANCELLED,
 }
 
-// stateFromPB returns the state of a stored form; one that this version does not know counts as StateQueued.
-func stateFromPB(packed durablepb.State) State {
+// stateFromPB returns the state of a stored form; ok is false for one that this version does not know.
+func stateFromPB(packed durablepb.State) (state State, ok bool) {
 	for state, each := range stateToPB {
 		if each == packed {
-			return state
+			return state, true
 		}
 	}
-	return StateQueued
+	return 0, false
 }
 
 // PackAnswer returns the form in which entries send an answer to each other.
@@ -121,11 +142,15 @@
 	}
 }
 
-// UnpackAnswer returns the answer of another entry. A status of a later version counts as InDoubt.
+// UnpackAnswer returns the answer of another entry. A status or state of a later version counts as InDoubt.
 func UnpackAnswer(packed *durablepb.Answer) Answer {
 	switch packed.Status {
 	case durablepb.Status_STATUS_KNOWN:
-		return Known{State: stateFromPB(packed.State)}
+		state, ok := stateFromPB(packed.State)
+		if !ok {
+			return InDoubt{Reason: fmt.Sprintf("the job has the unknown state %d", packed.State)}
+		}
+		return Known{State: state}
 	case durablepb.Status_STATUS_UNKNOWN:
 		return Unknown{}
 	case durablepb.Status_STATUS_NOT_OWNER:
--- a/internal/durable/shard.go
+++ b/internal/durable/shard.go
@@ -171,7 +171,9 @@
 		j = newJob(dispatch.Job{ID: record.Id})
 		s.addJob(j)
 	}
-	s.endJob(now, j, stateFromPB(record.State), batch)
+	// Records that are read are checked first (decodeBatch), and this version writes only states that it knows.
+	state, _ := stateFromPB(record.State)
+	s.endJob(now, j, state, batch)
 	return j
 }
 
