--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -170,11 +170,15 @@
 	return text
 }
 
-// describeCrashes returns which workers crashed under a task.
+// describeCrashes returns which workers crashed under a task, how long after the start of its run, and whether that may have ended before.
 func describeCrashes(crashes []dispatch.Crash) string {
 	text := fmt.Sprintf("%d workers crashed under the task:", len(crashes))
 	for _, c := range crashes {
-		text += fmt.Sprintf(" [run=%d at %s life=%s]", c.Run, c.Agent, c.Incarnation)
+		certainty := ""
+		if !c.WasRunning {
+			certainty = " possible"
+		}
+		text += fmt.Sprintf(" [run=%d at %s life=%s age=%s%s]", c.Run, c.Agent, c.Incarnation, c.Age.Round(time.Millisecond), certainty)
 	}
 	return text
 }
