--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -15,11 +15,11 @@
 // a long poll was among them; how long calls take; when the crash was noticed.
 // Rule: the worker crashed when it closed the first connection, or when that was noticed if it took longer than maxConfirmTime. Of
 // the runs that it had confirmed, those were running for certain that were started so shortly before that they cannot have
-// ended (surelyRuns), and all of them if it closed a long poll that waited there (noteClosedPoll).
+// ended (surelyRuns) and are not being stopped, and all of them if it closed a long poll that waited there (noteClosedPoll).
 // Reason: an entry gives a job up because of crashes under runs that were running for certain. That a run was accepted or listed a
 // moment ago says nothing of an end that has not been heard of, over whatever link: between two long polls, or while there is none, as
 // an end is not acknowledged. A long poll that waits at the worker is answered at once when a run ends, before the worker can
-// close it. What is left: a link that closes a connection less than a round trip before the worker crashes is taken for the worker.
+// close it. What is left: a quick link that closes a connection less than a round trip before the worker crashes is taken for the worker.
 // Measured: TestARunThatEndedUnheardIsNoEvidence in package overload: of 376 jobs that crash nothing, 15 to 109 are given up though
 // fewer than two workers crashed under a task, if it is enough that a run was listed or accepted within 150 ms, 0 to 109 within
 // 30 ms, none by this rule. Without the long poll, jobs whose tasks crash workers 120 ms after their start take 4.8 workers away
@@ -44,6 +44,9 @@
 	// Design: it reaches the worker in half of one, and a link may be slower than a moment ago.
 	minPollTime = 5 * time.Millisecond
 	pollTrips   = 2
+	// maxPollTrip is the longest round trip with which a closed long poll tells anything: if the link closes it, the worker's answer
+	// to the next question shows that within one. Design: ten times what a call to the worker on the same VM takes.
+	maxPollTrip = 10 * time.Millisecond
 )
 
 // closing is how the worker has closed its connections since it last answered. The zero value is that it has not.
@@ -63,15 +66,16 @@
 
 // noteAlive notes that the worker has answered a call that was sent at a time: if it closed connections before that, it had not crashed.
 func (i *incarnation) noteAlive(sent time.Time) {
-	if sent.After(i.closing.at) {
+	if !sent.Before(i.closing.at) {
 		i.closing = closing{}
 	}
 }
 
-// noteClosedPoll notes that the worker closed a long poll, if that had reached it and the worker answered until then.
+// noteClosedPoll notes that the worker closed a long poll, if that had reached it over a quick link and the worker answered until then.
 func (i *incarnation) noteClosedPoll(now time.Time, took time.Duration) {
-	hasArrived := i.roundTrip > 0 && took >= max(minPollTime, pollTrips*i.roundTrip)
-	if hasArrived && now.Sub(i.lastAnswered) <= maxAnswerAge {
+	isQuick := i.roundTrip > 0 && i.roundTrip <= maxPollTrip
+	hasArrived := took >= max(minPollTime, pollTrips*i.roundTrip)
+	if isQuick && hasArrived && now.Sub(i.lastAnswered) <= maxAnswerAge {
 		i.closing.hadLongPoll = true
 	}
 }
@@ -96,7 +100,9 @@
 
 // wasRunning reports whether the run of an active task was running for certain when the worker crashed.
 func (e crashEvidence) wasRunning(t *task) bool {
-	return t.hasBegun && (e.hadLongPoll || e.ageOf(t) <= t.surelyRuns())
+	mayHaveStopped := t.state == stateStopping
+	cannotHaveEnded := !mayHaveStopped && e.ageOf(t) <= t.surelyRuns()
+	return t.hasBegun && (e.hadLongPoll || cannotHaveEnded)
 }
 
 // surelyRuns returns for how long a run of the task surely runs after its start was sent.
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -49,6 +49,8 @@
 	// history are all changes in order, and told what the present process of the agent has been told of.
 	history []evacuation.Change
 	told    evacuation.State
+	// connections are those to the worker, if long polls wait there; nil if they are answered at once.
+	connections *connections
 	// starts counts the starts sent to the worker.
 	starts int
 	tasks  int
@@ -120,6 +122,9 @@
 
 func (s *schedule) newIncarnation() {
 	s.incarnations++
+	if s.connections != nil {
+		s.connections.crash()
+	}
 	earlier := s.worker
 	s.worker = newFakeWorker(fmt.Sprintf("worker-%d", s.incarnations), s.now.Add(-s.between(0, time.Hour)), worker.Resources{CPU: 4 * taskCPU}, needs)
 	s.worker.hidesStopping = s.incarnations%2 == 0
@@ -231,6 +236,9 @@
 		}
 		s.starts++
 		takes, fails := s.between(20*time.Millisecond, 900*time.Millisecond), s.chance(0.05)
+		if s.connections != nil {
+			takes = max(takes, shortestRun)
+		}
 		s.call(func() worker.Result { return s.worker.start(s.now, e.Incarnation, e.Start, takes, fails) }, func(result worker.Result) Event {
 			return StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Result: result.(worker.StartResult)}
 		})
@@ -239,6 +247,10 @@
 			return StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: result.(worker.StopResult)}
 		})
 	case CallRenew:
+		if s.connections != nil {
+			s.connections.renew(e)
+			return
+		}
 		sent := s.now
 		s.call(func() worker.Result { return s.worker.list(s.now, e.Incarnation, e.Renew) }, func(result worker.Result) Event {
 			return RenewAnswered{Incarnation: e.Incarnation, Sent: sent, Fence: e.Renew.Fence, LongPoll: e.Renew.Wait > 0, Result: result.(worker.RenewResult)}
@@ -254,6 +266,10 @@
 		s.answerOffer(e)
 	case CloseSession:
 		s.closed(e.Session)
+	case SendCrash:
+		if s.connections != nil {
+			s.connections.check(e.Crash)
+		}
 	}
 }
 
@@ -391,6 +407,9 @@
 		s.now = next.at
 		next.do()
 		s.worker.advance(s.now)
+		if s.connections != nil {
+			s.connections.answerPolls()
+		}
 		if s.worker.overfilledBy != "" {
 			s.t.Fatalf("the start of %s took the worker over its capacity", s.worker.overfilledBy)
 		}
