--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -5,8 +5,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"sailhead/internal/runner"
@@ -64,115 +62,6 @@
 	maxSuspects = 2048
 )
 
-// Crash is the crash of a worker under a run of a task.
-type Crash struct {
-	Agent       AgentID
-	Incarnation string
-	Run         uint32
-	// WasRunning is set if the run was running for certain, and IsLatest if besides no start was sent to the worker after its own.
-	WasRunning bool
-	IsLatest   bool
-	// Age is the time from when its start was sent until the worker crashed.
-	Age time.Duration
-}
-
-// suspicion is what is known of a task under which workers have crashed.
-type suspicion struct {
-	// crashes has one crash for each incarnation.
-	crashes []Crash
-	// latest is when the latest crash was reported.
-	latest time.Time
-}
-
-// suspects holds the tasks under which workers have crashed, by their names.
-type suspects map[string]suspicion
-
-// learn adds what another report of the same crash tells, and returns false if that is nothing new.
-func (c *Crash) learn(again Crash) bool {
-	isNew := again.WasRunning && !c.WasRunning || again.IsLatest && !c.IsLatest
-	if isNew {
-		c.Age = again.Age
-	}
-	c.WasRunning = c.WasRunning || again.WasRunning
-	c.IsLatest = c.IsLatest || again.IsLatest
-	return isNew
-}
-
-// add counts a crash. It returns false if that tells nothing new.
-func (s suspects) add(now time.Time, task string, crash Crash) bool {
-	known := s[task]
-	isSame := func(other Crash) bool { return other.Agent == crash.Agent && other.Incarnation == crash.Incarnation }
-	if at := slices.IndexFunc(known.crashes, isSame); at >= 0 {
-		return known.crashes[at].learn(crash)
-	}
-	if len(known.crashes) == 0 && len(s) >= maxSuspects {
-		s.forgetOldest()
-	}
-	s[task] = suspicion{crashes: append(known.crashes, crash), latest: now}
-	return true
-}
-
-// forgetOldest removes the task whose latest crash is the oldest.
-func (s suspects) forgetOldest() {
-	var oldest string
-	for task, known := range s {
-		if oldest == "" || known.latest.Before(s[oldest].latest) {
-			oldest = task
-		}
-	}
-	delete(s, oldest)
-}
-
-// forgetBefore removes the tasks whose latest crash was before a time.
-func (s suspects) forgetBefore(limit time.Time) {
-	for task, known := range s {
-		if known.latest.Before(limit) {
-			delete(s, task)
-		}
-	}
-}
-
-// isSuspect reports whether a worker has crashed under a task.
-func (s suspects) isSuspect(task string) bool {
-	return len(s[task].crashes) > 0
-}
-
-// mustGiveUp reports whether so many workers have crashed under a task that it is not run again.
-func (s suspects) mustGiveUp(task string) bool {
-	crashes := s[task].crashes
-	certain := make([]Crash, 0, len(crashes))
-	for _, c := range crashes {
-		if c.WasRunning {
-			certain = append(certain, c)
-		}
-	}
-	return len(crashes) >= maxPossibleCrashes || len(certain) >= maxCrashes || haveOneCause(certain)
-}
-
-// haveOneCause reports whether crashes under a task were most likely caused by it, as its runs had lasted about as long each time: two if
-// at the later one its run was the latest on the worker, or three. The first crash alone says nothing, whether its run was the latest
-// or not: the task was no suspect then, so it was not isolated.
-func haveOneCause(crashes []Crash) bool {
-	for i, later := range crashes {
-		alike := 1
-		for _, earlier := range crashes[:i] {
-			if areAlike(earlier.Age, later.Age) {
-				alike++
-			}
-		}
-		if alike >= maxAlikeCrashes || alike >= maxIsolatedCrashes && later.IsLatest {
-			return true
-		}
-	}
-	return false
-}
-
-// areAlike reports whether the ages of two runs at the crashes of their workers are about the same.
-func areAlike(a, b time.Duration) bool {
-	tolerance := ageTolerance + time.Duration(ageShare*float64(min(a, b)))
-	return (a - b).Abs() <= tolerance
-}
-
 // isSuspect reports whether a worker has crashed under a task.
 func (d *Dispatcher) isSuspect(t *task) bool {
 	return d.suspects.isSuspect(t.name)
@@ -226,51 +115,6 @@
 	d.endJob(now, j, Failed{Reason: fmt.Sprintf("%d workers crashed under task %s", len(crashes), t.name)})
 }
 
-// lostSession is what ran at an agent when its session ended.
-type lostSession struct {
-	// incarnation is that of the agent's worker at that time.
-	incarnation string
-	runs        []runner.CrashedRun
-	at          time.Time
-}
-
-// rememberLost remembers the runs at an agent whose session has ended, if there are any. Whether its worker has crashed under them
-// may not be reported: the agent may have died with the worker or restarted since. Nor is it known whether they were still running.
-func (d *Dispatcher) rememberLost(id AgentID, lost lostSession) {
-	if len(lost.runs) > 0 {
-		d.lostSessions[id] = lost
-	}
-}
-
-// endingRunsAt returns the runs of dropped jobs at an agent in session that have not ended, in the order of their names.
-func (d *Dispatcher) endingRunsAt(id AgentID) []runner.CrashedRun {
-	var runs []runner.CrashedRun
-	for _, name := range slices.Sorted(maps.Keys(d.endingRuns)) {
-		if run := d.endingRuns[name]; run.agent == id && run.endedBy.IsZero() {
-			runs = append(runs, runner.CrashedRun{RunID: runner.RunID{Task: name, Run: run.run}})
-		}
-	}
-	return runs
-}
-
-// workerReplaced counts a crash if an agent's worker is another incarnation than when the session with the agent was lost.
-func (d *Dispatcher) workerReplaced(now time.Time, a *agent) {
-	lost, ok := d.lostSessions[a.id]
-	if !ok || lost.incarnation == a.record.ID {
-		return
-	}
-	delete(d.lostSessions, a.id)
-	d.workerCrashed(now, a.id, runner.Crash{Incarnation: lost.incarnation, Runs: lost.runs})
-}
-
-// workerHeard forgets what ran at an agent when its session ended, once the agent has heard from the same incarnation of its
-// worker: until then an agent that has restarted may name an incarnation that has ended.
-func (d *Dispatcher) workerHeard(a *agent) {
-	if lost, ok := d.lostSessions[a.id]; ok && lost.incarnation == a.record.ID {
-		delete(d.lostSessions, a.id)
-	}
-}
-
 // forgetCrashes removes what was learned too long ago.
 func (d *Dispatcher) forgetCrashes(now time.Time) {
 	limit := now.Add(-suspicionTime)
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -40,7 +40,11 @@
 //	urgency.go      which of several tasks starts first
 //	start.go        starts and their answers, starts without an answer
 //	stop.go         stops, their retry, and when a stopped run has ended
-//	renew.go        how often the worker is called, and what its listings say
+//	renew.go        how often the worker is called, and what an answer shows of it
+//	listing.go      what the worker's listings say of its runs
+//	crash.go        crashes of the worker, and who hears of them
+//	evidence.go     which runs were running when it crashed
+//	suspect.go      tasks beside which nothing is started
 //	lease.go        the worker's lease and its expiry
 //	orphan.go       runs that an earlier process of the agent started
 //	acknowledge.go  ends that the worker has to remember until an owner recorded them
--- /dev/null
+++ b/internal/runner/listing.go
@@ -0,0 +1,109 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"time"
+
+	"sailhead/internal/worker"
+)
+
+// Listings
+//
+// Inputs: the runs and the ends that the worker lists, and when the listing was requested.
+// Rule: each end is applied once, in the order of its number. A listed run that this process does not know is an orphan, unless the
+// listing was requested before the latest end was applied. A run whose start or stop is unconfirmed is decided by a listing that
+// was requested later.
+// Reason: answers on different connections may overtake one another, so a listing may be older than an end that is known. It speaks of
+// the moment at which the worker answered, which its clock tells, and of none before it was requested.
+// Measured: not applicable; random schedules with calls that are lost, late and reordered (random_test.go).
+
+// applyListing applies the answer to a renewal: first the ends, then the runs that are listed, then what it shows about
+// runs whose start or stop is unconfirmed.
+func (r *Runner) applyListing(now time.Time, e RenewAnswered, listing worker.Listing) {
+	sent := e.Sent
+	r.worker.readClock(listing.Clock, listing.Received)
+	r.markResponsive(now, sent)
+	if !e.LongPoll {
+		r.worker.roundTrip = e.Took
+	}
+	// A listing that was requested before the end of another answer was applied may still contain the run that ended.
+	mayBeOutdated := !sent.After(r.worker.lastEnd)
+	for _, end := range listing.Ended {
+		r.applyEnd(now, listing, end)
+	}
+	listed := make(map[string]worker.Run, len(listing.Running))
+	for _, run := range listing.Running {
+		listed[run.Name] = run
+		r.observeRun(now, listing, mayBeOutdated, run)
+	}
+	for _, t := range r.active() {
+		run, isListed := listed[t.Name]
+		r.resolve(e, listing, t, isListed && run.Run == t.Run)
+	}
+	r.resolveOrphans(sent, listed)
+	r.survey(sent, mayBeOutdated)
+}
+
+// applyEnd applies a listed end once; the worker lists it until it is acknowledged.
+func (r *Runner) applyEnd(now time.Time, listing worker.Listing, end worker.End) {
+	if end.Number <= r.worker.lastEndNumber {
+		return
+	}
+	r.worker.lastEndNumber = end.Number
+	r.worker.lastEnd = now
+	t, ok := r.activeRun(end.Name, end.Run)
+	if !ok {
+		r.endOrphan(now, end)
+		return
+	}
+	if t.IsDurable && hasResult(end.Ending) {
+		r.retainEnd(now, end)
+	}
+	r.health.recordEnd(t, end.Ending, listing.Clock)
+	t.Checkpoint = end.Checkpoint
+	r.finishRun(t, end.Ending)
+}
+
+// finishRun finishes a task whose run has ended.
+func (r *Runner) finishRun(t *task, ending worker.Ending) {
+	switch {
+	case ending == worker.EndingDone:
+		r.finish(t, OutcomeDone, "")
+	case ending == worker.EndingFailed:
+		r.finish(t, OutcomeFailed, "the run failed")
+	case ending == worker.EndingStopped:
+		r.finish(t, OutcomeStopped, reasonStopped)
+	default:
+		r.finish(t, OutcomeLost, "the run's lease expired")
+	}
+}
+
+// observeRun applies a listed run: it updates the progress of a known one and stops an orphan. In an outdated listing
+// an unknown run may be one whose end was applied, which is no orphan.
+func (r *Runner) observeRun(now time.Time, listing worker.Listing, mayBeOutdated bool, run worker.Run) {
+	t, ok := r.activeRun(run.Name, run.Run)
+	if !ok {
+		if !mayBeOutdated {
+			r.stopOrphan(now, run)
+		}
+		return
+	}
+	t.progress = run.Percent
+	t.listedAt = listing.Clock
+}
+
+// resolve decides on a run whose start or stop is unconfirmed, by the listing that answers a renewal.
+func (r *Runner) resolve(e RenewAnswered, listing worker.Listing, t *task, isListed bool) {
+	switch t.state {
+	case stateChecking:
+		if e.Fence > t.fence {
+			r.resolveStart(t, listing, isListed)
+		}
+	case stateStopping:
+		if !isListed && t.stop.isOver(e.Sent, r.stopBound()) {
+			r.finish(t, OutcomeStopped, reasonStopped)
+		}
+	}
+}
