--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,9 +25,9 @@
 // Worker is a client of the worker beside the agent. Each call is meant for one incarnation of the worker, and blocks
 // until there is an answer or its time is over. The methods are called concurrently.
 type Worker interface {
-	Start(incarnation string, start worker.StartRequest) worker.StartResult
-	Stop(incarnation string, stop worker.StopRequest) worker.StopResult
-	Renew(incarnation string, renew worker.RenewRequest) worker.RenewResult
+	Start(incarnation worker.Incarnation, start worker.StartRequest) worker.StartResult
+	Stop(incarnation worker.Incarnation, stop worker.StopRequest) worker.StopResult
+	Renew(incarnation worker.Incarnation, renew worker.RenewRequest) worker.RenewResult
 }
 
 // Store keeps the agent's record, in which entries find its address and its worker.
@@ -152,9 +152,9 @@
 	_ = level.Warn(a.rejections).Log("msg", "heartbeat rejected", "life", id, "err", err)
 }
 
-// WorkerLeft handles the end of an incarnation of the worker. It returns once the event is queued.
-func (a *Agent) WorkerLeft(id string) {
-	a.post(runner.WorkerLeft{ID: id})
+// WorkerLeft handles the sign-off of the worker. It returns once the event is queued.
+func (a *Agent) WorkerLeft(incarnation worker.Incarnation) {
+	a.post(runner.WorkerLeft{Incarnation: incarnation})
 }
 
 // shutDown rejects new tasks and waits until none is left, or until only stopMargin of Settings.StopTimeout remains.
--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -26,7 +26,7 @@
 	case runner.HeartbeatReceived:
 		a.logHeartbeat(e.Record)
 	case runner.WorkerLeft:
-		_ = level.Info(a.logger).Log("msg", "worker left", "life", e.ID)
+		_ = level.Info(a.logger).Log("msg", "worker left", "life", e.Incarnation)
 	case runner.StartAnswered:
 		a.countUnanswered(e.Result)
 		a.logRejected("start not accepted", e.Name, e.Run, e.Result)
@@ -49,10 +49,10 @@
 // logHeartbeat logs the first heartbeat of an incarnation and each change between draining and not.
 func (a *Agent) logHeartbeat(record worker.Record) {
 	known, ok := a.runner.Worker()
-	if ok && known.ID == record.ID && known.Draining == record.Draining {
+	if ok && known.Incarnation() == record.Incarnation() && known.Draining == record.Draining {
 		return
 	}
-	_ = level.Info(a.logger).Log("msg", "worker", "life", record.ID, "draining", record.Draining, "cpu", record.Capacity.CPU)
+	_ = level.Info(a.logger).Log("msg", "worker", "life", record.Incarnation(), "draining", record.Draining, "cpu", record.Capacity.CPU)
 }
 
 // logRejected logs a start or a stop that the worker has not accepted.
@@ -101,7 +101,7 @@
 		runs = append(runs, fmt.Sprintf("%s/%d", run.Task, run.Run))
 		ages = append(ages, run.Age.Round(time.Millisecond).String())
 	}
-	_ = level.Info(a.logger).Log("msg", "worker ended", "life", e.ID, "reason", e.Reason,
+	_ = level.Info(a.logger).Log("msg", "worker ended", "life", e.Incarnation, "reason", e.Reason,
 		"crash", e.IsCrash, "count", len(e.Runs), "runs", strings.Join(runs, ","), "ages", strings.Join(ages, ","))
 }
 
--- a/internal/agent/registration.go
+++ b/internal/agent/registration.go
@@ -92,7 +92,7 @@
 	record.Clock = 0
 	record.Sequence = 0
 	a.post(runner.WorkerRecalled{Record: record})
-	_ = level.Info(a.logger).Log("msg", "worker recalled", "life", record.ID)
+	_ = level.Info(a.logger).Log("msg", "worker recalled", "life", record.Incarnation())
 	return &record
 }
 
@@ -117,10 +117,10 @@
 	}
 }
 
-// incarnationOf returns the ID of a worker's incarnation, or "" for nil.
-func incarnationOf(record *worker.Record) string {
+// incarnationOf returns the worker's incarnation, or none for nil.
+func incarnationOf(record *worker.Record) worker.Incarnation {
 	if record == nil {
-		return ""
+		return worker.Incarnation{}
 	}
-	return record.ID
+	return record.Incarnation()
 }
--- a/internal/cluster/crash.go
+++ b/internal/cluster/crash.go
@@ -9,6 +9,7 @@
 	"sailhead/internal/cluster/clusterpb"
 	"sailhead/internal/runner"
 	"sailhead/internal/wire"
+	"sailhead/internal/worker"
 )
 
 // Crashes of workers spread with each exchange, so that an entry without a session with the agent knows them too when a job
@@ -33,7 +34,10 @@
 }
 
 // crashKey identifies a crash.
-type crashKey struct{ agent, incarnation string }
+type crashKey struct {
+	agent       string
+	incarnation worker.Incarnation
+}
 
 func (c Crash) key() crashKey { return crashKey{agent: c.Agent, incarnation: c.Incarnation} }
 
@@ -91,13 +95,17 @@
 // message returns what exchanges carry of a crash that was heard of some time ago.
 func (c Crash) message(heardAgo time.Duration) *clusterpb.Crash {
 	age := (c.Age + heardAgo).Milliseconds()
-	return &clusterpb.Crash{Agent: c.Agent, Incarnation: c.Incarnation, AgeMs: uint32(age), Runs: wire.PackRuns(c.Runs)}
+	return &clusterpb.Crash{
+		Agent: c.Agent, Incarnation: c.Incarnation.ID, StartedMs: c.Incarnation.StartedMillis,
+		AgeMs: uint32(age), Runs: wire.PackRuns(c.Runs),
+	}
 }
 
 func crashOf(message *clusterpb.Crash) Crash {
 	age := time.Duration(message.GetAgeMs()) * time.Millisecond
+	incarnation := worker.Incarnation{ID: message.GetIncarnation(), StartedMillis: message.GetStartedMs()}
 	return Crash{Agent: message.GetAgent(), Crash: runner.Crash{
-		Incarnation: message.GetIncarnation(), Age: age, Runs: wire.UnpackRuns(message.GetRuns()),
+		Incarnation: incarnation, Age: age, Runs: wire.UnpackRuns(message.GetRuns()),
 	}}
 }
 
--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -13,10 +13,11 @@
 
 	"sailhead/internal/clock"
 	"sailhead/internal/runner"
+	"sailhead/internal/worker"
 )
 
 func testCrash(incarnation string) Crash {
-	return Crash{Agent: "agent-1", Crash: runner.Crash{Incarnation: incarnation, Runs: []runner.CrashedRun{
+	return Crash{Agent: "agent-1", Crash: runner.Crash{Incarnation: worker.Incarnation{ID: incarnation, StartedMillis: 1796280000000}, Runs: []runner.CrashedRun{
 		{RunID: runner.RunID{Task: "j.0.0.0", Run: 2}, WasRunning: true, IsLatest: true}, {RunID: runner.RunID{Task: "j.0.0.1", Run: 1}},
 	}}}
 }
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -144,7 +144,7 @@
 	a.record = e.Record
 	a.evacuated = d.evacuations.Has(a.record.Zone)
 	d.forgetReservationsAt(e.Agent)
-	d.emit(DecisionMade{Decision: DecisionWorker{ID: e.Record.ID}, Agent: e.Agent})
+	d.emit(DecisionMade{Decision: DecisionWorker{Incarnation: e.Record.Incarnation()}, Agent: e.Agent})
 	d.workerReplaced(now, a)
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -9,11 +9,12 @@
 	"time"
 
 	"sailhead/internal/runner"
+	"sailhead/internal/worker"
 )
 
 // crashOf returns the crash of an agent's worker under a run of a task.
 func crashOf(agent AgentID, incarnation, task string) WorkerCrashed {
-	return WorkerCrashed{Agent: agent, Crash: runner.Crash{Incarnation: incarnation, Runs: []runner.CrashedRun{
+	return WorkerCrashed{Agent: agent, Crash: runner.Crash{Incarnation: worker.Incarnation{ID: incarnation}, Runs: []runner.CrashedRun{
 		{RunID: runner.RunID{Task: task, Run: 1}, WasRunning: true, IsLatest: true},
 	}}}
 }
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sailhead/internal/runner"
+	"sailhead/internal/worker"
 )
 
 // DecisionMade reports a decision for logs and metrics. Fields that do not apply to the decision are zero.
@@ -118,7 +119,7 @@
 type DecisionAgentDown struct{}
 
 // DecisionWorker reports that an agent described its worker.
-type DecisionWorker struct{ ID string }
+type DecisionWorker struct{ Incarnation worker.Incarnation }
 
 // DecisionAccepts reports that an agent began or ceased to accept tasks.
 type DecisionAccepts struct{ Accepts bool }
--- a/internal/dispatch/lostsession.go
+++ b/internal/dispatch/lostsession.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sailhead/internal/runner"
+	"sailhead/internal/worker"
 )
 
 // This file infers crashes of workers that no agent reports.
@@ -25,7 +26,7 @@
 // lostSession is what ran at an agent when its session ended.
 type lostSession struct {
 	// incarnation is that of the agent's worker at that time.
-	incarnation string
+	incarnation worker.Incarnation
 	runs        []runner.CrashedRun
 	at          time.Time
 }
@@ -52,7 +53,7 @@
 // workerReplaced counts a crash if an agent's worker is another incarnation than when the session with the agent was lost.
 func (d *Dispatcher) workerReplaced(now time.Time, a *agent) {
 	lost, ok := d.lostSessions[a.id]
-	if !ok || lost.incarnation == a.record.ID {
+	if !ok || lost.incarnation == a.record.Incarnation() {
 		return
 	}
 	delete(d.lostSessions, a.id)
@@ -62,7 +63,7 @@
 // workerHeard forgets what ran at an agent when its session ended, once the agent has heard from the same incarnation of its
 // worker: until then an agent that has restarted may name an incarnation that has ended.
 func (d *Dispatcher) workerHeard(a *agent) {
-	if lost, ok := d.lostSessions[a.id]; ok && lost.incarnation == a.record.ID {
+	if lost, ok := d.lostSessions[a.id]; ok && lost.incarnation == a.record.Incarnation() {
 		delete(d.lostSessions, a.id)
 	}
 }
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -41,7 +41,7 @@
 	d.removeAgent(id)
 	d.forgetReservationsAt(id)
 	d.emit(DecisionMade{Decision: DecisionAgentDown{}, Agent: id})
-	lost := lostSession{incarnation: a.record.ID, at: now, runs: d.endingRunsAt(id)}
+	lost := lostSession{incarnation: a.record.Incarnation(), at: now, runs: d.endingRunsAt(id)}
 	d.boundEndingRuns(now, id)
 	for _, j := range d.jobsByArrival() {
 		for _, t := range j.tasks {
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -173,7 +173,7 @@
 // the latest one, TASK=(RUN,uncertain) for one that may not have been running, and TASK=(RUN,isolated) for one of a contained job
 // that was started last. A further value is the age of the run, zero without one. All are of the kind "kind".
 func (s *script) crash(d *datadriven.TestData) runner.Crash {
-	crash := runner.Crash{Incarnation: d.CmdArgs[0].Key, Age: time.Duration(number(d, "age", 0)) * time.Millisecond}
+	crash := runner.Crash{Incarnation: worker.Incarnation{ID: d.CmdArgs[0].Key}, Age: time.Duration(number(d, "age", 0)) * time.Millisecond}
 	for _, arg := range d.CmdArgs[1:] {
 		if arg.Key == "agent" || arg.Key == "notes" || arg.Key == "age" {
 			continue
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -6,12 +6,14 @@
 import (
 	"slices"
 	"time"
+
+	"sailhead/internal/worker"
 )
 
 // Crash is the crash of a worker under a run of a task.
 type Crash struct {
 	Agent       AgentID
-	Incarnation string
+	Incarnation worker.Incarnation
 	Run         uint32
 	// WasRunning is set if the run was running for certain, and IsLatest if besides no start was sent to the worker after its own.
 	WasRunning bool
--- a/internal/entry/decider_test.go
+++ b/internal/entry/decider_test.go
@@ -130,7 +130,7 @@
 	}})
 	d.settle()
 	for _, incarnation := range []string{"w1", "w2"} {
-		crash := runner.Crash{Incarnation: incarnation, Runs: []runner.CrashedRun{{RunID: runner.RunID{Task: testJob + ".0.0.0", Run: 1}, WasRunning: true, IsLatest: true}}}
+		crash := runner.Crash{Incarnation: worker.Incarnation{ID: incarnation}, Runs: []runner.CrashedRun{{RunID: runner.RunID{Task: testJob + ".0.0.0", Run: 1}, WasRunning: true, IsLatest: true}}}
 		d.decider.handleDispatch(dispatch.WorkerCrashed{Agent: testAgent, Crash: crash})
 	}
 	d.settle()
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -153,7 +153,7 @@
 	case dispatch.DecisionAnswered:
 		return describeAnswer(d)
 	case dispatch.DecisionWorker:
-		return d.ID
+		return d.Incarnation.String()
 	case dispatch.DecisionAccepts:
 		return fmt.Sprint(d.Accepts)
 	default:
--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -165,7 +165,7 @@
 	l.submit("crashing", 1)
 	for _, incarnation := range []string{"vm-a", "vm-a2"} {
 		run := runner.CrashedRun{RunID: runner.RunID{Task: "crashing.0.0.0", Run: 1}, WasRunning: true, IsLatest: true}
-		l.handle(dispatch.WorkerCrashed{Agent: "a", Crash: runner.Crash{Incarnation: incarnation, Runs: []runner.CrashedRun{run}}})
+		l.handle(dispatch.WorkerCrashed{Agent: "a", Crash: runner.Crash{Incarnation: worker.Incarnation{ID: incarnation}, Runs: []runner.CrashedRun{run}}})
 	}
 
 	// Shutdown.
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -196,12 +196,12 @@
 		answer := func(result worker.StartResult) runner.Event {
 			return runner.StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Result: result}
 		}
-		exchange(a, callTimeout, answer, func(back func(worker.StartResult)) { back(a.worker.start(e.Incarnation, e.Start)) })
+		exchange(a, callTimeout, answer, func(back func(worker.StartResult)) { back(a.worker.start(e.Incarnation.ID, e.Start)) })
 	case runner.CallStop:
 		answer := func(result worker.StopResult) runner.Event {
 			return runner.StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: result}
 		}
-		exchange(a, callTimeout, answer, func(back func(worker.StopResult)) { back(a.worker.stop(e.Incarnation, e.Stop)) })
+		exchange(a, callTimeout, answer, func(back func(worker.StopResult)) { back(a.worker.stop(e.Incarnation.ID, e.Stop)) })
 	case runner.CallRenew:
 		sent := a.site.now
 		answer := func(result worker.RenewResult) runner.Event {
@@ -209,7 +209,7 @@
 				Incarnation: e.Incarnation, Sent: sent, Took: a.site.now.Sub(sent), Fence: e.Renew.Fence, LongPoll: e.Renew.Wait > 0, Result: result,
 			}
 		}
-		exchange(a, e.Renew.Wait+renewTimeout, answer, func(back func(worker.RenewResult)) { a.worker.renew(e.Incarnation, e.Renew, back) })
+		exchange(a, e.Renew.Wait+renewTimeout, answer, func(back func(worker.RenewResult)) { a.worker.renew(e.Incarnation.ID, e.Renew, back) })
 	}
 }
 
--- a/internal/runner/acknowledge_test.go
+++ b/internal/runner/acknowledge_test.go
@@ -26,7 +26,7 @@
 			}
 		}
 	}
-	apply(WorkerLeft{ID: "w"})
+	apply(WorkerLeft{Incarnation: worker.Incarnation{ID: "w"}})
 	for number := range excess {
 		if name := fmt.Sprintf("j.0.0.%d", number); !dropped[name] {
 			t.Errorf("the end of %s was dropped without a line", name)
--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -21,6 +21,7 @@
 const (
 	reasonShuttingDown       = "the agent is shutting down"
 	reasonNoWorker           = "the worker is down"
+	reasonNotDescribed       = "the worker has not described itself since it started again"
 	reasonDraining           = "the worker is draining"
 	reasonEvacuated          = "the worker's availability zone is evacuated"
 	reasonUnresponsive       = "the worker is unresponsive"
@@ -48,6 +49,8 @@
 		return reasonShuttingDown
 	case r.worker == nil:
 		return reasonNoWorker
+	case !r.worker.isDescribed:
+		return reasonNotDescribed
 	case r.worker.record.Draining:
 		return reasonDraining
 	case r.evacuations.Has(r.worker.record.Zone):
--- a/internal/runner/connections_test.go
+++ b/internal/runner/connections_test.go
@@ -23,10 +23,10 @@
 	polls map[int]*waitingPoll
 	last  int
 	// atCrash has the runs that were on each incarnation when it crashed, by the names of their tasks.
-	atCrash map[string]map[string]uint32
+	atCrash map[worker.Incarnation]map[string]uint32
 	// resetAt is when the link reset the long polls for the last time, and crashedAt when each incarnation crashed.
 	resetAt   time.Time
-	crashedAt map[string]time.Time
+	crashedAt map[worker.Incarnation]time.Time
 	// certain counts the runs that were reported as running for certain, and possible the others.
 	certain, possible int
 }
@@ -41,7 +41,7 @@
 func (s *schedule) connect(seed uint64) *connections {
 	c := &connections{
 		schedule: s, seed: seed, random: rand.New(rand.NewPCG(seed, 5)), delay: minLinkDelay, polls: make(map[int]*waitingPoll),
-		atCrash: make(map[string]map[string]uint32), crashedAt: make(map[string]time.Time),
+		atCrash: make(map[worker.Incarnation]map[string]uint32), crashedAt: make(map[worker.Incarnation]time.Time),
 	}
 	s.connections = c
 	c.disturb()
@@ -83,7 +83,7 @@
 	for name, r := range w.runs {
 		runs[name] = r.run
 	}
-	c.atCrash[w.id], c.crashedAt[w.id] = runs, c.now
+	c.atCrash[w.incarnation()], c.crashedAt[w.incarnation()] = runs, c.now
 	c.closePolls()
 }
 
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"sailhead/internal/worker"
 )
 
 // Crashes of the worker
@@ -36,7 +38,7 @@
 
 // Crash is the crash of an incarnation of the worker.
 type Crash struct {
-	Incarnation string
+	Incarnation worker.Incarnation
 	// Age is the time since the crash was noticed.
 	Age time.Duration
 	// Runs are those that were on the worker, in the order of their tasks' names.
@@ -64,10 +66,10 @@
 	at    time.Time
 }
 
-// mayHaveCrashed reports whether the run of an active task may have caused a crash: one whose start is under way has most
-// likely not begun.
+// mayHaveCrashed reports whether the run of an active task may have caused a crash: one whose start is under way, or was when the
+// process before this one ended, has most likely not begun.
 func (t *task) mayHaveCrashed() bool {
-	return t.state != stateStarting
+	return t.state != stateStarting && t.state != stateRestarted
 }
 
 // crashedRuns returns those of the active tasks' runs that may have caused a crash.
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -14,20 +14,20 @@
 
 // CallStart starts a run on the worker. The call must not be sent after Before, the end of the session's lease.
 type CallStart struct {
-	Incarnation string
+	Incarnation worker.Incarnation
 	Start       worker.StartRequest
 	Before      time.Time
 }
 
 // CallStop stops a run on the worker.
 type CallStop struct {
-	Incarnation string
+	Incarnation worker.Incarnation
 	Stop        worker.StopRequest
 }
 
 // CallRenew extends the leases of the runs on the worker and asks for a listing.
 type CallRenew struct {
-	Incarnation string
+	Incarnation worker.Incarnation
 	Renew       worker.RenewRequest
 }
 
@@ -85,8 +85,8 @@
 
 // IncarnationEnded reports that the worker's incarnation has ended, with the runs that ended with it. It is for the log.
 type IncarnationEnded struct {
-	ID     string
-	Reason string
+	Incarnation worker.Incarnation
+	Reason      string
 	// IsCrash is set if it ended without having said so.
 	IsCrash bool
 	// Runs are those that may have been on the worker, in the order of their tasks' names.
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -96,12 +96,15 @@
 // WorkerRecalled carries the worker that an earlier process of the agent stored. It may have restarted since.
 type WorkerRecalled struct{ Record worker.Record }
 
-// WorkerLeft reports that an incarnation of the worker has ended. ID is that of the incarnation.
-type WorkerLeft struct{ ID string }
+// WorkerLeft reports that the worker has signed off.
+type WorkerLeft struct {
+	// Incarnation has no start if the worker did not tell it.
+	Incarnation worker.Incarnation
+}
 
 // StartAnswered is the result of a CallStart.
 type StartAnswered struct {
-	Incarnation string
+	Incarnation worker.Incarnation
 	Name        string
 	Run         uint32
 	Result      worker.StartResult
@@ -109,7 +112,7 @@
 
 // StopAnswered is the result of a CallStop.
 type StopAnswered struct {
-	Incarnation string
+	Incarnation worker.Incarnation
 	Name        string
 	Run         uint32
 	Result      worker.StopResult
@@ -118,7 +121,7 @@
 // RenewAnswered is the result of a CallRenew that was sent at Sent with the fencing token Fence. LongPoll is set if the
 // call waited for an end. Took is how long the call itself took, without the time until it was made.
 type RenewAnswered struct {
-	Incarnation string
+	Incarnation worker.Incarnation
 	Sent        time.Time
 	Took        time.Duration
 	Fence       uint64
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -71,11 +71,20 @@
 	}
 }
 
+// noteAccepted notes that the worker has accepted a start. That does not tell which process of the ID did, if there may be several.
+func (i *incarnation) noteAccepted(sent time.Time) {
+	if !i.tellsStart() {
+		i.noteAlive(sent)
+	}
+}
+
+// isQuick reports whether calls to the worker are so quick that a connection which it closes shows at once.
+func (i *incarnation) isQuick() bool { return i.roundTrip > 0 && i.roundTrip <= maxPollTrip }
+
 // noteClosedPoll notes that the worker closed a long poll, if that had reached it over a quick link and the worker answered until then.
 func (i *incarnation) noteClosedPoll(now time.Time, took time.Duration) {
-	isQuick := i.roundTrip > 0 && i.roundTrip <= maxPollTrip
 	hasArrived := took >= max(minPollTime, pollTrips*i.roundTrip)
-	if isQuick && hasArrived && now.Sub(i.lastAnswered) <= maxAnswerAge {
+	if i.isQuick() && hasArrived && now.Sub(i.lastAnswered) <= maxAnswerAge {
 		i.closing.hadLongPoll = true
 	}
 }
@@ -85,14 +94,23 @@
 	at time.Time
 	// hadLongPoll is set if a long poll waited at the worker, which would have told of an end before.
 	hadLongPoll bool
+	// maySameIDFollow is set if a later process of the ID may have accepted a run. aliveAt is when the incarnation is known to have been
+	// there for the last time.
+	maySameIDFollow bool
+	aliveAt         time.Time
 }
 
-// evidence returns what is known of the crash of the incarnation if it is noticed now.
-func (i *incarnation) evidence(now time.Time) crashEvidence {
-	if i.closing.at.IsZero() || now.Sub(i.closing.at) > maxConfirmTime {
-		return crashEvidence{at: now}
+// evidence returns what is known of the crash of the incarnation if it is noticed now, by the given end.
+func (i *incarnation) evidence(now time.Time, end incarnationEnd) crashEvidence {
+	evidence := crashEvidence{at: now, maySameIDFollow: i.tellsStart() && end.maySameIDFollow(), aliveAt: i.lastAnswered}
+	if i.isQuick() && i.closing.at.After(i.lastAnswered) {
+		evidence.aliveAt = i.closing.at
 	}
-	return crashEvidence{at: i.closing.at, hadLongPoll: i.closing.hadLongPoll}
+	if !i.closing.at.IsZero() && now.Sub(i.closing.at) <= maxConfirmTime {
+		evidence.at = i.closing.at
+		evidence.hadLongPoll = i.closing.hadLongPoll
+	}
+	return evidence
 }
 
 // ageOf returns how long before the crash the start of a run was sent, zero if it was sent after that. The run itself is younger.
@@ -102,7 +120,12 @@
 func (e crashEvidence) wasRunning(t *task) bool {
 	mayHaveStopped := t.state == stateStopping
 	cannotHaveEnded := !mayHaveStopped && e.ageOf(t) <= t.surelyRuns()
-	return t.hasBegun && (e.hadLongPoll || cannotHaveEnded)
+	return t.hasBegun && e.isOfIncarnation(t) && (e.hadLongPoll || cannotHaveEnded)
+}
+
+// isOfIncarnation reports whether the run of a task was confirmed by the incarnation that crashed and not by a later one.
+func (e crashEvidence) isOfIncarnation(t *task) bool {
+	return !e.maySameIDFollow || t.confirmedAt.Before(e.aliveAt)
 }
 
 // surelyRuns returns for how long a run of the task surely runs after its start was sent.
--- a/internal/runner/fakeworker_test.go
+++ b/internal/runner/fakeworker_test.go
@@ -23,8 +23,12 @@
 
 // fakeWorker is a worker that behaves as the platform's description says, on virtual time.
 type fakeWorker struct {
-	id       string
-	capacity worker.Resources
+	id string
+	// started is when it started, in milliseconds since 1970, or zero if it does not tell.
+	started int64
+	// downUntil is until when nothing listens, as a process takes some time to start.
+	downUntil time.Time
+	capacity  worker.Resources
 	// earlier is the capacity until resizedAt, when it was changed.
 	earlier   worker.Resources
 	resizedAt time.Time
@@ -57,6 +61,10 @@
 	}
 }
 
+func (w *fakeWorker) incarnation() worker.Incarnation {
+	return worker.Incarnation{ID: w.id, StartedMillis: w.started}
+}
+
 func (w *fakeWorker) clock(now time.Time) time.Duration { return now.Sub(w.origin) + time.Hour }
 
 func (w *fakeWorker) reply(now time.Time) worker.Reply {
@@ -136,9 +144,12 @@
 	}
 }
 
-func (w *fakeWorker) start(now time.Time, incarnation string, s worker.StartRequest, takes time.Duration, fails bool) worker.StartResult {
+func (w *fakeWorker) start(now time.Time, incarnation worker.Incarnation, s worker.StartRequest, takes time.Duration, fails bool) worker.StartResult {
 	w.advance(now)
-	if incarnation != w.id {
+	if now.Before(w.downUntil) {
+		return worker.NotReached{}
+	}
+	if incarnation.ID != w.id {
 		return worker.WrongIncarnation{Reply: w.reply(now)}
 	}
 	if w.isFenced(s.Fence) {
@@ -165,9 +176,12 @@
 	return worker.Accepted{Reply: w.reply(now)}
 }
 
-func (w *fakeWorker) stop(now time.Time, incarnation string, s worker.StopRequest) worker.StopResult {
+func (w *fakeWorker) stop(now time.Time, incarnation worker.Incarnation, s worker.StopRequest) worker.StopResult {
 	w.advance(now)
-	if incarnation != w.id {
+	if now.Before(w.downUntil) {
+		return worker.NotReached{}
+	}
+	if incarnation.ID != w.id {
 		return worker.WrongIncarnation{Reply: w.reply(now)}
 	}
 	if w.isFenced(s.Fence) {
@@ -180,9 +194,12 @@
 	return worker.Accepted{Reply: w.reply(now)}
 }
 
-func (w *fakeWorker) list(now time.Time, incarnation string, h worker.RenewRequest) worker.RenewResult {
+func (w *fakeWorker) list(now time.Time, incarnation worker.Incarnation, h worker.RenewRequest) worker.RenewResult {
 	w.advance(now)
-	if incarnation != w.id {
+	if now.Before(w.downUntil) {
+		return worker.NotReached{}
+	}
+	if incarnation.ID != w.id {
 		return worker.WrongIncarnation{Reply: w.reply(now)}
 	}
 	if w.isFenced(h.Fence) {
@@ -190,7 +207,7 @@
 	}
 	w.lease(now, h.LeaseUntil)
 	w.ends = slices.DeleteFunc(w.ends, func(e worker.End) bool { return e.Number <= h.AcknowledgedEnd })
-	listing := worker.Listing{Reply: w.reply(now), Ended: slices.Clone(w.ends)}
+	listing := worker.Listing{Reply: w.reply(now), StartedMillis: w.started, Ended: slices.Clone(w.ends)}
 	for name, r := range w.runs {
 		if w.hidesStopping && !r.stopping.IsZero() {
 			continue
--- a/internal/runner/health_test.go
+++ b/internal/runner/health_test.go
@@ -101,7 +101,7 @@
 	for i := range 8 {
 		start := StartRequested{Session: 1, Number: uint64(i + 1), Task: Task{Name: fmt.Sprintf("j%d.0.0.0", i), Run: 1, Expected: runTime}}
 		r.Handle(now, start)
-		r.Handle(now, StartAnswered{Incarnation: "w", Name: start.Task.Name, Run: 1, Result: worker.Accepted{
+		r.Handle(now, StartAnswered{Incarnation: worker.Incarnation{ID: "w"}, Name: start.Task.Name, Run: 1, Result: worker.Accepted{
 			Reply: worker.Reply{Clock: time.Hour, Received: now},
 		}})
 	}
@@ -110,7 +110,7 @@
 	for i := range 8 {
 		listing.Ended = append(listing.Ended, worker.End{Number: uint64(i + 1), Name: fmt.Sprintf("j%d.0.0.0", i), Run: 1, Ending: worker.EndingDone})
 	}
-	r.Handle(late, RenewAnswered{Incarnation: "w", Sent: now, LongPoll: true, Result: listing})
+	r.Handle(late, RenewAnswered{Incarnation: worker.Incarnation{ID: "w"}, Sent: now, LongPoll: true, Result: listing})
 	if slowness := r.health.slowness(); slowness > 1.1 {
 		t.Errorf("slowness %.1f after runs that took their usual time, want 1", slowness)
 	}
@@ -127,10 +127,10 @@
 	for i := range 8 {
 		name := fmt.Sprintf("j%d.0.0.0", i)
 		r.Handle(now, StartRequested{Session: 1, Number: uint64(i + 1), Task: Task{Name: name, Run: 1, Expected: usual}})
-		r.Handle(now, StartAnswered{Incarnation: "w", Name: name, Run: 1, Result: worker.Accepted{Reply: worker.Reply{Clock: time.Hour, Received: now}}})
+		r.Handle(now, StartAnswered{Incarnation: worker.Incarnation{ID: "w"}, Name: name, Run: 1, Result: worker.Accepted{Reply: worker.Reply{Clock: time.Hour, Received: now}}})
 		end := worker.End{Number: uint64(i + 1), Name: name, Run: 1, Ending: worker.EndingDone, Checkpoint: "c"}
 		listing := worker.Listing{Reply: worker.Reply{Clock: time.Hour + 10*usual, Received: now.Add(10 * usual)}, Ended: []worker.End{end}}
-		r.Handle(now.Add(10*usual), RenewAnswered{Incarnation: "w", Sent: now, LongPoll: true, Result: listing})
+		r.Handle(now.Add(10*usual), RenewAnswered{Incarnation: worker.Incarnation{ID: "w"}, Sent: now, LongPoll: true, Result: listing})
 	}
 	if slowness := r.health.slowness(); slowness < 4 {
 		t.Errorf("slowness %.1f after runs that took ten times their usual time, want 4 at least", slowness)
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -11,12 +11,14 @@
 )
 
 // maxEndedIncarnations is how many ended incarnations of the worker are remembered, so that their late heartbeats and
-// a stale record in the store are ignored. Design: heartbeats are late by seconds, and a worker takes seconds to restart.
+// a stale record in the store are ignored.
 const maxEndedIncarnations = 32
 
 // incarnation is what the runner knows of the current incarnation of the worker.
 type incarnation struct {
 	record worker.Record
+	// isDescribed is set once a heartbeat or a stored record has described the incarnation; see restart.go.
+	isDescribed bool
 	// firstSeen is when this process learned of the incarnation.
 	firstSeen time.Time
 	// used is the sum of what the active tasks need.
@@ -61,6 +63,7 @@
 func newIncarnation(now time.Time, record worker.Record) *incarnation {
 	return &incarnation{
 		record:         record,
+		isDescribed:    true,
 		firstSeen:      now,
 		lastAnswered:   now,
 		orphans:        make(map[string]*stop),
@@ -68,6 +71,9 @@
 	}
 }
 
+// tellsStart reports whether the worker tells when its process started. One that does may start again under its ID.
+func (i *incarnation) tellsStart() bool { return i.record.StartedMillis != 0 }
+
 // readClock stores a reading of the worker's clock. It is at least as old as the answer that carried it, so a lease
 // computed from it ends no later than intended.
 func (i *incarnation) readClock(clock time.Duration, received time.Time) {
@@ -78,32 +84,55 @@
 	i.clockRead = received
 }
 
+// isCurrent reports whether the incarnation is the current one.
+func (r *Runner) isCurrent(incarnation worker.Incarnation) bool {
+	return r.worker != nil && r.worker.record.Incarnation() == incarnation
+}
+
 // handleHeartbeat applies a heartbeat. Those of ended incarnations and those overtaken by a later one are ignored, and those of
 // another incarnation than the current one lead to a question to the worker (candidate.go).
 func (r *Runner) handleHeartbeat(now time.Time, record worker.Record) {
 	switch {
-	case r.hasEnded(record.ID):
+	case r.hasEnded(record.Incarnation()):
 	case r.worker == nil:
 		r.beginIncarnation(now, record)
-	case r.worker.record.ID != record.ID:
+	case r.isWithoutStart(record):
+	case !r.isCurrent(record.Incarnation()):
 		r.handleUnknownIncarnation(record)
-	case record.Service != r.worker.record.Service, record.Zone != r.worker.record.Zone:
-		// An incarnation keeps both, so this heartbeat is of another writer.
+	case r.worker.isDescribed && !r.worker.record.HasPlaceOf(record):
+		// An incarnation keeps its service and its zone, so this heartbeat is of another writer.
 	case record.Sequence >= r.worker.record.Sequence:
 		r.updateRecord(now, record)
 	}
 }
 
-// beginIncarnation replaces the current incarnation of the worker by a new one, which ends all runs of the old one.
+// beginIncarnation replaces the current incarnation of the worker by a new one, which ends all runs of the old one unless it has
+// the same ID; see restart.go.
 func (r *Runner) beginIncarnation(now time.Time, record worker.Record) {
+	if r.worker != nil && record.Incarnation().IsRestartOf(r.worker.record.Incarnation()) {
+		r.restart(now, newIncarnation(now, record))
+		return
+	}
 	if r.worker != nil {
-		r.rememberEnded(r.worker.record.ID)
+		r.rememberEnded(r.worker.record.Incarnation())
 	}
 	r.endIncarnation(now, endReplaced)
-	r.worker = newIncarnation(now, record)
+	r.beginWith(now, newIncarnation(now, record))
+}
+
+// beginWith makes an incarnation the current one and asks it for a listing. Calls to an earlier process of the same ID may still
+// be on their way to the worker: the higher fencing token makes it reject them.
+func (r *Runner) beginWith(now time.Time, w *incarnation) {
+	if r.hadWorker && w.tellsStart() {
+		r.fence += checkStep
+	}
+	r.worker = w
 	r.hadWorker = true
 	r.health = health{}
-	r.worker.readClock(record.Clock, now)
+	w.readClock(w.record.Clock, now)
+	for _, t := range r.active() {
+		r.carryOver(now, t)
+	}
 	r.announceWorker()
 	r.renew(now)
 }
@@ -111,16 +140,18 @@
 // handleRecalled applies the record that an earlier process of the agent stored, unless a heartbeat came first. The
 // record has no clock, so the worker gets no task before it has answered a renewal.
 func (r *Runner) handleRecalled(now time.Time, record worker.Record) {
-	if r.worker == nil && !r.hasEnded(record.ID) {
+	if r.worker == nil && !r.hasEnded(record.Incarnation()) {
 		r.handleHeartbeat(now, record)
 	}
 }
 
 // updateRecord applies a later heartbeat of the current incarnation.
 func (r *Runner) updateRecord(now time.Time, record worker.Record) {
-	changed := record.Draining != r.worker.record.Draining || record.Capacity != r.worker.record.Capacity
-	r.worker.record = record
-	r.worker.readClock(record.Clock, now)
+	w := r.worker
+	changed := !w.isDescribed || record.Draining != w.record.Draining || record.Capacity != w.record.Capacity
+	w.isDescribed = true
+	w.record = record
+	w.readClock(record.Clock, now)
 	if !changed {
 		return
 	}
@@ -130,17 +161,24 @@
 	}
 }
 
-func (r *Runner) handleWorkerLeft(now time.Time, id string) {
-	if r.worker != nil && r.worker.record.ID == id {
+// handleWorkerLeft applies a sign-off. One that does not tell which process of the ID signed off may be that of an earlier one: if the
+// current one is known by its start, a renewal asks whether it is still there.
+func (r *Runner) handleWorkerLeft(now time.Time, e WorkerLeft) {
+	left := e.Incarnation
+	if r.worker != nil && left.StartedMillis == 0 && left.IsRestartOf(r.worker.record.Incarnation()) {
+		r.requestListing(now)
+		return
+	}
+	if r.isCurrent(left) {
 		r.endIncarnation(now, endLeft)
 	}
-	r.rememberEnded(id)
+	r.rememberEnded(left)
 }
 
 // handleWorkerState applies what a result of any call says about the worker itself: whether it still exists, and
 // whether it is healthy. Other results change nothing.
-func (r *Runner) handleWorkerState(now time.Time, incarnation string, result worker.Result) {
-	if r.worker == nil || r.worker.record.ID != incarnation {
+func (r *Runner) handleWorkerState(now time.Time, incarnation worker.Incarnation, result worker.Result) {
+	if !r.isCurrent(incarnation) {
 		return
 	}
 	switch result.(type) {
@@ -162,6 +200,7 @@
 const (
 	endReplaced     incarnationEnd = "another life of the worker began"
 	endOtherAnswers incarnationEnd = "another incarnation of the worker answers"
+	endRestarted    incarnationEnd = "the worker started again"
 	endNotListening incarnationEnd = "the worker does not listen"
 	// endLeft is the only one that the worker announces.
 	endLeft incarnationEnd = "the worker has left"
@@ -172,41 +211,49 @@
 	return e != endLeft && !record.Draining
 }
 
-// endIncarnation reports all runs of the current incarnation as lost, and its crash if it was one. After NotReached it may
+// maySameIDFollow reports whether a later process of the same ID may have answered calls that were meant for the one that ended.
+func (e incarnationEnd) maySameIDFollow() bool {
+	return e == endRestarted || e == endNotListening
+}
+
+// endIncarnation reports all runs of the current incarnation as lost (unsettled.go), and its crash if it was one. After NotReached it may
 // begin again with the next heartbeat: only rememberEnded excludes it.
 func (r *Runner) endIncarnation(now time.Time, end incarnationEnd) {
 	if r.worker == nil {
 		return
 	}
-	record, evidence := r.worker.record, r.worker.evidence(now)
-	r.retainEarlierEnds(r.worker)
+	ended := r.worker
+	r.retainEarlierEnds(ended)
 	r.dropAllReservations()
-	active := r.active()
-	runs := r.worker.crashedRuns(active, evidence)
 	r.worker = nil
-	if end.isCrash(record) {
-		r.reportCrash(now, Crash{Incarnation: record.ID, Runs: runs})
-	}
-	ended := IncarnationEnded{ID: record.ID, Reason: string(end), IsCrash: end.isCrash(record)}
-	for _, t := range active {
-		ended.Runs = append(ended.Runs, EndedRun{RunID: t.id(), Age: evidence.ageOf(t)})
+	r.reportEnd(now, ended, end)
+	r.finishLost(now, ended, end)
+	r.markLoadDue()
+}
+
+// reportEnd reports the crash of an incarnation, if its end was one, and logs the end with the runs that may have been there.
+func (r *Runner) reportEnd(now time.Time, ended *incarnation, end incarnationEnd) {
+	id, isCrash := ended.record.Incarnation(), end.isCrash(ended.record)
+	evidence, active := ended.evidence(now, end), r.active()
+	if isCrash {
+		r.reportCrash(now, Crash{Incarnation: id, Runs: ended.crashedRuns(active, evidence)})
 	}
-	r.emit(ended)
+	logged := IncarnationEnded{Incarnation: id, Reason: string(end), IsCrash: isCrash}
 	for _, t := range active {
-		r.finish(t, OutcomeLost, string(end))
+		logged.Runs = append(logged.Runs, EndedRun{RunID: t.id(), Age: evidence.ageOf(t)})
 	}
-	r.markLoadDue()
+	r.emit(logged)
 }
 
-func (r *Runner) hasEnded(id string) bool {
-	return slices.Contains(r.endedIncarnations, id)
+func (r *Runner) hasEnded(incarnation worker.Incarnation) bool {
+	return slices.Contains(r.endedIncarnations, incarnation)
 }
 
-func (r *Runner) rememberEnded(id string) {
-	if r.hasEnded(id) {
+func (r *Runner) rememberEnded(incarnation worker.Incarnation) {
+	if r.hasEnded(incarnation) {
 		return
 	}
-	r.endedIncarnations = append(r.endedIncarnations, id)
+	r.endedIncarnations = append(r.endedIncarnations, incarnation)
 	if len(r.endedIncarnations) > maxEndedIncarnations {
 		r.endedIncarnations = r.endedIncarnations[1:]
 	}
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -40,7 +40,7 @@
 	}
 	for _, t := range r.active() {
 		run, isListed := listed[t.Name]
-		r.resolve(e, listing, t, isListed && run.Run == t.Run)
+		r.resolve(now, e, listing, t, isListed && run.Run == t.Run)
 	}
 	r.resolveOrphans(sent, listed)
 	r.survey(sent, mayBeOutdated)
@@ -95,11 +95,15 @@
 }
 
 // resolve decides on a run whose start or stop is unconfirmed, by the listing that answers a renewal.
-func (r *Runner) resolve(e RenewAnswered, listing worker.Listing, t *task, isListed bool) {
+func (r *Runner) resolve(now time.Time, e RenewAnswered, listing worker.Listing, t *task, isListed bool) {
 	switch t.state {
 	case stateChecking:
 		if e.Fence > t.fence {
-			r.resolveStart(t, listing, isListed)
+			r.resolveStart(now, t, listing, isListed)
+		}
+	case stateRestarted:
+		if e.Fence > t.fence {
+			r.resolveRestarted(now, t, listing, isListed)
 		}
 	case stateStopping:
 		if !isListed && t.stop.isOver(e.Sent, r.stopBound()) {
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -44,6 +44,8 @@
 	// resizing draws the changes of the workers' capacity; nil for none. It is a source of its own, so that the schedule of a seed
 	// is the same without them.
 	resizing *rand.Rand
+	// restarting draws whether a restarted worker keeps its ID; nil for workers that never do and do not tell their start.
+	restarting *rand.Rand
 	// evacuating draws the operators' changes of the worker's availability zone and the way of their news; nil for none.
 	evacuating *rand.Rand
 	// history are all changes in order, and told what the present process of the agent has been told of.
@@ -101,6 +103,9 @@
 		entries: make(map[SessionID]*fakeEntry), limits: DefaultLimits(time.Second, 50*time.Millisecond), fence: 10,
 		isUnguarded: isUnguarded,
 	}
+	if seed%4 != 3 {
+		s.restarting = rand.New(rand.NewPCG(seed, 5))
+	}
 	s.runner = New(s.limits, s.fence)
 	s.newIncarnation()
 	s.tick()
@@ -127,6 +132,13 @@
 	}
 	earlier := s.worker
 	s.worker = newFakeWorker(fmt.Sprintf("worker-%d", s.incarnations), s.now.Add(-s.between(0, time.Hour)), worker.Resources{CPU: 4 * taskCPU}, needs)
+	if s.restarting != nil {
+		s.worker.started = int64(s.incarnations)
+	}
+	if earlier != nil && s.restarting != nil && s.restarting.IntN(2) == 0 {
+		s.worker.id = earlier.id
+		s.worker.downUntil = s.now.Add(s.restartTime())
+	}
 	s.worker.hidesStopping = s.incarnations%2 == 0
 	s.worker.isUnguarded = s.isUnguarded
 	if earlier != nil {
@@ -137,9 +149,18 @@
 	s.beat(s.worker, 1)
 }
 
+// restartTime returns how long nothing listens while the worker starts again under its ID: half of the times as short as it can be.
+func (s *schedule) restartTime() time.Duration {
+	const least, most = 20 * time.Millisecond, 2 * time.Second
+	if s.restarting.IntN(2) == 0 {
+		return least
+	}
+	return least + time.Duration(s.restarting.Int64N(int64(most)))
+}
+
 // delayHeartbeat lets the last heartbeat of an incarnation arrive some time after it has crashed.
 func (s *schedule) delayHeartbeat(w *fakeWorker) {
-	record := worker.Record{ID: w.id, Service: "service", Zone: testZone, Capacity: w.capacity, Draining: true, Sequence: 1 << 20, Clock: w.clock(s.now)}
+	record := worker.Record{ID: w.id, StartedMillis: w.started, Service: "service", Zone: testZone, Capacity: w.capacity, Draining: true, Sequence: 1 << 20, Clock: w.clock(s.now)}
 	s.after(s.between(0, 5*time.Second), func() { s.handle(HeartbeatReceived{Record: record}) })
 }
 
@@ -153,7 +174,11 @@
 	if s.worker != w {
 		return
 	}
-	record := worker.Record{ID: w.id, Service: "service", Zone: testZone, Capacity: w.capacity, Sequence: sequence, Clock: w.clock(s.now)}
+	if wait := w.downUntil.Sub(s.now); wait > 0 {
+		s.after(wait, func() { s.beat(w, sequence) })
+		return
+	}
+	record := worker.Record{ID: w.id, StartedMillis: w.started, Service: "service", Zone: testZone, Capacity: w.capacity, Sequence: sequence, Clock: w.clock(s.now)}
 	s.after(s.between(0, 5*time.Millisecond), func() { s.handle(HeartbeatReceived{Record: record}) })
 	s.after(1500*time.Millisecond, func() { s.beat(w, sequence+1) })
 }
@@ -537,7 +562,7 @@
 
 // beatSize sends a heartbeat with the present capacity of an incarnation, which counts as its latest.
 func (s *schedule) beatSize(w *fakeWorker) {
-	record := worker.Record{ID: w.id, Service: "service", Zone: testZone, Capacity: w.capacity, Sequence: 1 << 19, Clock: w.clock(s.now)}
+	record := worker.Record{ID: w.id, StartedMillis: w.started, Service: "service", Zone: testZone, Capacity: w.capacity, Sequence: 1 << 19, Clock: w.clock(s.now)}
 	s.after(time.Millisecond, func() { s.handle(HeartbeatReceived{Record: record}) })
 }
 
@@ -559,7 +584,7 @@
 				t.Fatalf("seed %d: %s has no outcome", seed, name)
 			}
 		}
-		if w := s.runner.worker; w == nil || w.record.ID != s.worker.id || w.record.Draining {
+		if w := s.runner.worker; w == nil || w.record.Incarnation() != s.worker.incarnation() || w.record.Draining {
 			t.Fatalf("seed %d: the agent does not serve the worker's incarnation %s", seed, s.worker.id)
 		}
 		if len(s.runner.tasks) > 0 || len(s.worker.runs) > 0 {
--- a/internal/runner/renew.go
+++ b/internal/runner/renew.go
@@ -71,7 +71,7 @@
 // awaitsListing reports whether a listing decides on a run.
 func (r *Runner) awaitsListing() bool {
 	for _, t := range r.tasks {
-		if t.state == stateChecking || t.state == stateStopping && !t.stop.awaitsAnswer() {
+		if t.awaitsListing() || t.state == stateStopping && !t.stop.awaitsAnswer() {
 			return true
 		}
 	}
@@ -102,14 +102,17 @@
 	if request.LeaseUntil > 0 {
 		r.worker.lastRenewal = now
 	}
-	r.emit(CallRenew{Incarnation: r.worker.record.ID, Renew: request})
+	r.emit(CallRenew{Incarnation: r.worker.record.Incarnation(), Renew: request})
 }
 
 func (r *Runner) handleRenewAnswer(now time.Time, e RenewAnswered) {
-	if r.worker == nil || r.worker.record.ID != e.Incarnation {
+	if !r.isCurrent(e.Incarnation) {
 		r.handleCandidateAnswer(now, e)
 		return
 	}
+	if r.noteRestart(now, e.Result) {
+		return
+	}
 	if e.LongPoll {
 		r.endLongPoll(now, e.Result)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -51,13 +51,15 @@
 	worker *incarnation
 	// candidate is the record of an incarnation that may have replaced the current one; see candidate.go.
 	candidate *worker.Record
-	// endedIncarnations are the IDs of the latest incarnations that have ended, the oldest first.
-	endedIncarnations []string
+	// endedIncarnations are the latest incarnations that have ended, the oldest first.
+	endedIncarnations []worker.Incarnation
 	// crashes are the latest crashes of the worker, the oldest first.
 	crashes []crashReport
 	// earlierEnds are the unacknowledged ends of ended incarnations, the oldest first.
 	earlierEnds []*unacknowledgedEnd
-	sessions    map[SessionID]*session
+	// unsettled are tasks of ended incarnations that are not reported as lost yet, the oldest first.
+	unsettled []unsettledTask
+	sessions  map[SessionID]*session
 	// ordered are the same sessions in the order in which they were opened.
 	ordered []*session
 	// tasks are the queued and active tasks by name, without those that wait in supersededBy.
@@ -136,7 +138,7 @@
 	case WorkerRecalled:
 		r.handleRecalled(now, e.Record)
 	case WorkerLeft:
-		r.handleWorkerLeft(now, e.ID)
+		r.handleWorkerLeft(now, e)
 	case StartAnswered:
 		r.handleStartAnswer(now, e)
 	case StopAnswered:
@@ -160,6 +162,7 @@
 	r.expireQueued(now)
 	r.expireOffers(now)
 	r.resendEarlierEnds(now)
+	r.settle(now)
 	if r.worker == nil {
 		return
 	}
@@ -187,9 +190,9 @@
 	return len(r.tasks) == 0
 }
 
-// Worker returns the latest record of the worker; ok is false while none is known.
+// Worker returns the latest record of the worker; ok is false while none is known that describes the current incarnation.
 func (r *Runner) Worker() (record worker.Record, ok bool) {
-	if r.worker == nil {
+	if r.worker == nil || !r.worker.isDescribed {
 		return worker.Record{}, false
 	}
 	return r.worker.record, true
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -53,19 +54,20 @@
 		first = d.CmdArgs[0].Key
 	}
 	session := SessionID(number(t, d, "session", 1))
-	incarnation := "w"
+	started := int64(number(t, d, "started", 0))
+	incarnation := worker.Incarnation{ID: "w", StartedMillis: started}
 	if d.HasArg("incarnation") {
-		d.ScanArgs(t, "incarnation", &incarnation)
+		d.ScanArgs(t, "incarnation", &incarnation.ID)
 	}
 	run := uint32(number(t, d, "run", 1))
 	switch d.Cmd {
 	case "worker":
 		output := s.handle(HeartbeatReceived{Record: worker.Record{
-			ID: first, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
+			ID: first, StartedMillis: started, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
 			Sequence: uint64(s.now.UnixMilli()), Clock: s.clock(),
 		}})
 		if s.runner.candidate != nil {
-			output += s.handle(RenewAnswered{Incarnation: first, Sent: s.now, Result: worker.Listing{Reply: s.reply()}})
+			output += s.handle(RenewAnswered{Incarnation: s.runner.candidate.Incarnation(), Sent: s.now, Result: worker.Listing{Reply: s.reply(), StartedMillis: started}})
 		}
 		if !d.HasArg("unsurveyed") {
 			s.survey()
@@ -73,13 +75,13 @@
 		return output
 	case "heartbeat":
 		return s.handle(HeartbeatReceived{Record: worker.Record{
-			ID: first, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
+			ID: first, StartedMillis: started, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: number(t, d, "cpu", 4000)}, Draining: d.HasArg("draining"),
 			Sequence: uint64(s.now.UnixMilli()), Clock: s.clock(),
 		}})
 	case "recall":
-		return s.handle(WorkerRecalled{Record: worker.Record{ID: first, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: 4000}}})
+		return s.handle(WorkerRecalled{Record: worker.Record{ID: first, StartedMillis: started, Service: "svc", Zone: "z", Capacity: worker.Resources{CPU: 4000}}})
 	case "left":
-		return s.handle(WorkerLeft{ID: first})
+		return s.handle(WorkerLeft{Incarnation: worker.Incarnation{ID: first, StartedMillis: started}})
 	case "open":
 		return s.handle(SessionOpened{Session: session, Entry: first})
 	case "close":
@@ -119,6 +121,8 @@
 		return s.handle(RenewAnswered{
 			Incarnation: incarnation, Sent: s.now, Took: s.took(t, d), LongPoll: d.HasArg("long_poll"), Result: worker.Unanswered{IsClosed: d.HasArg("closed")},
 		})
+	case "renew_not_reached":
+		return s.handle(RenewAnswered{Incarnation: incarnation, Sent: s.now, Result: worker.NotReached{}})
 	case "wait":
 		s.now = s.now.Add(time.Duration(number(t, d, "ms", 0)) * time.Millisecond)
 		return s.handle(Ticked{})
@@ -159,7 +163,10 @@
 func (s *script) survey() {
 	if w := s.runner.worker; w != nil && !w.isSurveyed {
 		s.now = s.now.Add(s.runner.stopBound() + time.Millisecond)
-		s.handle(RenewAnswered{Incarnation: w.record.ID, Sent: s.now, Result: worker.Listing{Reply: s.reply()}})
+		s.handle(RenewAnswered{
+			Incarnation: w.record.Incarnation(), Sent: s.now, Fence: s.runner.fence,
+			Result: worker.Listing{Reply: s.reply(), StartedMillis: w.record.StartedMillis},
+		})
 	}
 }
 
@@ -180,9 +187,9 @@
 // listing parses a listing: NAME=RUN is a running task, NAME=(RUN,ENDING) the end of one.
 func (s *script) listing(t *testing.T, d *datadriven.TestData) worker.Listing {
 	endings := map[string]worker.Ending{"done": worker.EndingDone, "failed": worker.EndingFailed, "stopped": worker.EndingStopped, "lease_expired": worker.EndingLeaseExpired}
-	l := worker.Listing{Reply: s.reply()}
+	l := worker.Listing{Reply: s.reply(), StartedMillis: int64(number(t, d, "by", number(t, d, "started", 0)))}
 	for _, arg := range d.CmdArgs {
-		if arg.Key == "incarnation" || arg.Key == "took" {
+		if slices.Contains([]string{"incarnation", "took", "started", "by"}, arg.Key) {
 			continue
 		}
 		var run uint32
@@ -231,7 +238,7 @@
 			for _, run := range e.Runs {
 				runs = append(runs, run.RunID)
 			}
-			fmt.Fprintf(&out, "ended %s: %s, with %v\n", e.ID, e.Reason, runs)
+			fmt.Fprintf(&out, "ended %s: %s, with %v\n", e.Incarnation, e.Reason, runs)
 		case EvacuationChanged:
 			fmt.Fprintf(&out, "zone %s evacuated=%t runs=%d\n", e.Zone, e.IsEvacuated, e.Runs)
 		}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -48,7 +48,7 @@
 	r.worker.lastRenewal = now
 	r.markLoadDue()
 	r.emit(CallStart{
-		Incarnation: r.worker.record.ID,
+		Incarnation: r.worker.record.Incarnation(),
 		Before:      r.sessions[t.session].validUntil,
 		Start: worker.StartRequest{
 			Name: t.Name, Run: t.Run, Payload: t.Payload, Checkpoint: t.Checkpoint,
@@ -67,8 +67,8 @@
 	switch result := e.Result.(type) {
 	case worker.Accepted:
 		r.worker.readClock(result.Clock, result.Received)
-		r.worker.noteAlive(t.began)
-		r.markStarted(t, result.Clock)
+		r.worker.noteAccepted(t.began)
+		r.markStarted(now, t, result.Clock)
 	case worker.Outdated:
 		r.requeue(t)
 		t.Run += runStep
@@ -96,9 +96,10 @@
 }
 
 // markStarted reports that a run has begun. confirmed is when the worker confirmed it, on its clock.
-func (r *Runner) markStarted(t *task, confirmed time.Duration) {
+func (r *Runner) markStarted(now time.Time, t *task, confirmed time.Duration) {
 	t.state = stateRunning
 	t.hasBegun = true
+	t.confirmedAt = now
 	t.acceptedAt = confirmed
 	t.mayHaveRun = true
 	r.sendUpdate(t.session, Update{Name: t.Name, Run: t.Run, Outcome: OutcomeStarted})
@@ -112,9 +113,9 @@
 }
 
 // resolveStart decides on a start without an answer by a listing that fenced it.
-func (r *Runner) resolveStart(t *task, listing worker.Listing, isListed bool) {
+func (r *Runner) resolveStart(now time.Time, t *task, listing worker.Listing, isListed bool) {
 	if isListed {
-		r.markStarted(t, listing.Clock)
+		r.markStarted(now, t, listing.Clock)
 		return
 	}
 	r.rerun(t)
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -103,7 +103,7 @@
 	s.lastSent = now
 	s.fence = r.fence
 	r.emit(CallStop{
-		Incarnation: r.worker.record.ID,
+		Incarnation: r.worker.record.Incarnation(),
 		Stop:        worker.StopRequest{Name: s.name, Run: s.run, Fence: r.fence},
 	})
 }
@@ -137,7 +137,7 @@
 // stopOf returns the stop that an answer is about, or nil if the run has ended or the answer comes from another
 // incarnation.
 func (r *Runner) stopOf(e StopAnswered) *stop {
-	if r.worker == nil || r.worker.record.ID != e.Incarnation {
+	if !r.isCurrent(e.Incarnation) {
 		return nil
 	}
 	if t, ok := r.activeRun(e.Name, e.Run); ok && t.state == stateStopping {
--- a/internal/runner/supersede_test.go
+++ b/internal/runner/supersede_test.go
@@ -25,7 +25,7 @@
 		apply(StartRequested{Session: session, Number: 1, Task: Task{Name: "t", Run: 1, Needs: worker.Resources{CPU: 1000}}})
 	}
 	now = now.Add(time.Millisecond)
-	apply(RenewAnswered{Incarnation: "w", Sent: now, Result: worker.Listing{
+	apply(RenewAnswered{Incarnation: worker.Incarnation{ID: "w"}, Sent: now, Result: worker.Listing{
 		Reply: worker.Reply{Clock: time.Hour + time.Millisecond, Received: now},
 		Ended: []worker.End{{Number: 1, Name: "t", Run: 1, Ending: worker.EndingStopped}},
 	}})
@@ -59,6 +59,6 @@
 	r := New(DefaultLimits(time.Second, 50*time.Millisecond), 7)
 	r.Handle(now, HeartbeatReceived{Record: worker.Record{ID: "w", Service: "svc", Capacity: worker.Resources{CPU: 4000}, Sequence: 1, Clock: time.Hour}})
 	now = now.Add(r.stopBound() + time.Millisecond)
-	r.Handle(now, RenewAnswered{Incarnation: "w", Sent: now, Result: worker.Listing{Reply: worker.Reply{Clock: time.Hour, Received: now}}})
+	r.Handle(now, RenewAnswered{Incarnation: worker.Incarnation{ID: "w"}, Sent: now, Result: worker.Listing{Reply: worker.Reply{Clock: time.Hour, Received: now}}})
 	return r, now
 }
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"sailhead/internal/worker"
 )
 
 // taskState is the state of a task. A task is queued, or active in one of the other states.
@@ -17,6 +19,8 @@
 //	starting -> checking   the start was not answered
 //	checking -> running    the run is listed
 //	checking -> queued     the run is not listed
+//	active   -> restarted  the worker started again under its ID
+//	restarted -> running   the run is listed by the new process
 //	active   -> stopping   the entry requested it, its session ended, or a newer session has the task
 //
 // A task can finish from every state.
@@ -29,6 +33,8 @@
 	stateStarting
 	// stateChecking has a start without an answer: the next listing fences it and shows whether a run began.
 	stateChecking
+	// stateRestarted had a run or a start under way when the worker started again under its ID; see restart.go.
+	stateRestarted
 	// stateRunning has a run on the worker.
 	stateRunning
 	// stateStopping has a stop under way: an end or a later listing shows that no run is left.
@@ -46,6 +52,8 @@
 	startNumber uint64
 	// hasBegun is set once the current run has begun for certain.
 	hasBegun bool
+	// confirmedAt is when this process heard that it has.
+	confirmedAt time.Time
 	// stop is the stop of the current run in stateStopping.
 	stop *stop
 	// fence is the fencing token of the latest start. In stateChecking, a listing that was requested with a higher one
@@ -67,6 +75,9 @@
 	listedAt time.Duration
 }
 
+// awaitsListing reports whether a listing decides if the task has a run on the worker.
+func (t *task) awaitsListing() bool { return t.state == stateChecking || t.state == stateRestarted }
+
 // id returns the current run.
 func (t *task) id() RunID { return RunID{Task: t.Name, Run: t.Run} }
 
@@ -98,8 +109,8 @@
 
 // currentRun returns the task that an answer is about. ok is false if the answer comes from another incarnation of the
 // worker or is about an earlier run.
-func (r *Runner) currentRun(incarnation, name string, run uint32) (t *task, ok bool) {
-	if r.worker == nil || r.worker.record.ID != incarnation {
+func (r *Runner) currentRun(incarnation worker.Incarnation, name string, run uint32) (t *task, ok bool) {
+	if !r.isCurrent(incarnation) {
 		return nil, false
 	}
 	return r.activeRun(name, run)
@@ -114,12 +125,19 @@
 	return t, true
 }
 
-// finish removes a task, reports its outcome to its entry and queues the task that supersedes it.
-func (r *Runner) finish(t *task, outcome Outcome, reason string) {
-	delete(r.tasks, t.Name)
+// vacateIfActive counts a task that is removed as one that is no longer active, if it was.
+func (r *Runner) vacateIfActive(t *task) {
 	if t.state != stateQueued && r.worker != nil {
 		r.vacate(t)
 	}
+}
+
+// finish removes a task, reports its outcome to its entry and queues the task that supersedes it.
+func (r *Runner) finish(t *task, outcome Outcome, reason string) {
+	if r.tasks[t.Name] == t {
+		delete(r.tasks, t.Name)
+		r.vacateIfActive(t)
+	}
 	r.markLoadDue()
 	if outcome == OutcomeNotStarted && t.mayHaveRun {
 		outcome = OutcomeStopped
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -32,14 +32,14 @@
 	return time.Duration(millis) * time.Millisecond
 }
 
-func packStart(number uint64, t runner.Task) *sessionpb.FromEntry {
-	return &sessionpb.FromEntry{Message: &sessionpb.FromEntry_Start{Start: &sessionpb.Start{
+func packStart(number uint64, t runner.Task) *sessionpb.Start {
+	return &sessionpb.Start{
 		Number: number, Task: t.Name, Run: t.Run, Payload: t.Payload,
 		Cpu: count(t.Needs.CPU), Memory: count(t.Needs.Memory), Gpu: count(t.Needs.GPU),
 		Checkpoint: t.Checkpoint, WaitMs: millis(t.MaxWait), ExpectedMs: millis(t.Expected), Kept: t.IsDurable, Offer: uint64(t.Offer),
 		Priority: count(t.Urgency.Priority), Begun: t.Urgency.HasBegun, SlackMs: slack(t.Urgency),
 		Suspect: t.IsSuspect, Kind: t.Kind, Contained: t.IsContained,
-	}}}
+	}
 }
 
 func unpackStart(s *sessionpb.Start) runner.Task {
@@ -94,14 +94,14 @@
 // packWorker leaves out the record's clock, sequence and state: entries learn from the load whether it accepts tasks.
 func packWorker(r worker.Record) *sessionpb.FromAgent {
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Worker{Worker: &sessionpb.Worker{
-		Id: r.ID, Service: r.Service, Zone: r.Zone, Labels: r.Labels,
+		Id: r.ID, StartedMs: r.StartedMillis, Service: r.Service, Zone: r.Zone, Labels: r.Labels,
 		Cpu: count(r.Capacity.CPU), Memory: count(r.Capacity.Memory), Gpu: count(r.Capacity.GPU),
 	}}}
 }
 
 func unpackWorker(w *sessionpb.Worker) worker.Record {
 	return worker.Record{
-		ID: w.Id, Service: w.Service, Zone: w.Zone, Labels: w.Labels,
+		ID: w.Id, StartedMillis: w.StartedMs, Service: w.Service, Zone: w.Zone, Labels: w.Labels,
 		Capacity: worker.Resources{CPU: int(w.Cpu), Memory: int(w.Memory), GPU: int(w.Gpu)},
 	}
 }
@@ -137,12 +137,15 @@
 }
 
 func packCrash(c runner.Crash) *sessionpb.FromAgent {
-	crash := &sessionpb.Crash{Incarnation: c.Incarnation, AgeMs: millis(c.Age), Runs: wire.PackRuns(c.Runs)}
+	crash := &sessionpb.Crash{
+		Incarnation: c.Incarnation.ID, StartedMs: c.Incarnation.StartedMillis, AgeMs: millis(c.Age), Runs: wire.PackRuns(c.Runs),
+	}
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Crash{Crash: crash}}
 }
 
 func unpackCrash(c *sessionpb.Crash) runner.Crash {
-	return runner.Crash{Incarnation: c.Incarnation, Age: duration(c.AgeMs), Runs: wire.UnpackRuns(c.Runs)}
+	incarnation := worker.Incarnation{ID: c.Incarnation, StartedMillis: c.StartedMs}
+	return runner.Crash{Incarnation: incarnation, Age: duration(c.AgeMs), Runs: wire.UnpackRuns(c.Runs)}
 }
 
 func packEvacuations(state evacuation.State) *sessionpb.FromEntry {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -109,7 +109,7 @@
 	server.Send(runner.SendUpdate{Session: opened.Session, Update: update})
 	offer := runner.Offer{ID: 7, Job: "j", Resources: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Left: 4}
 	server.Send(runner.SendOffer{Session: opened.Session, Offer: offer})
-	crash := runner.Crash{Incarnation: "i", Runs: []runner.CrashedRun{
+	crash := runner.Crash{Incarnation: worker.Incarnation{ID: "i", StartedMillis: 1796280000000}, Runs: []runner.CrashedRun{
 		{RunID: runner.RunID{Task: "j.0.0.1", Run: 3}}, {RunID: runner.RunID{Task: "j.0.0.2", Run: 1}, WasRunning: true, IsLatest: true},
 	}}
 	server.Send(runner.SendCrash{Session: opened.Session, Crash: crash})
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -51,8 +51,11 @@
 
 // Record describes an incarnation of a worker, as its heartbeat does.
 type Record struct {
-	// ID identifies the incarnation: a restarted worker has another one.
+	// ID is the worker's own identifier. A worker that starts again may keep it.
 	ID string
+	// StartedMillis is when the incarnation started, in milliseconds since 1970 on the worker's VM, or zero if the worker
+	// does not tell it.
+	StartedMillis int64 `json:",omitempty"`
 	// Service is the service that the worker provides; each kind of job names the one that it needs.
 	Service string
 	// Zone is the worker's availability zone.
@@ -67,6 +70,16 @@
 	Clock time.Duration
 }
 
+// Incarnation returns the identity of the incarnation.
+func (r Record) Incarnation() Incarnation {
+	return Incarnation{ID: r.ID, StartedMillis: r.StartedMillis}
+}
+
+// HasPlaceOf reports whether the record has the service and the zone of another one. An incarnation keeps both.
+func (r Record) HasPlaceOf(other Record) bool {
+	return r.Service == other.Service && r.Zone == other.Zone
+}
+
 // IsUsable reports whether the record names a worker: it has an id and a service, and no negative capacity.
 func (r Record) IsUsable() bool {
 	return r.ID != "" && r.Service != "" && (Resources{}).Fits(r.Capacity)
@@ -153,6 +166,8 @@
 // out a run that it is stopping.
 type Listing struct {
 	Reply
-	Running []Run
-	Ended   []End
+	// StartedMillis is that of the incarnation which answered, or zero if the worker does not tell it.
+	StartedMillis int64
+	Running       []Run
+	Ended         []End
 }
