session: the tasks of a job share the bytes of their payload

Cause: a start carries the payload of its job, so the eight tasks of a job took it eight times to one agent. Change: a start whose payload is that of the start before on the session leaves it out, if the agent has told in a ping that it knows such starts.

--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -84,7 +84,8 @@
 func (s *Server) serve(c *connection) {
 	id := runner.SessionID(s.lastID.Add(1))
 	s.add(id, c)
-	err := read(c, func(m *sessionpb.FromEntry) { s.handle(id, m) })
+	var payload receivedPayload
+	err := read(c, func(m *sessionpb.FromEntry) { s.handle(id, &payload, m) })
 	s.remove(id)
 	s.logEnd(id, err)
 	s.post(runner.SessionClosed{Session: id})
@@ -118,13 +119,14 @@
 }
 
 // handle posts a message of an entry as an event. Messages that this version does not know are ignored.
-func (s *Server) handle(id runner.SessionID, m *sessionpb.FromEntry) {
+func (s *Server) handle(id runner.SessionID, payload *receivedPayload, m *sessionpb.FromEntry) {
 	switch message := m.Message.(type) {
 	case *sessionpb.FromEntry_Hello:
 		s.post(runner.SessionOpened{Session: id, Entry: message.Hello.Entry})
 	case *sessionpb.FromEntry_Pong:
 		s.post(runner.PongReceived{Session: id, Sent: s.started.Add(time.Duration(message.Pong.Time))})
 	case *sessionpb.FromEntry_Start:
+		payload.complete(message.Start)
 		s.post(runner.StartRequested{Session: id, Number: message.Start.Number, Task: unpackStart(message.Start)})
 	case *sessionpb.FromEntry_Reserve:
 		s.post(runner.ReservationRequested{Session: id, Reservation: unpackReservation(message.Reserve)})
@@ -169,6 +171,6 @@
 }
 
 func (s *Server) packPing(sent time.Time) *sessionpb.FromAgent {
-	ping := &sessionpb.Ping{Time: int64(sent.Sub(s.started)), Incarnation: s.incarnation}
+	ping := &sessionpb.Ping{Time: int64(sent.Sub(s.started)), Incarnation: s.incarnation, KnowsRepeats: true}
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Ping{Ping: ping}}
 }
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -42,6 +43,9 @@
 // What is sent after the session has ended is dropped.
 type AgentConn struct {
 	connection *connection
+	// starting orders the starts, as each may refer to the one before. It guards payload but for mayRepeat.
+	starting sync.Mutex
+	payload  sentPayload
 }
 
 // Dial opens a session with the agent at an address, HOST:PORT, for the entry of the given name. It returns an error if
@@ -71,6 +75,7 @@
 	switch message := m.Message.(type) {
 	case *sessionpb.FromAgent_Ping:
 		handler.Incarnation(message.Ping.Incarnation)
+		s.payload.mayRepeat.Store(message.Ping.KnowsRepeats)
 		s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Pong{Pong: &sessionpb.Pong{Time: message.Ping.Time}}})
 	case *sessionpb.FromAgent_Worker:
 		handler.Worker(unpackWorker(message.Worker))
@@ -87,7 +92,11 @@
 
 // Start requests a run of a task. number counts the starts of the session from one.
 func (s *AgentConn) Start(number uint64, task runner.Task) {
-	s.connection.send(packStart(number, task))
+	start := packStart(number, task)
+	s.starting.Lock()
+	defer s.starting.Unlock()
+	s.payload.shorten(start)
+	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Start{Start: start}})
 }
 
 // Stop requests the stop of a task, whether it is queued or running.
