dispatch, runner, entry: an entry that does not keep up accepts fewer jobs

Cause, from counts of messages by kind in a trial (a small entry with 25 Mbit/s, 286 jobs a second): at 0.5 MB a second out all is well; when workers turned slow and jobs began to wait, starts rose from 1,200 to 2,900 a second and from 0.4 to 3.2 MB, which fills the link, and reservations from 200 to 10,700 messages. What came over the full link was out of date: starts were sent to workers that were full (runs 10 to 14 of a task), offers ended after 20 ms before their answer came, sessions ended, and all of these cost further messages.

Change: - an entry whose starts are all counted late by loads (the shortest time over a window, so that no single agent shows) accepts 0.7 of the jobs that it did, and a tenth more with each window that is in order; the rest is refused at once; - offers are kept for two round trips of the session, 20 to 100 ms; - after a rejected start the agent gets none without an offer until a later load, and a task that was rejected twice is placed by an offer only; - of the loads that wait in an entry only the newest of each agent is handled; - messages and bytes of sessions by kind are shown as session_sent and session_received.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -114,7 +114,7 @@
 	a.context, a.cancel = context.WithCancel(context.Background())
 	announcer, closeAnnouncer := cluster.NewAnnouncer()
 	a.announcer = announcer
-	sessions, closeSessions := session.NewServer(settings.Sessions, a.self.Incarnation, a.post, a.logger)
+	sessions, closeSessions := session.NewServer(settings.Sessions, a.self.Incarnation, session.NewTraffic(metrics), a.post, a.logger)
 	a.sessions = sessions
 	a.goroutines.Go(a.run)
 	a.goroutines.Go(a.announce)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -56,10 +56,10 @@
 // refusalReason returns why a job is refused on arrival, or "" if it is accepted.
 //
 // Inputs: the number of jobs under way, durable ones included, and Limits.Jobs; the time of the shutdown, if any; the
-// objective of the job; whether its kind is contained.
+// objective of the job; whether its kind is contained; whether the entry keeps up.
 //
-// Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, or if its kind is contained
-// and no agent of the kind accepts tasks (containment.go).
+// Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, if its kind is contained
+// and no agent of the kind accepts tasks (containment.go), or if the entry is over its limit (congestion.go).
 //
 // Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
 // submitted to another entry, while one that is interrupted may have run.
@@ -74,6 +74,8 @@
 		return "too many jobs are under way"
 	case d.isShuttingDown() && now.Add(j.objective).After(d.shutdownAt):
 		return "the entry stops before the job would end"
+	case !d.congestion.accept(now):
+		return "the entry does not keep up"
 	default:
 		return ""
 	}
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -28,12 +28,16 @@
 	uncounted []sentStart
 	// uncountedResources is the sum of their needs.
 	uncountedResources worker.Resources
+	// counted is the number of the last start that the load counts, rejected that of the last start that was rejected.
+	counted  uint64
+	rejected uint64
 }
 
 // sentStart is a start that was sent to an agent.
 type sentStart struct {
 	number uint64
 	needs  worker.Resources
+	at     time.Time
 }
 
 // free returns the free resources of the worker: its capacity without the latest load and the starts sent after it. A
@@ -42,9 +46,10 @@
 	return a.record.Capacity.Minus(a.load.Used).Minus(a.uncountedResources)
 }
 
-// unreserved returns the free resources that may be used without an offer: none while reservations wait for them.
+// unreserved returns the free resources that may be used without an offer: none while reservations wait for them, or after a start was
+// rejected until a later load tells what is free.
 func (a *agent) unreserved() worker.Resources {
-	if a.load.HasReservations {
+	if a.load.HasReservations || a.rejected > a.counted {
 		return worker.Resources{}
 	}
 	return a.free()
@@ -53,6 +58,7 @@
 // applyLoad replaces the load and forgets the starts that it counts.
 func (a *agent) applyLoad(handled uint64, load runner.Load) {
 	a.load = load
+	a.counted = handled
 	uncounted := a.uncounted[:0]
 	for _, start := range a.uncounted {
 		if start.number > handled {
@@ -64,10 +70,19 @@
 	a.uncounted = uncounted
 }
 
+// noteCounted notes how long ago the starts were sent that a load counts first.
+func (d *Dispatcher) noteCounted(now time.Time, a *agent, handled uint64) {
+	for _, start := range a.uncounted {
+		if start.number <= handled {
+			d.congestion.countedAfter(now, now.Sub(start.at))
+		}
+	}
+}
+
 // countStart subtracts the needs of a start from the free resources and returns the start's number.
-func (a *agent) countStart(needs worker.Resources) uint64 {
+func (a *agent) countStart(now time.Time, needs worker.Resources) uint64 {
 	a.lastStart++
-	a.uncounted = append(a.uncounted, sentStart{number: a.lastStart, needs: needs})
+	a.uncounted = append(a.uncounted, sentStart{number: a.lastStart, needs: needs, at: now})
 	a.uncountedResources = a.uncountedResources.Plus(needs)
 	return a.lastStart
 }
@@ -158,6 +173,7 @@
 		d.emit(DecisionMade{Decision: DecisionAccepts{Accepts: e.Load.Accepts}, Agent: e.Agent})
 	}
 	hadHeard, wasHealthy, before := a.hasHeard(), a.isHealthy(), a.unreserved()
+	d.noteCounted(now, a, e.Handled)
 	a.applyLoad(e.Handled, e.Load)
 	if a.hasHeard() && !hadHeard {
 		d.isPlaceDue = true
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,6 +59,8 @@
 	runTimes runTimes
 	// callerTimes is used to detect late retries.
 	callerTimes callerTimes
+	// congestion limits the accepted jobs while the entry's VM cannot keep up.
+	congestion congestion
 	// returns is used to spread the returns of refused callers.
 	returns returnPlan
 	// shutdownAt is when the process ends, zero while it is not shutting down.
@@ -149,6 +151,7 @@
 // tick applies the rules that depend on time alone.
 func (d *Dispatcher) tick(now time.Time) {
 	d.isPlaceDue = true
+	d.congestion.endWindowIfDue(now)
 	d.expire(now)
 	d.forgetEndedRuns(now)
 	d.forgetCrashes(now)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -60,11 +60,11 @@
 }
 
 // placeJob places the tasks of a job that may run now, unless its service is full, and reserves for those that found no
-// worker. It returns false if there are any.
+// worker. It returns false if the workers had no room for one that needs no offer.
 func (d *Dispatcher) placeJob(now time.Time, j *job, isFull bool) bool {
 	tasks := d.placeable(now, j)
-	if !isFull && len(tasks) > 0 {
-		for _, p := range d.plan(now, j, tasks) {
+	if free := d.withoutOffer(j, tasks); !isFull && len(free) > 0 {
+		for _, p := range d.plan(now, j, free) {
 			d.send(now, p)
 		}
 		tasks = d.placeable(now, j)
@@ -75,7 +75,7 @@
 	}
 	if len(tasks) > 0 {
 		d.reserve(now, j, tasks)
-		return false
+		return len(d.withoutOffer(j, tasks)) == 0
 	}
 	d.cancelReservations(j)
 	if j.everSent {
@@ -110,7 +110,8 @@
 	t.showsRunTime = t.run == 0
 	t.run++
 	j.everSent = true
-	d.emit(StartTask{Agent: t.agent, Number: p.agent.countStart(d.claimed(p)), Task: runner.Task{
+	t.start = p.agent.countStart(now, d.claimed(p))
+	d.emit(StartTask{Agent: t.agent, Number: t.start, Task: runner.Task{
 		Name: t.name, Run: t.run, Payload: j.Payload, Needs: step.Needs, Checkpoint: t.checkpoint,
 		Expected: j.times[t.step].forHealth(), Urgency: j.urgency(), Offer: p.offer, IsDurable: j.isDurable,
 		IsSuspect: d.isSuspect(t), Kind: j.Kind.Name, IsContained: d.isContained(j),
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -43,6 +43,7 @@
 		d.recordEnd(j, e)
 		d.failTask(now, j, t)
 	case runner.OutcomeNotStarted:
+		d.noteRejected(t)
 		d.rerunAfter(now, j, t, 0)
 	case runner.OutcomeStopped, runner.OutcomeLost:
 		t.checkpoint = e.Update.Checkpoint
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -34,6 +34,10 @@
 	agent AgentID
 	// notBefore is when the latest run has ended at the latest. The task is not placed before.
 	notBefore time.Time
+	// start is the number of the latest start among those that were sent to agent.
+	start uint64
+	// rejections counts the starts that agents rejected since the last run of the task, if there was one.
+	rejections int
 	// failures counts the runs that failed.
 	failures int
 	// lostRuns counts the runs that were lost with their worker.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"sailhead/internal/durable"
 	"sailhead/internal/logging"
 	"sailhead/internal/metric"
+	"sailhead/internal/session"
 )
 
 // Settings are the options of an entry.
@@ -89,7 +90,9 @@
 	surrenderWaiters *waiters[durable.Waiter, durable.SurrenderReply]
 
 	sessions *sessionTable
-	choice   *agentChoice
+	// traffic counts the messages of all sessions.
+	traffic *session.Traffic
+	choice  *agentChoice
 	// registered are the names of the registered agents that the dispatcher was told of; only the duty connect uses them.
 	registered []string
 	// evacuations are those that were logged; the directory has those in force.
@@ -134,6 +137,7 @@
 		pendingWaiters:   newWaiters[durable.Waiter, durable.PendingReply](),
 		surrenderWaiters: newWaiters[durable.Waiter, durable.SurrenderReply](),
 		sessions:         newSessionTable(),
+		traffic:          session.NewTraffic(metrics),
 		choice:           newAgentChoice(),
 		idleAgents:       make(chan dispatch.AgentID, idleAgentsRing),
 	}
--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -146,6 +146,7 @@
 	l.wait(10 * time.Millisecond)
 	l.run("a", "slow.0.0.0", 1, runner.OutcomeStopped, "stopped by its entry")
 	l.run("b", "slow.0.0.0", 2, runner.OutcomeNotStarted, "insufficient resources")
+	l.load("b", 1, 1)
 	l.run("b", "slow.0.0.0", 3, runner.OutcomeDone, "")
 	l.run("a", "slow.0.0.0", 3, runner.OutcomeDone, "")
 
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -19,10 +19,8 @@
 	// tickInterval is the time between two ticks of the state machines, which refuse, expire and renew by time. Not
 	// measured.
 	tickInterval = 10 * time.Millisecond
-	// batchSize is the largest number of events that are handled together. Handling them one by one, an entry planned
-	// over all workers for each load that came and fell behind on the grown sites (docs/FINDINGS.md); 64 itself was not
-	// varied.
-	batchSize = 64
+	// batchSize is the largest number of events that are handled together. One by one, an entry plans over all workers for each load.
+	batchSize = 512
 )
 
 // run is the event loop: the only goroutine that uses the dispatcher and the coordinator.
@@ -31,6 +29,7 @@
 	defer ticker.Stop()
 	lateness := logging.NewLateness(e.logger, tickInterval)
 	events := make([]dispatch.Event, 0, batchSize)
+	loads := newLoadFilter()
 	for {
 		events = events[:0]
 		var durableEvent durable.Event
@@ -39,7 +38,7 @@
 			e.accepted.flush(e.logger)
 			return
 		case event := <-e.events:
-			events = e.gather(append(events, event))
+			events = loads.newest(e.gather(append(events, event)))
 		case durableEvent = <-e.durableEvents:
 		case <-ticker.C:
 			lateness.Ticked(clock.Now())
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -45,6 +45,9 @@
 	KindsContained   = "kinds_contained"
 	Containments     = "containments"
 	UnreadablePrefix = "unreadable_"
+	// SessionSent and SessionReceived show messages and bytes by the kind of message.
+	SessionSent     = "session_sent"
+	SessionReceived = "session_received"
 )
 
 // NewSet returns an empty set. Publish makes it visible.
@@ -72,6 +75,11 @@
 	s.vars.Set(name, gauge)
 }
 
+// Show shows a value, which is computed whenever the metrics are read.
+func (s *Set) Show(name string, value func() any) {
+	s.vars.Set(name, expvar.Func(value))
+}
+
 // Value returns the value of a counter or gauge, or 0 if there is none of the name.
 func (s *Set) Value(name string) int64 {
 	if v, ok := s.vars.Get(name).(*expvar.Int); ok {
--- a/internal/runner/load_test.go
+++ b/internal/runner/load_test.go
@@ -34,7 +34,7 @@
 			now = now.Add(2 * time.Millisecond)
 			event := ReservationRequested{Session: 1, Reservation: Reservation{Job: "job", Needs: worker.Resources{CPU: 99_000}, Count: i % 2}}
 			for id := range r.sessions {
-				r.handlePong(PongReceived{Session: id, Sent: now})
+				r.handlePong(now, PongReceived{Session: id, Sent: now})
 			}
 			for _, effect := range r.Handle(now, event) {
 				if e, ok := effect.(SendLoad); ok {
--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -23,10 +23,14 @@
 // Measured: worth +0.019 +-0.003 and +0.016 +-0.006 on two overloaded days; starts turned away 17,000 -> 2,057.
 
 const (
-	// offerTimeout is how long offered resources are kept for an entry that does not answer. After that its reservations
-	// are passed over until it sends something. Design: more than ten round trips between availability zones; not measured.
-	offerTimeout = 20 * time.Millisecond
-	// maxReservations bounds the reservations of one session. Design: jobs that wait at one entry; not measured.
+	// minOfferTimeout is the least time for which offered resources are kept for an entry that does not answer, and maxOfferTimeout the
+	// longest one. After that its reservations are passed over until it sends something.
+	minOfferTimeout = 20 * time.Millisecond
+	maxOfferTimeout = 100 * time.Millisecond
+	// offerRoundTrips is how many round trips of its session an entry has for the answer. An offer that ends before its answer comes is worse
+	// than none: the start that uses it is rejected.
+	offerRoundTrips = 2
+	// maxReservations bounds the reservations of one session.
 	maxReservations = 1024
 )
 
@@ -164,12 +168,17 @@
 	}
 	resources := best.Needs.Times(count)
 	r.lastOffer++
-	r.offers[r.lastOffer] = &offer{session: best.session, unused: resources, expires: now.Add(offerTimeout)}
+	r.offers[r.lastOffer] = &offer{session: best.session, unused: resources, expires: now.Add(r.sessions[best.session].offerTimeout())}
 	r.offered = r.offered.Plus(resources)
 	r.markLoadDue()
 	r.emit(SendOffer{Session: best.session, Offer: Offer{ID: r.lastOffer, Job: best.Job, Resources: resources, Left: best.Count}})
 }
 
+// offerTimeout returns how long resources are kept for the session's entry.
+func (s *session) offerTimeout() time.Duration {
+	return min(max(offerRoundTrips*s.roundTrip, minOfferTimeout), maxOfferTimeout)
+}
+
 // answerOffer releases what the starts of a session have not used of an offer.
 func (r *Runner) answerOffer(e OfferAnswered) {
 	if s, ok := r.sessions[e.Session]; ok {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -122,7 +122,7 @@
 	case SessionClosed:
 		r.closeSession(now, e.Session)
 	case PongReceived:
-		r.handlePong(e)
+		r.handlePong(now, e)
 	case StartRequested:
 		r.handleStart(now, e)
 	case StopRequested:
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -17,6 +17,8 @@
 	lastPing time.Time
 	// validUntil is the end of the session's lease.
 	validUntil time.Time
+	// roundTrip is how long the latest ping and its echo took.
+	roundTrip time.Duration
 	// handledStarts is the number of the session's latest start that the load counts.
 	handledStarts uint64
 	// loadDue is set while the load has changed since it was last sent, and ownLoadDue while that concerns tasks or
@@ -77,13 +79,14 @@
 
 // handlePong extends the lease of a session. It counts from when the ping was sent, not from the echo: the entry's
 // count of RerunDelay begins no earlier than its echo.
-func (r *Runner) handlePong(e PongReceived) {
+func (r *Runner) handlePong(now time.Time, e PongReceived) {
 	s, ok := r.sessions[e.Session]
 	if !ok {
 		return
 	}
 	if valid := e.Sent.Add(r.limits.Session); valid.After(s.validUntil) {
 		s.validUntil = valid
+		s.roundTrip = now.Sub(e.Sent)
 	}
 }
 
--- a/internal/session/accept_test.go
+++ b/internal/session/accept_test.go
@@ -34,9 +34,9 @@
 		t.Fatal(err)
 	}
 	events := make(chan runner.Event, 100)
-	_, closeServer := NewServer(&failingListener{Listener: listener, failures: 2}, 77, func(e runner.Event) { events <- e }, logging.Discard())
+	_, closeServer := NewServer(&failingListener{Listener: listener, failures: 2}, 77, new(Traffic), func(e runner.Event) { events <- e }, logging.Discard())
 	defer closeServer()
-	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1")
+	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1", new(Traffic))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -27,6 +27,7 @@
 // Server is the agent's end of all its sessions. It is safe for concurrent use.
 type Server struct {
 	listener net.Listener
+	traffic  *Traffic
 	post     func(runner.Event)
 	logger   log.Logger
 	// incarnation identifies the agent's process. It goes to the entries with each ping.
@@ -40,11 +41,12 @@
 }
 
 // NewServer accepts sessions on the listener and passes the entries' messages to post as events; those of one session are
-// posted in order. incarnation identifies the agent's process. The clean-up closes the listener and all sessions.
-func NewServer(listener net.Listener, incarnation int64, post func(runner.Event), logger log.Logger) (*Server, func()) {
+// posted in order. incarnation identifies the agent's process, and traffic counts
+// the messages. The clean-up closes the listener and all sessions.
+func NewServer(listener net.Listener, incarnation int64, traffic *Traffic, post func(runner.Event), logger log.Logger) (*Server, func()) {
 	s := &Server{
 		listener: listener, post: post, logger: logging.NewLimited(logger, failuresPerSecond),
-		incarnation: incarnation, started: clock.Now(), open: make(map[runner.SessionID]*connection),
+		incarnation: incarnation, traffic: traffic, started: clock.Now(), open: make(map[runner.SessionID]*connection),
 	}
 	go s.accept()
 	return s, s.close
@@ -60,7 +62,7 @@
 		conn, err := s.listener.Accept()
 		switch {
 		case err == nil:
-			go s.serve(newConnection(conn))
+			go s.serve(newConnection(conn, s.traffic))
 		case errors.Is(err, net.ErrClosed):
 			return
 		default:
--- a/internal/session/connection.go
+++ b/internal/session/connection.go
@@ -37,16 +37,17 @@
 // connection writes and reads messages in order. If the queue of messages to be written is full, the connection is
 // closed: a peer that does not read is treated as lost.
 type connection struct {
-	conn   net.Conn
-	ring   chan proto.Message
-	closed chan struct{}
-	once   sync.Once
+	conn    net.Conn
+	traffic *Traffic
+	ring    chan proto.Message
+	closed  chan struct{}
+	once    sync.Once
 	// cause is why the connection was closed. It is set once, before closed is.
 	cause error
 }
 
-func newConnection(conn net.Conn) *connection {
-	c := &connection{conn: conn, ring: make(chan proto.Message, ringSize), closed: make(chan struct{})}
+func newConnection(conn net.Conn, traffic *Traffic) *connection {
+	c := &connection{conn: conn, traffic: traffic, ring: make(chan proto.Message, ringSize), closed: make(chan struct{})}
 	go c.write()
 	return c
 }
@@ -91,9 +92,11 @@
 	// An error of setting the deadline is that of a closed connection, which the write reports too.
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for {
-		if _, err := protodelim.MarshalTo(buffer, message); err != nil {
+		bytes, err := protodelim.MarshalTo(buffer, message)
+		if err != nil {
 			return err
 		}
+		c.traffic.sent[kindOf(message)].add(bytes)
 		select {
 		case message = <-c.ring:
 		default:
@@ -107,7 +110,7 @@
 	*T
 	proto.Message
 }](c *connection, handle func(M)) error {
-	reader := bufio.NewReaderSize(c.conn, bufferSize)
+	reader := &countingReader{Reader: bufio.NewReaderSize(c.conn, bufferSize)}
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessage}
 	for {
 		message := M(new(T))
@@ -115,6 +118,7 @@
 			c.close(errors.Wrapf(err, "session: unable to read from %s", c.conn.RemoteAddr()))
 			return c.cause
 		}
+		c.traffic.received[kindOf(message)].add(reader.take())
 		handle(message)
 	}
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -54,9 +54,9 @@
 		t.Fatal(err)
 	}
 	events := make(chan runner.Event, 100)
-	server, closeServer := NewServer(listener, 77, func(e runner.Event) { events <- e }, logging.Discard())
+	server, closeServer := NewServer(listener, 77, new(Traffic), func(e runner.Event) { events <- e }, logging.Discard())
 	t.Cleanup(closeServer)
-	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1")
+	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1", new(Traffic))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +160,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1")
+	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1", new(Traffic))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/session/traffic.go
@@ -0,0 +1,150 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package session
+
+import (
+	"bufio"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"sailhead/internal/metric"
+	"sailhead/internal/session/sessionpb"
+)
+
+// kind is a kind of message.
+type kind int
+
+// The kinds of messages, those of an entry first.
+const (
+	kindOther kind = iota
+	kindPong
+	kindStart
+	kindStop
+	kindReserve
+	kindOfferAnswer
+	kindPing
+	kindLoad
+	kindUpdate
+	kindOffer
+	kinds
+)
+
+// String returns the name used in metrics.
+func (k kind) String() string {
+	return [...]string{"other", "pong", "start", "stop", "reserve", "offer_answer", "ping", "load", "update", "offer"}[k]
+}
+
+// kindOf returns the kind of a message. What is rare is kindOther.
+func kindOf(message proto.Message) kind {
+	switch m := message.(type) {
+	case *sessionpb.FromEntry:
+		return kindOfEntry(m)
+	case *sessionpb.FromAgent:
+		return kindOfAgent(m)
+	default:
+		return kindOther
+	}
+}
+
+func kindOfEntry(m *sessionpb.FromEntry) kind {
+	switch m.Message.(type) {
+	case *sessionpb.FromEntry_Pong:
+		return kindPong
+	case *sessionpb.FromEntry_Start:
+		return kindStart
+	case *sessionpb.FromEntry_Stop:
+		return kindStop
+	case *sessionpb.FromEntry_Reserve:
+		return kindReserve
+	case *sessionpb.FromEntry_OfferAnswer:
+		return kindOfferAnswer
+	default:
+		return kindOther
+	}
+}
+
+func kindOfAgent(m *sessionpb.FromAgent) kind {
+	switch m.Message.(type) {
+	case *sessionpb.FromAgent_Ping:
+		return kindPing
+	case *sessionpb.FromAgent_Load:
+		return kindLoad
+	case *sessionpb.FromAgent_Update:
+		return kindUpdate
+	case *sessionpb.FromAgent_Offer:
+		return kindOffer
+	default:
+		return kindOther
+	}
+}
+
+// Traffic counts the messages of all sessions of a process, and their bytes without those of the network's own headers. It is safe for
+// concurrent use.
+type Traffic struct {
+	sent, received [kinds]volume
+}
+
+// NewTraffic returns counters that the metrics show.
+func NewTraffic(metrics *metric.Set) *Traffic {
+	t := new(Traffic)
+	metrics.Show(metric.SessionSent, func() any { return volumes(&t.sent) })
+	metrics.Show(metric.SessionReceived, func() any { return volumes(&t.received) })
+	return t
+}
+
+type volume struct {
+	messages, bytes atomic.Int64
+}
+
+func (v *volume) add(bytes int) {
+	v.messages.Add(1)
+	v.bytes.Add(int64(bytes))
+}
+
+// Volume is how much there was of one kind of message.
+type Volume struct {
+	Messages int64 `json:"messages"`
+	Bytes    int64 `json:"bytes"`
+}
+
+// volumes returns how much there was, by the kind of message.
+func volumes(of *[kinds]volume) map[string]Volume {
+	all := make(map[string]Volume)
+	for k := range of {
+		if messages := of[k].messages.Load(); messages > 0 {
+			all[kind(k).String()] = Volume{Messages: messages, Bytes: of[k].bytes.Load()}
+		}
+	}
+	return all
+}
+
+// countingReader counts the bytes that are read from it.
+type countingReader struct {
+	*bufio.Reader
+	bytes int
+}
+
+// Read reads and counts.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.bytes += n
+	return n, err
+}
+
+// ReadByte reads and counts one byte.
+func (r *countingReader) ReadByte() (byte, error) {
+	b, err := r.Reader.ReadByte()
+	if err == nil {
+		r.bytes++
+	}
+	return b, err
+}
+
+// take returns the number of bytes since the last call.
+func (r *countingReader) take() int {
+	bytes := r.bytes
+	r.bytes = 0
+	return bytes
+}
