dispatch: the limit of an entry that does not keep up follows what its loads count

Cause: the limit of the change before follows the rate of accepted jobs by 0.7 and 1.1 a window. Change: the tasks that may wait for a worker or for the load that counts their start are bounded by what is counted in maxCountTime, 40 ms, from the window in which the entry is late on; the bound grows slowly, and ends when half of it is not used.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -74,7 +74,7 @@
 		return "too many jobs are under way"
 	case d.isShuttingDown() && now.Add(j.objective).After(d.shutdownAt):
 		return "the entry stops before the job would end"
-	case !d.congestion.accept(now):
+	case d.congestion.isLimited() && !d.congestion.mayAccept(d.tasksUnderWay()):
 		return "the entry does not keep up"
 	default:
 		return ""
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -74,7 +74,7 @@
 func (d *Dispatcher) noteCounted(now time.Time, a *agent, handled uint64) {
 	for _, start := range a.uncounted {
 		if start.number <= handled {
-			d.congestion.countedAfter(now, now.Sub(start.at))
+			d.congestion.startCounted(now, start.at)
 		}
 	}
 }
--- a/internal/dispatch/congestion.go
+++ b/internal/dispatch/congestion.go
@@ -3,37 +3,36 @@
 
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // This file limits the jobs that an entry accepts when its own VM cannot keep up.
 //
-// Inputs: for each start, the time until a load counts it; the jobs that were accepted.
+// Inputs: for each start, the time until a load counts it; the tasks that wait for a worker or for the load that counts their start.
 //
 // Rule: over windows of congestionWindow, and of minCounted starts, the shortest of these times is taken. If it is longer than maxCountTime
-// the entry is congested, and accepts fewer jobs a second than it did in the window; if it is not, it accepts more again, until
-// it has no limit.
+// the entry is congested, and accepts a job only while fewer tasks wait than it gets counted in maxCountTime. After a window in which it is
+// not congested it lets more of them wait, and any number once half of that is not used.
 //
 // Reason: messages wait in the queues of the VM's link and processor. A single agent that is slow does not show in the shortest time,
 // an entry that is late makes all agents look late. One that accepts all jobs then serves hardly any: their pings, offers and
-// loads are late too, so that sessions end, starts are rejected, and both cost further messages.
+// loads are late too, so that sessions end, starts are rejected, and both cost further messages. What the VM carries is not known
+// beforehand, but the loads that come back show it.
 
 const (
-	// congestionWindow is the least time over which the shortest time is taken.
-	congestionWindow = 100 * time.Millisecond
-	// minCounted is the least number of starts in a window. A window without as many ends after maxCongestionWindow, and says nothing.
-	minCounted          = 8
-	maxCongestionWindow = time.Second
+	// congestionWindow is the least time over which the shortest time is taken, and minCounted the least number of starts.
+	congestionWindow = 50 * time.Millisecond
+	minCounted       = 8
 	// maxCountTime is the shortest time from a start to the load that counts it from which an entry is congested: a message each way and
 	// the time between two loads take less than half.
-	maxCountTime = 60 * time.Millisecond
-	// congestedShare is the part of the jobs that were accepted in a window which is accepted in the next one while congested.
-	congestedShare = 0.7
-	// recoveryFactor is by how much the limit grows with each window that is not congested.
-	recoveryFactor = 1.1
-	// minAcceptRate is the least limit, in jobs a second.
-	minAcceptRate = 5
-	// maxUnusedLimit is how many times the accepted jobs a limit is when it ends.
-	maxUnusedLimit = 2
+	maxCountTime = 40 * time.Millisecond
+	// countRateTime is the time over which the rate of counted starts is averaged.
+	countRateTime = 300 * time.Millisecond
+	// minWaiting is the least limit of the tasks that wait, and limitGrowth by how much it grows with each window that is not congested.
+	minWaiting  = 8
+	limitGrowth = 1.015
 )
 
 // congestion is what an entry knows of its own lateness. The zero value is that of one that keeps up.
@@ -42,61 +41,71 @@
 	began    time.Time
 	counted  int
 	shortest time.Duration
-	// accepted is the number of jobs that were accepted in the window.
-	accepted int
-	// isCongested is set after a window with a long shortest time.
-	isCongested bool
-	// limit is the largest number of jobs that are accepted a second, zero for no limit.
-	limit float64
-	// allowance is how many jobs may be accepted at once at refilled.
-	allowance float64
-	refilled  time.Time
+	// recent is the number of counted starts, of which older ones count less, as of countedAt.
+	recent    float64
+	countedAt time.Time
+	// limit is how many tasks may wait when another job is accepted, zero for any number. mostWaiting is how many have waited in the window
+	// when a job came.
+	limit       float64
+	mostWaiting int
 }
 
-// countedAfter notes the time from a start to the load that counts it.
-func (c *congestion) countedAfter(now time.Time, took time.Duration) {
+// startCounted notes that a load counts a start that was sent at a time.
+func (c *congestion) startCounted(now, sent time.Time) {
+	c.decay(now)
+	c.recent++
 	c.counted++
-	if c.counted == 1 || took < c.shortest {
+	if took := now.Sub(sent); c.counted == 1 || took < c.shortest {
 		c.shortest = took
 	}
-	c.endWindowIfDue(now)
-}
-
-// endWindowIfDue ends the window if it is long enough.
-func (c *congestion) endWindowIfDue(now time.Time) {
-	length := now.Sub(c.began)
-	isComplete := length >= congestionWindow && c.counted >= minCounted
-	if !isComplete && length < maxCongestionWindow {
+	if now.Sub(c.began) < congestionWindow || c.counted < minCounted {
 		return
 	}
-	c.isCongested = isComplete && c.shortest > maxCountTime
-	c.adjust(now, float64(c.accepted)/length.Seconds())
-	c.began, c.counted, c.accepted = now, 0, 0
+	c.adjust()
+	c.began, c.counted, c.mostWaiting = now, 0, 0
 }
 
-// adjust sets the limit after a window in which so many jobs were accepted a second.
-func (c *congestion) adjust(now time.Time, acceptRate float64) {
+// adjust sets the limit at the end of a window.
+func (c *congestion) adjust() {
 	switch {
-	case c.isCongested:
-		c.limit = max(congestedShare*acceptRate, minAcceptRate)
-		c.refilled = now
-	case c.limit > maxUnusedLimit*acceptRate:
+	case c.shortest > maxCountTime:
+		c.limit = max(c.recent*float64(maxCountTime)/float64(countRateTime), minWaiting)
+	case float64(c.mostWaiting) < c.limit/2:
 		c.limit = 0
 	default:
-		c.limit *= recoveryFactor
+		c.limit *= limitGrowth
+	}
+}
+
+// decay lets the earlier starts count less.
+func (c *congestion) decay(now time.Time) {
+	if !c.countedAt.IsZero() {
+		c.recent *= math.Exp(-float64(now.Sub(c.countedAt)) / float64(countRateTime))
 	}
+	c.countedAt = now
 }
 
-// accept reports whether another job may be accepted, and counts it if so.
-func (c *congestion) accept(now time.Time) bool {
-	if c.limit > 0 {
-		c.allowance = min(c.allowance+c.limit*now.Sub(c.refilled).Seconds(), c.limit*congestionWindow.Seconds()+1)
-		c.refilled = now
-		if c.allowance < 1 {
-			return false
+// isLimited reports whether the number of tasks that wait matters.
+func (c *congestion) isLimited() bool { return c.limit > 0 }
+
+// mayAccept reports whether another job may be accepted while so many tasks wait.
+func (c *congestion) mayAccept(waiting int) bool {
+	c.mostWaiting = max(c.mostWaiting, waiting)
+	return float64(waiting) < c.limit
+}
+
+// tasksUnderWay returns the number of tasks that wait for a worker or for the load that counts their start.
+func (d *Dispatcher) tasksUnderWay() int {
+	count := 0
+	for _, a := range d.ordered {
+		count += len(a.uncounted)
+	}
+	for _, j := range d.waiting {
+		for _, t := range j.tasks {
+			if t.state == taskPending {
+				count++
+			}
 		}
-		c.allowance--
 	}
-	c.accepted++
-	return true
+	return count
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,7 +151,6 @@
 // tick applies the rules that depend on time alone.
 func (d *Dispatcher) tick(now time.Time) {
 	d.isPlaceDue = true
-	d.congestion.endWindowIfDue(now)
 	d.expire(now)
 	d.forgetEndedRuns(now)
 	d.forgetCrashes(now)
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -75,6 +75,8 @@
 	runTimes map[string]time.Duration
 	// onStart is called after each start that a worker has accepted, unless it is nil.
 	onStart func(w *fakeWorker, task string)
+	// lastSession is the ID of the session that was opened last.
+	lastSession runner.SessionID
 }
 
 // started counts a start of a task.
@@ -186,7 +188,9 @@
 	case runner.SendWorker:
 		a.send(e.Session, dispatch.WorkerDescribed{Agent: a.id, Record: e.Record})
 	case runner.SendPing:
-		a.site.after(2*sessionDelay, func() { a.handle(runner.PongReceived{Session: e.Session, Sent: e.Time}) })
+		a.ping(e)
+	case runner.CloseSession:
+		a.entries[e.Session].lose(a, e.Session)
 	case runner.CallStart, runner.CallStop, runner.CallRenew:
 		a.call(effect)
 	}
@@ -194,27 +198,44 @@
 
 func (a *agent) send(id runner.SessionID, event dispatch.Event) {
 	to := a.entries[id]
-	a.site.after(sessionDelay, func() { to.handle(event) })
+	to.in.carry(a.site, messageSize, func() {
+		if to.isOpen(a.id, id) {
+			to.handle(event)
+		}
+	})
+}
+
+// ping sends a ping to an entry, which echoes it.
+func (a *agent) ping(ping runner.SendPing) {
+	to := a.entries[ping.Session]
+	to.in.carry(a.site, messageSize, func() {
+		to.out.carry(a.site, messageSize, func() { a.handle(runner.PongReceived{Session: ping.Session, Sent: ping.Time}) })
+	})
 }
 
 // entry is an entry with its callers.
 type entry struct {
 	site       *site
 	name       string
-	session    runner.SessionID
 	dispatcher *dispatch.Dispatcher
 	lastWaiter dispatch.Waiter
 	// crashes are those that the entry spreads to others.
 	crashes []dispatch.WorkerCrashed
 	// answered is called with the answer to each request.
 	answered map[dispatch.Waiter]func(dispatch.Answer)
+	// sessions are the open sessions by agent; in and out are the two directions of the link.
+	sessions map[dispatch.AgentID]runner.SessionID
+	in, out  *link
+	// payloads are those of the latest starts.
+	payloads map[dispatch.AgentID]string
 }
 
 func (s *site) addEntry(number int) *entry {
 	e := &entry{
-		site: s, name: fmt.Sprintf("entry-%d", number), session: runner.SessionID(number + 1),
+		site: s, name: fmt.Sprintf("entry-%d", number),
 		dispatcher: dispatch.New(dispatch.Limits{Jobs: 2000, NoContainment: *noContainment}, rand.New(rand.NewPCG(s.random.Uint64(), 1))),
 		answered:   make(map[dispatch.Waiter]func(dispatch.Answer)),
+		sessions:   make(map[dispatch.AgentID]runner.SessionID), in: &link{}, out: &link{}, payloads: make(map[dispatch.AgentID]string),
 	}
 	s.entries = append(s.entries, e)
 	s.every(entryTick, func() { e.handle(dispatch.Ticked{}) })
@@ -234,9 +255,34 @@
 }
 
 func (e *entry) connect(a *agent) {
+	s := e.site
+	s.lastSession++
+	id := s.lastSession
+	e.sessions[a.id] = id
 	e.handle(dispatch.AgentUp{Agent: a.id})
-	a.entries[e.session] = e
-	e.site.after(sessionDelay, func() { a.handle(runner.SessionOpened{Session: e.session, Entry: e.name}) })
+	a.entries[id] = e
+	e.out.carry(s, messageSize, func() { a.handle(runner.SessionOpened{Session: id, Entry: e.name}) })
+}
+
+// isOpen reports whether a session with an agent is the present one.
+func (e *entry) isOpen(id dispatch.AgentID, session runner.SessionID) bool {
+	return e.sessions[id] == session
+}
+
+// redialDelay is the time after which an entry opens a lost session again.
+const redialDelay = 100 * time.Millisecond
+
+// lose ends a session that its agent has closed, and opens another one.
+func (e *entry) lose(a *agent, id runner.SessionID) {
+	a.site.after(0, func() { a.handle(runner.SessionClosed{Session: id}) })
+	e.in.carry(a.site, messageSize, func() {
+		if !e.isOpen(a.id, id) {
+			return
+		}
+		delete(e.sessions, a.id)
+		e.handle(dispatch.AgentDown{Agent: a.id})
+		e.site.after(redialDelay, func() { e.connect(a) })
+	})
 }
 
 func (e *entry) handle(event dispatch.Event) {
@@ -249,13 +295,13 @@
 func (e *entry) apply(effect dispatch.Effect) {
 	switch f := effect.(type) {
 	case dispatch.StartTask:
-		e.send(f.Agent, runner.StartRequested{Session: e.session, Number: f.Number, Task: f.Task})
+		e.sendStart(f)
 	case dispatch.StopTask:
-		e.send(f.Agent, runner.StopRequested{Session: e.session, Name: f.Name})
+		e.send(f.Agent, runner.StopRequested{Session: e.sessions[f.Agent], Name: f.Name})
 	case dispatch.Reserve:
-		e.send(f.Agent, runner.ReservationRequested{Session: e.session, Reservation: f.Reservation})
+		e.send(f.Agent, runner.ReservationRequested{Session: e.sessions[f.Agent], Reservation: f.Reservation})
 	case dispatch.AnswerOffer:
-		e.send(f.Agent, runner.OfferAnswered{Session: e.session, Offer: f.Offer})
+		e.send(f.Agent, runner.OfferAnswered{Session: e.sessions[f.Agent], Offer: f.Offer})
 	case dispatch.SpreadCrash:
 		e.crashes = append(e.crashes, dispatch.WorkerCrashed(f))
 	case dispatch.Reply:
@@ -267,8 +313,22 @@
 }
 
 func (e *entry) send(to dispatch.AgentID, event runner.Event) {
+	e.sendBytes(to, messageSize, event)
+}
+
+func (e *entry) sendBytes(to dispatch.AgentID, size int, event runner.Event) {
 	a := e.site.agents[to]
-	e.site.after(sessionDelay, func() { a.handle(event) })
+	e.out.carry(e.site, size, func() { a.handle(event) })
+}
+
+// sendStart sends a start, with its payload unless that of the start before was the same.
+func (e *entry) sendStart(f dispatch.StartTask) {
+	size := messageSize + startSize
+	if e.payloads[f.Agent] != f.Task.Payload {
+		size += payloadSize
+	}
+	e.payloads[f.Agent] = f.Task.Payload
+	e.sendBytes(f.Agent, size, runner.StartRequested{Session: e.sessions[f.Agent], Number: f.Number, Task: f.Task})
 }
 
 // submit hands a job to the entry. answered is called with its answer.
