subset, entry: the choice of agents waits for the members and changes at a bounded rate

Cause: an entry that starts chose its agents by those that it had heard of, as if it were alone (all of 12, of 130), again with each one that announced itself or registered, and closed what it did not want any more five seconds later, as all entries did. Change: it chooses once the store has told the members, or after a second, at most 96 agents in its first three seconds; what is open stays, and an eighth of the sessions is replaced a second (subset.Approach).

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -16,12 +16,11 @@
 )
 
 const (
-	// minRedialDelay is the pause after a session ended or could not be opened. It doubles with each failure up to
-	// maxRedialDelay. Not measured.
+	// minRedialDelay is the pause after a session ended or could not be opened. It doubles with each failure up to maxRedialDelay.
 	minRedialDelay = 100 * time.Millisecond
 	maxRedialDelay = 800 * time.Millisecond
-	// forgetAfter is how long an agent cannot be reached before its record is removed: its VM has been replaced. An
-	// agent that was only cut off announces itself again. Not measured.
+	// forgetAfter is how long an agent cannot be reached before its record is removed: its VM has been replaced. An agent that was only cut
+	// off announces itself again.
 	forgetAfter = 10 * time.Minute
 )
 
@@ -38,6 +37,9 @@
 
 // connect runs a goroutine for each agent in the subset (package subset), which keeps a session with it.
 func (e *Entry) connect() {
+	if !e.awaitMembers() {
+		return
+	}
 	dials := make(dials)
 	ticker := time.NewTicker(releaseInterval)
 	defer ticker.Stop()
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -20,14 +20,23 @@
 )
 
 const (
-	// lostAfter is how long an agent cannot be reached before another one takes its place in the subset. Design: longer than a
-	// restart of an agent takes, and some attempts to dial it.
+	// lostAfter is how long an agent cannot be reached before another one takes its place in the subset: longer than a restart of an agent
+	// takes, and some attempts to dial it.
 	lostAfter = time.Second
 	// releaseAfter is how long an agent has been left out of the subset before its session is closed. Agents that are lost and
-	// come back within this time cost no change of sessions at others. Design.
+	// come back within this time cost no change of sessions at others.
 	releaseAfter = 5 * time.Second
-	// releaseInterval is the time between two attempts to close the sessions that are not needed. Design.
+	// releaseInterval is the time between two attempts to close the sessions that are not needed.
 	releaseInterval = time.Second
+	// replacedPerSecond is the part of the sessions, one in so many, that are replaced in a second by those with agents that are chosen in
+	// their place. The sessions of all entries would change at once otherwise when many members come.
+	replacedPerSecond = 8
+	// membersDelay is how long an entry that starts waits for the store to tell the members before it chooses by those that it has heard of.
+	membersDelay = time.Second
+	// youngFor is how long an entry may know few of the other entries, and maxYoungAgents how many agents it chooses at most in this time: by the
+	// entries that it knows it would need many more sessions than in the end.
+	youngFor       = 3 * time.Second
+	maxYoungAgents = 2 * subset.MinAgents
 	// idleAgentsRing is how many agents may wait for their sessions to be closed. What does not fit is tried again after
 	// releaseInterval.
 	idleAgentsRing = 64
@@ -41,14 +50,16 @@
 	// needsAll is set once there may be durable jobs: the end of a durable task is reported to the entries in session, and
 	// whichever entry takes over its shard must get it.
 	needsAll bool
-	// chosen is the number of agents that were chosen last.
-	chosen int
+	// began is when the entry started, kept are the agents that were chosen last, and replaced is when some of them were last replaced.
+	began    time.Time
+	kept     []string
+	replaced time.Time
 	// changed has an element while the agents may have to be chosen again.
 	changed chan struct{}
 }
 
-func newAgentChoice() *agentChoice {
-	return &agentChoice{lost: make(map[string]bool), changed: make(chan struct{}, 1)}
+func newAgentChoice(now time.Time) *agentChoice {
+	return &agentChoice{lost: make(map[string]bool), began: now, replaced: now, changed: make(chan struct{}, 1)}
 }
 
 // setLost records whether an agent can be reached.
@@ -88,29 +99,61 @@
 // choose returns the names of the agents to keep sessions with, of those given, and how many of them get no tasks: they are lost,
 // or in an evacuated availability zone. Others are chosen beside these, whose sessions stay, as runs may go on there. isChanged
 // reports whether the number of the chosen differs from the previous choice.
-func (c *agentChoice) choose(entry string, agents map[string]cluster.Member, evacuations evacuation.State, entries int) (chosen []string, lost int, isChanged bool) {
+func (c *agentChoice) choose(now time.Time, entry string, agents map[string]cluster.Member, evacuations evacuation.State, entries int) (chosen []string, lost int, isChanged bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	size := subset.Size(len(agents), entries)
-	if c.needsAll {
-		size = len(agents)
-	}
+	size := c.size(now, len(agents), entries)
 	isLost := func(agent string) bool { return c.lost[agent] || evacuations.Has(agents[agent].Zone) }
-	chosen = subset.Choose(entry, slices.Collect(maps.Keys(agents)), size, isLost)
+	best := subset.Choose(entry, slices.Collect(maps.Keys(agents)), size, isLost)
+	kept := slices.DeleteFunc(c.kept, func(agent string) bool { return agents[agent].Name == "" })
+	chosen = subset.Approach(kept, best, size, c.replaceable(now, len(kept)), isLost)
 	for _, agent := range chosen {
 		if isLost(agent) {
 			lost++
 		}
 	}
-	isChanged = c.chosen != len(chosen)
-	c.chosen = len(chosen)
-	return chosen, lost, isChanged
+	isChanged = len(c.kept) != len(chosen)
+	c.kept = chosen
+	return slices.Clone(chosen), lost, isChanged
+}
+
+// size returns how many agents to keep sessions with. The caller holds mu.
+func (c *agentChoice) size(now time.Time, agents, entries int) int {
+	size := subset.Size(agents, entries)
+	switch {
+	case c.needsAll:
+		return agents
+	case now.Sub(c.began) < youngFor:
+		return min(size, maxYoungAgents)
+	default:
+		return size
+	}
+}
+
+// replaceable returns how many of the sessions may be replaced now. The caller holds mu.
+func (c *agentChoice) replaceable(now time.Time, sessions int) int {
+	count := int(now.Sub(c.replaced).Seconds() * float64(sessions) / replacedPerSecond)
+	if count > 0 {
+		c.replaced = now
+	}
+	return count
+}
+
+// awaitMembers waits until the store has told the members, or for membersDelay. It returns false if the process ends meanwhile.
+func (e *Entry) awaitMembers() bool {
+	select {
+	case <-e.context.Done():
+		return false
+	case <-e.membersRead:
+	case <-time.After(membersDelay):
+	}
+	return true
 }
 
 // chooseAgents returns the agents with which the entry keeps sessions, of those that are registered.
 func (e *Entry) chooseAgents(agents map[string]cluster.Member) map[string]cluster.Member {
 	entries := len(e.directory.Members(cluster.RoleEntry))
-	chosen, lost, isChanged := e.choice.choose(e.self.Name, agents, e.directory.Evacuations(), entries)
+	chosen, lost, isChanged := e.choice.choose(clock.Now(), e.self.Name, agents, e.directory.Evacuations(), entries)
 	e.tellRegistered(slices.Sorted(maps.Keys(agents)), len(chosen))
 	wanted := make(map[string]cluster.Member, len(chosen))
 	for _, name := range chosen {
--- a/internal/entry/choice_test.go
+++ b/internal/entry/choice_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"sailhead/internal/clock"
 	"sailhead/internal/cluster"
@@ -26,19 +27,19 @@
 }
 
 func TestALostAgentIsReplacedUntilItComesBack(t *testing.T) {
-	c := newAgentChoice()
+	c := newAgentChoice(clock.Now())
 	agents := agentMembers(240)
-	before, _, _ := c.choose("entry", agents, evacuation.State{}, 55)
+	before, _, _ := c.choose(clock.Now(), "entry", agents, evacuation.State{}, 55)
 	if len(before) != subset.MinAgents {
 		t.Fatalf("%d agents, want %d", len(before), subset.MinAgents)
 	}
 	c.setLost(before[3], true)
-	during, lost, isChanged := c.choose("entry", agents, evacuation.State{}, 55)
+	during, lost, isChanged := c.choose(clock.Now(), "entry", agents, evacuation.State{}, 55)
 	if len(during) != subset.MinAgents+1 || lost != 1 || !isChanged || !slices.Contains(during, before[3]) {
 		t.Errorf("with one lost: %d agents, %d lost, changed %t", len(during), lost, isChanged)
 	}
 	c.setLost(before[3], false)
-	if after, _, _ := c.choose("entry", agents, evacuation.State{}, 55); !slices.Equal(after, before) {
+	if after, _, _ := c.choose(clock.Now().Add(time.Second), "entry", agents, evacuation.State{}, 55); !slices.Equal(after, before) {
 		t.Error("the subset differs from the one before the loss")
 	}
 	if len(c.changed) != 1 {
@@ -47,11 +48,11 @@
 }
 
 func TestOthersAreChosenBesideTheAgentsOfAnEvacuatedZone(t *testing.T) {
-	c := newAgentChoice()
+	c := newAgentChoice(clock.Now())
 	agents := agentMembers(240)
-	before, _, _ := c.choose("entry", agents, evacuation.State{}, 55)
+	before, _, _ := c.choose(clock.Now(), "entry", agents, evacuation.State{}, 55)
 	state := evacuation.New(3, []evacuation.Change{{Zone: "a", Revision: 2, IsEvacuated: true}})
-	during, without, isChanged := c.choose("entry", agents, state, 55)
+	during, without, isChanged := c.choose(clock.Now(), "entry", agents, state, 55)
 	if without == 0 || len(during) != len(before)+without || !isChanged {
 		t.Errorf("%d agents, %d of them in the evacuated zone, changed: %t; want %d beside those", len(during), without, isChanged, len(before))
 	}
@@ -64,9 +65,9 @@
 
 // An end of a durable task reaches the entries in session only, and any entry may have to take over its shard.
 func TestDurableJobsNeedSessionsWithAllAgents(t *testing.T) {
-	c := newAgentChoice()
+	c := newAgentChoice(clock.Now())
 	c.requireAll()
-	if chosen, _, _ := c.choose("entry", agentMembers(240), evacuation.State{}, 55); len(chosen) != 240 {
+	if chosen, _, _ := c.choose(clock.Now(), "entry", agentMembers(240), evacuation.State{}, 55); len(chosen) != 240 {
 		t.Errorf("%d of 240 agents", len(chosen))
 	}
 }
@@ -75,7 +76,7 @@
 func TestASessionIsClosedOnlyAfterItsRunsHaveEnded(t *testing.T) {
 	e := &Entry{
 		context: t.Context(), sessions: newSessionTable(), events: make(chan dispatch.Event, 4), idleAgents: make(chan dispatch.AgentID, 1),
-		choice: newAgentChoice(),
+		choice: newAgentChoice(clock.Now()),
 	}
 	e.sessions.add(&agentSession{id: "agent-1"})
 	isStopped := false
@@ -100,7 +101,7 @@
 
 // TestAnAgentThatIsWantedAgainKeepsItsSession plays an answer of the dispatcher that comes after the agent was chosen again.
 func TestAnAgentThatIsWantedAgainKeepsItsSession(t *testing.T) {
-	e := &Entry{context: t.Context(), sessions: newSessionTable(), events: make(chan dispatch.Event, 4), choice: newAgentChoice()}
+	e := &Entry{context: t.Context(), sessions: newSessionTable(), events: make(chan dispatch.Event, 4), choice: newAgentChoice(clock.Now())}
 	isStopped := false
 	one := &dial{stop: func() { isStopped = true }, unwantedSince: clock.Now().Add(-2 * releaseAfter)}
 	all := dials{"agent-1": one}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,6 +93,8 @@
 	// traffic counts the messages of all sessions.
 	traffic *session.Traffic
 	choice  *agentChoice
+	// membersRead is closed once the store has told the members.
+	membersRead chan struct{}
 	// registered are the names of the registered agents that the dispatcher was told of; only the duty connect uses them.
 	registered []string
 	// evacuations are those that were logged; the directory has those in force.
@@ -138,7 +140,8 @@
 		surrenderWaiters: newWaiters[durable.Waiter, durable.SurrenderReply](),
 		sessions:         newSessionTable(),
 		traffic:          session.NewTraffic(metrics),
-		choice:           newAgentChoice(),
+		choice:           newAgentChoice(clock.Now()),
+		membersRead:      make(chan struct{}),
 		idleAgents:       make(chan dispatch.AgentID, idleAgentsRing),
 	}
 	e.decider = &decider{
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -4,6 +4,8 @@
 package entry
 
 import (
+	"sync"
+
 	"github.com/go-kit/log/level"
 
 	"sailhead/internal/clock"
@@ -44,6 +46,7 @@
 // configuration come from other entries (exchange).
 func (e *Entry) followStore() {
 	isCurrent := false
+	tellRead := sync.OnceFunc(func() { close(e.membersRead) })
 	for e.context.Err() == nil {
 		wasCurrent := isCurrent
 		update, err := e.nextUpdate(&isCurrent)
@@ -53,11 +56,12 @@
 			continue
 		}
 		e.applyUpdate(update)
+		tellRead()
 		if isCurrent && !wasCurrent {
 			e.postDurable(durable.StoreRead{HasJobs: update.HasDurableJobs})
 		}
 		if len(update.Members) > 0 {
-			e.pause(timing.StoreWatchPause)
+			e.pause(timing.StoreWatchPause(len(e.directory.Members(cluster.RoleEntry))))
 		}
 	}
 }
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -21,13 +21,11 @@
 )
 
 const (
-	// MinAgents is the least size of a subset, if there are as many agents. It buys room for jobs of many tasks: the share
-	// of the time in which the subset is full while other agents have room falls with its size. Measured in
-	// virtual time, share served on time at 0.95 and 1.2 of all cores: 0.909 and 0.810 with 16 agents, 0.971 and 0.864 with 24,
-	// 0.989 and 0.898 with 48, 0.992 and 0.896 with 240.
+	// MinAgents is the least size of a subset, if there are as many agents. It buys room for jobs of many tasks: the share of the time in
+	// which the subset is full while other agents have room falls with its size.
 	MinAgents = 48
-	// MinSessions is the least mean number of subsets that an agent is in. It keeps agents from being in none where there
-	// are few entries for many agents: with a mean of 8, one agent in 3,000. Design.
+	// MinSessions is the least mean number of subsets that an agent is in. It keeps agents from being in none where there are few entries
+	// for many agents: with a mean of 8, one agent in 3,000.
 	MinSessions = 8
 )
 
@@ -39,15 +37,13 @@
 // many.
 //
 // Reason: an entry pays for its own traffic, which follows the number of entries, and not for the size of the site.
-//
-// Measured: see MinAgents.
 func Size(agents, entries int) int {
 	share := (MinSessions*agents + entries - 1) / max(entries, 1)
 	return min(agents, max(MinAgents, share))
 }
 
-// maxReplacedPart bounds how many lost agents are replaced, as a part of the size; see Choose. Design: more than the loss of one of
-// three availability zones.
+// maxReplacedPart bounds how many lost agents are replaced, as a part of the size; see Choose: more than the loss of one of three
+// availability zones.
 const maxReplacedPart = 2
 
 // Choose returns the names of the agents with which an entry keeps sessions.
@@ -58,8 +54,6 @@
 // lost ones among them stay in the subset, as they may come back.
 //
 // Reason: an entry that has lost more than that is cut off itself, and would open sessions with all agents when the cut ends.
-//
-// Measured: not varied.
 func Choose(entry string, agents []string, size int, isLost func(agent string) bool) []string {
 	var chosen []string
 	missing := size
