timing: the pause between watches of the store grows with the entries

Cause: each member that comes or goes is told to all entries, each of which then calls again: calls grow with entries x changes. Change: the pause after a watch that brought members is 5 ms for each entry, 200 to 800 ms. Up to 160 entries they make 200 calls a second together at most, at 800 entries 1,000. A test names what the longest pause may not break.

--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -8,6 +8,16 @@
 	"time"
 )
 
+func TestThePauseBetweenWatchesGrowsWithTheEntries(t *testing.T) {
+	for entries, want := range map[int]time.Duration{
+		1: MinStoreWatchPause, 12: MinStoreWatchPause, 55: 275 * time.Millisecond, 184: MaxStoreWatchPause, 800: MaxStoreWatchPause,
+	} {
+		if got := StoreWatchPause(entries); got != want {
+			t.Errorf("%d entries: %s, want %s", entries, got, want)
+		}
+	}
+}
+
 // withDrift returns how long a lease lasts at most if the worker's clock is slow.
 func withDrift(lease time.Duration) time.Duration { return lease + lease/ClockDriftDivisor }
 
@@ -34,6 +44,7 @@
 		{"orphaned ends outlive a failover", ClaimLease + RecoveryDelay, OrphanEndTimeout, false, "the end of a done run is dropped before its shard has an owner"},
 		{"an agent hears of an evacuation", StoreNewsDelay + CloseAfter, EvacuationTime, false, "tasks start in an evacuated zone"},
 		{"an agent hears of an evacuation from an entry without the store", StoreNewsDelay + PeerNewsDelay + CloseAfter, EvacuationTime + EvacuationStretch, false, "tasks start in an evacuated zone"},
+		{"a watch after the longest pause is answered in time", MaxStoreWatchPause + StoreWatchTimeout, StoreUpdateLifetime, false, "a quiet store is taken for one that is cut off while members come"},
 		{"a watch is answered in time", StoreWatchTimeout + StoreCallTimeout, StoreUpdateLifetime, false, "a quiet store is taken for one that is cut off"},
 	}
 	for _, r := range relations {
