--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -63,8 +63,6 @@
 //
 // Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
 // submitted to another entry, while one that is interrupted may have run.
-//
-// Measured: no; Limits.Jobs is a setting.
 func (d *Dispatcher) refusalReason(now time.Time, j *job) string {
 	if reason := d.containedReason(j); reason != "" {
 		return reason
@@ -81,9 +79,8 @@
 	}
 }
 
-// maxWaitShare is the part, 0 to 1, of a job's slack for which it may wait; see refuseAt. The slack is the time between the
-// expected time of its longest chain of steps and its objective. Measured on overloaded days, worth
-// against 0.8: -0.002 +-0.004 with 0.4, +0.005 +-0.002 with 0.6, -0.004 +-0.003 with 1.
+// maxWaitShare is the part, 0 to 1, of a job's slack for which it may wait; see refuseAt. The slack is the time between the expected time
+// of its longest chain of steps and its objective.
 const maxWaitShare = 0.6
 
 // refuseAt returns when a job is refused if none of its tasks was placed.
@@ -94,9 +91,6 @@
 //
 // Reason: a job that begins later can hardly be done within its objective, and makes those behind it late too. Its caller
 // may retry after a refusal.
-//
-// Measured: see maxWaitShare. To let late retries wait for as much of their caller's time was worth -0.0055 +-0.0019 on a day
-// that ends with a restart of everything.
 func (j *job) refuseAt() time.Time {
 	return j.waitsUntil(maxWaitShare)
 }
@@ -116,8 +110,6 @@
 //
 // Reason: an answer that comes late still serves a caller that waits for it, while one that is interrupted may have run
 // and has to be repeated.
-//
-// Measured: against three objectives, worth +0.002 +-0.003, and +0.023 +-0.005 where callers' guesses are off by 90 %.
 func (j *job) expiresAt() time.Time {
 	if j.RemainingTime > 0 {
 		return j.arrived.Add(j.RemainingTime)
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -74,11 +74,18 @@
 
 // noteCounted notes how long ago the starts were sent that a load counts first.
 func (d *Dispatcher) noteCounted(now time.Time, a *agent, handled uint64) {
+	wasLimited := d.congestion.isLimited()
 	for _, start := range a.uncounted {
 		if start.number <= handled {
 			d.congestion.startCounted(now, start.at)
 		}
 	}
+	switch isLimited := d.congestion.isLimited(); {
+	case isLimited && !wasLimited:
+		d.emit(DecisionMade{Decision: DecisionLimited{CountTime: d.congestion.shortest}})
+	case wasLimited && !isLimited:
+		d.emit(DecisionMade{Decision: DecisionUnlimited{}})
+	}
 }
 
 // countStart subtracts the needs of a start from the free resources and returns the start's number.
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// slowestTasks is how many tasks a late answer names, so that the log line stays short. Not measured.
+// slowestTasks is how many tasks a late answer names, so that the log line stays short.
 const slowestTasks = 3
 
 // lateAnswer returns the tasks that ended last. It returns nil if the job was answered within its objective or did not
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -23,8 +23,6 @@
 // Reason: a run that failed on a worker where many runs fail says little of the task. Durable jobs get no extra
 // attempts: package durable counts their failed runs from the store, where the health of the worker is not recorded,
 // and both must end the job after the same run.
-//
-// Measured: worth 0.019 +-0.004 on a day on which two workers fail 60 % of their runs for 8 s, nothing on others.
 func (d *Dispatcher) maxAttempts(j *job, id AgentID) int {
 	attempts := j.Kind.MaxAttempts()
 	if j.isDurable {
--- a/internal/dispatch/containment.go
+++ b/internal/dispatch/containment.go
@@ -34,13 +34,6 @@
 //
 // Cost if the kind is innocent: the kind has no more than its share of the workers for a trial, and others no more than theirs.
 // A worker that crashes by chance within suspectTime after a contained job was started interrupts that job.
-//
-// Measured in virtual time, 11 and 70 workers, loads of 0.5 and 0.9, 1 to 30 % of each of three kinds, workers 3.4 s away
-// (TestContainmentByHand): the mean over the kinds of the part of innocent jobs on time, over 48 cases, is 0.71 without it and
-// 0.82 with it, in no case more than 0.02 less. Tried and left: one job at a time on a worker, on a quarter of the agents
-// whatever the share, 0.84, but 0.995 -> 0.91 of all jobs on time where 1 % of the most frequent kind crash workers; containing
-// at an eighth of the agents, 0.83, but 0.83 -> 0.74 of all jobs there at a load of 0.9; one and a half times the share, 0.81;
-// 40 ms in place of suspectTime, 0.01 less.
 
 const (
 	// minEvidence is how many jobs of a kind must have been given up at least. One may be a job by itself.
@@ -50,12 +43,12 @@
 	agentsPerEvidence = 5
 	// evidenceTime is how long a job that was given up counts for that: about as long as a worker is away after a crash.
 	evidenceTime = 3 * time.Second
-	// trialJobs is how many jobs of a contained kind must have been done here without another crash, for evidenceTime at least,
-	// before it is let out. Design: if one in ten crashes workers, a third of such trials pass by chance, and then it takes as
-	// much evidence as before to contain it again.
+	// trialJobs is how many jobs of a contained kind must have been done here without another crash, for evidenceTime at least, before it
+	// is let out: if one in ten crashes workers, a third of such trials pass by chance, and then it takes as much evidence as before to
+	// contain it again.
 	trialJobs = 10
-	// trialTime is after which time without a crash it is let out in any case. Design: three times as long as a worker is away, as
-	// nothing is tried while all workers of the kind are.
+	// trialTime is after which time without a crash it is let out in any case: three times as long as a worker is away, as nothing is tried
+	// while all workers of the kind are.
 	trialTime = 10 * time.Second
 	// minContainedShare and maxContainedShare bound the part, 0 to 1, of the agents to which a contained kind is confined, and the
 	// latter that of all contained kinds together: further ones share the agents of the one before.
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -29,13 +29,6 @@
 // crashes its workers does so each time after about as long. The crashes are counted by task, not by job under way: the job may be dropped
 // and submitted again, here or at another entry, or get another owner. Every entry hears of every crash, from its own agents or from
 // another entry.
-//
-// Measured: in virtual time with 11 workers, one such job: 34 workers crashed in 8 s without the rule, two with it. Among others
-// (package overload, 48 workers, half of all cores used, 1 % of the most frequent kind of job crash workers): 10.4 crashes for
-// each such job without the rule, 2.0 with it; other jobs on time 0.628 -> 0.997. None of 10,358 other jobs is given up, and 5 in 10,000
-// if each second crash counts and suspects are not isolated. At 0.9 of all cores: 5.7 -> 1.7 crashes, 0.452 -> 0.874 on time, none of
-// 18,596 given up. If such tasks crash their workers 190 ms after the start, when others may run beside them: 2.6 and 2.5 crashes. Where
-// each worker is killed every 20 s under whatever runs there, 1 of 42,079 jobs is given up, and 13 if ages are not compared.
 
 const (
 	// maxIsolatedCrashes is how many workers may crash under runs of a task that had lasted about as long, if the last of them was the
@@ -43,22 +36,19 @@
 	// The users' rules allow to give a task up after two.
 	maxIsolatedCrashes = 2
 	maxAlikeCrashes    = 3
-	// maxCrashes is how many workers may crash under a task in any case. After three the users' rules allow two more starts. Measured: with
-	// three 77 in place of 32 of 41,870 jobs are given up while each worker is killed every 4 s.
+	// maxCrashes is how many workers may crash under a task in any case. After three the users' rules allow two more starts.
 	maxCrashes = 4
 	// maxPossibleCrashes is the same with those crashes at which the run may not have been running: the users' rules allow five
 	// starts if each of them crashes a worker.
 	maxPossibleCrashes = 5
-	// ageTolerance and ageShare say how much the ages of two runs at the crashes of their workers may differ for one cause: by
-	// the former, and by that part, 0 to 1, of the smaller one. Design: as much as a busy agent is late to send a start or to notice a
-	// crash. Measured: of 41,870 jobs on workers that are killed every 4 s 32 are given up with 5 ms, 57 with 15 ms, 69 with 20 ms, all
-	// without maxAlikeCrashes.
+	// ageTolerance and ageShare say how much the ages of two runs at the crashes of their workers may differ for one cause: by the former,
+	// and by that part, 0 to 1, of the smaller one. As much as a busy agent is late to send a start or to notice a crash.
 	ageTolerance = 15 * time.Millisecond
 	ageShare     = 0.1
 	// suspicionTime is how long a crash counts. Source: the state of an ended job is kept for as long (status_s, 120 on every site), and
 	// callers submit a job again within seconds.
 	suspicionTime = 2 * time.Minute
-	// maxSuspects bounds the tasks that are remembered. Design: all tasks on 100 workers, some 200 bytes each, 0.4 MB.
+	// maxSuspects bounds the tasks that are remembered: all tasks on 100 workers, some 200 bytes each, 0.4 MB.
 	maxSuspects = 2048
 )
 
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -72,6 +72,15 @@
 	Agents []AgentID
 }
 
+// DecisionLimited reports that the entry does not keep up and accepts fewer jobs from now on; see congestion.go.
+type DecisionLimited struct {
+	// CountTime is the shortest time from a start to the load that counts it.
+	CountTime time.Duration
+}
+
+// DecisionUnlimited reports that the entry accepts all jobs again.
+type DecisionUnlimited struct{}
+
 // DecisionLetOut reports that a kind is not confined any more.
 type DecisionLetOut struct{}
 
@@ -132,6 +141,8 @@
 func (DecisionGivenUp) isDecision()           {}
 func (DecisionContained) isDecision()         {}
 func (DecisionLetOut) isDecision()            {}
+func (DecisionLimited) isDecision()           {}
+func (DecisionUnlimited) isDecision()         {}
 func (DecisionAnswered) isDecision()          {}
 func (DecisionCallerLeft) isDecision()        {}
 func (DecisionDropped) isDecision()           {}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -19,20 +19,16 @@
 //
 // Reason: how good a guess is differs from customer to customer. The regression corrects guesses that are usually too
 // short or too long, follows those that tell jobs apart, and falls back to the kind's usual time for those that do not.
-//
-// Measured: against the guess alone, worth -0.002 +-0.002 with guesses that are off by 40 %, and 0.54 to 0.61 -> 0.81 to 0.87 with
-// guesses that are off by 90 %.
 
 const (
-	// runTimeWeight is the weight of one step in the moving averages once there are enough; it makes them follow a change
-	// of a kind within some 50 steps. Not varied.
+	// runTimeWeight is the weight of one step in the moving averages once there are enough; it makes them follow a change of a kind within
+	// some 50 steps.
 	runTimeWeight = 0.02
-	// priorSteps is how many steps the assumption counts for that guesses are right. Not varied.
+	// priorSteps is how many steps the assumption counts for that guesses are right.
 	priorSteps = 4
-	// priorVariance is the variance of the logarithm of the guesses that goes with it: most guesses of a kind are within a
-	// factor of 1.5. Not varied.
+	// priorVariance is the variance of the logarithm of the guesses that goes with it: most guesses of a kind are within a factor of 1.5.
 	priorVariance = 0.16
-	// learnedSteps is from how many steps an estimate is good enough to judge a worker by. Not varied.
+	// learnedSteps is from how many steps an estimate is good enough to judge a worker by.
 	learnedSteps = 10
 	// minRunTime is the shortest run time that is learned, so that its logarithm is finite.
 	minRunTime = time.Millisecond
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -21,8 +21,6 @@
 // service is in an evacuated zone (evacuatedReason).
 //
 // Reason: operators empty a zone before they work on it. Agents refuse starts as well (package runner), for those on their way.
-//
-// Measured: not applicable; random schedules with lost and late news start nothing in an evacuated zone (random_test.go).
 func (d *Dispatcher) evacuationsChanged(now time.Time, state evacuation.State) {
 	d.evacuations = d.evacuations.Merge(state)
 	for _, a := range d.ordered {
@@ -57,8 +55,6 @@
 //
 // Reason: after a restart the first sessions may all be with agents of evacuated zones; a job waits for the others then, as long
 // as it waits for room.
-//
-// Measured: not applicable; with all sessions but one closed, scripts show the wait and the refusal.
 func (d *Dispatcher) evacuatedReason(j *job) string {
 	evacuated := 0
 	for _, a := range d.ordered {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -6,11 +6,9 @@
 import "time"
 
 const (
-	// maxSlowness is the slowness from which a worker is unhealthy; see isHealthy. Measured with
-	// isTooSlow and the rule of moves, against 3.5 without them: worth +0.028 +-0.005 on a day with slow workers.
+	// maxSlowness is the slowness from which a worker is unhealthy; see isHealthy.
 	maxSlowness = 2.5
-	// maxFailureRate is the failure rate from which a worker is unhealthy; see isHealthy. Measured: 0.5 in its place makes no
-	// difference that is shown, worth +0.001 +-0.001 on a day with failing workers and one with hanging ones.
+	// maxFailureRate is the failure rate from which a worker is unhealthy; see isHealthy.
 	maxFailureRate = 0.25
 	// maxSpeedWaitShare is the part, 0 to 1, of its slack for which a job waits for a worker that is fast enough; see isTooSlow.
 	maxSpeedWaitShare = 0.3
@@ -27,8 +25,6 @@
 //
 // Reason: an unhealthy worker gets tasks only if no healthy one has resources (plan.go) and the job is in time there
 // (isTooSlow), its runs may be moved (move.go), and failed runs on it count less (attempts.go).
-//
-// Measured: without the rank by health, worth -0.001 +-0.002, and -0.003 +-0.001 on a day with failing workers.
 func (a *agent) isHealthy() bool {
 	return a.load.Slowness < maxSlowness && !a.isFailing()
 }
--- a/internal/dispatch/lostsession.go
+++ b/internal/dispatch/lostsession.go
@@ -20,8 +20,6 @@
 //
 // Reason: the agent may have died with its worker, or restarted since, and a task that crashes whole VMs would never be given up. Whether
 // the runs were still running is not known.
-//
-// Measured: not applicable; script crashes_unreported.
 
 // lostSession is what ran at an agent when its session ended.
 type lostSession struct {
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// minGain is the least time that a move must gain, as a part of the expected time of a run; see isStuck. Estimates are
-	// often off by as much. Not varied.
+	// minGain is the least time that a move must gain, as a part of the expected time of a run; see isStuck. Estimates are often off by as
+	// much.
 	minGain = 0.5
-	// maxMoves bounds how often a task is moved. Not measured.
+	// maxMoves bounds how often a task is moved.
 	maxMoves = 2
 )
 
@@ -53,9 +53,6 @@
 //
 // Reason: jobs waited for runs on slow or hanging workers. The rule depends on the worker's health because the expected
 // time of a single run is often wrong by a factor of two.
-//
-// Measured: without moves, worth -0.003 +-0.004; they are kept as a run on a worker that hangs ends no other way. Judging by single
-// runs instead moved 40 to 73 healthy runs on a quiet day, worth 0.955 -> 0.911.
 func (d *Dispatcher) isStuck(now time.Time, j *job, t *task) bool {
 	if t.state != taskSent || t.moves >= maxMoves || t.avoids(t.agent) {
 		return false
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -23,9 +23,6 @@
 //
 // It runs only if isPlaceDue, as each call visits every waiting job and every worker. Most events are loads by which less is
 // free, or by which the free resources are reserved: none of these can place a task.
-//
-// Measured: against waiting for resources for all tasks, score 0.879 -> 0.916 and 0.921 -> 0.924 on two sites. isPlaceDue: a load
-// with 50 waiting jobs costs 0.1 us in place of 23 us (BenchmarkLoad).
 func (d *Dispatcher) place(now time.Time) {
 	if len(d.agents) == 0 {
 		return
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -10,8 +10,8 @@
 	"sailhead/internal/worker"
 )
 
-// The rank of a worker for a task is the sum of the weights that apply. Each weight is larger than the sum of the
-// smaller ones, so a worker where the task did not fail comes before any where it did, and so on. Not measured.
+// The rank of a worker for a task is the sum of the weights that apply. Each weight is larger than the sum of the smaller ones, so a worker
+// where the task did not fail comes before any where it did, and so on.
 const (
 	// rankNotAvoided: no run of the task failed on the worker or was stopped there because it took too long.
 	rankNotAvoided = 4
@@ -58,9 +58,6 @@
 // order, entries do not all choose the same worker.
 //
 // hasLeftOut is set if a healthy worker was left out, which may have room for other jobs.
-//
-// Measured: the number of workers and the ranks are not measured. Free resources from exact loads: trials with loads
-// every 200 ms scored 0.21 and 0.26 less (docs/DESIGN.md).
 func (d *Dispatcher) plan(now time.Time, j *job, tasks []*task) (placements []placement, hasLeftOut bool) {
 	hasLeftOut = d.gatherCandidates(now, j)
 	p := planner{job: j, candidates: d.candidates, isSuspect: d.isSuspect}
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -19,8 +19,6 @@
 // emitted; otherwise the event has to come again.
 //
 // Reason: the end of a session stops the runs that were started over it.
-//
-// Measured: not applicable; random schedules lose no run (random_test.go).
 func (d *Dispatcher) agentUnwanted(id AgentID) {
 	a, ok := d.agents[id]
 	if !ok {
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -63,8 +63,6 @@
 //
 // Reason: an agent that has heard from its worker reports ends that are not recorded at once, also one that accepts no tasks, as its
 // worker drains or its availability zone is evacuated.
-//
-// Measured: soak seed 803 runs a done task twice if a new session alone suffices, as the agent may not reach its worker.
 func (d *Dispatcher) agentRecovered(now time.Time, id AgentID) {
 	earliest := now.Add(timing.RerunDelay)
 	for _, j := range d.jobs {
@@ -94,8 +92,6 @@
 //
 // Reason: an agent without a session may have an end that is not recorded, or its worker may have one of which the agent has not heard,
 // and the task would run twice.
-//
-// Measured: only together with the other rules for durable tasks, by soak seeds; recoveryWait follows from DurableRerunDelay.
 func (d *Dispatcher) awaitsAgents(now time.Time, j *job) bool {
 	isRecovered := !j.recoveredAt.IsZero()
 	return isRecovered && now.Before(j.recoveredAt.Add(recoveryWait)) && d.agentsThatHaveHeard() < d.knownAgents
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -15,10 +15,9 @@
 // choose among the reservations of all entries is in package runner (reservation.go).
 
 const (
-	// maxReservations is the largest number of agents at which a job reserves; see reservationLimit. Not varied alone.
+	// maxReservations is the largest number of agents at which a job reserves; see reservationLimit.
 	maxReservations = 24
 	// reservationsPerTask is the number of agents at which a job reserves for each task that waits; see reservationLimit.
-	// Measured: against as many as maxReservations, worth +0.002 +-0.003 with 3 and -0.004 +-0.002 with 2.
 	reservationsPerTask = 3
 )
 
@@ -31,8 +30,6 @@
 //
 // Reason: with a few agents for each task, one of them has room soon. Each agent costs two messages, one to reserve and one to
 // cancel: with 24 for every job an entry sent 40,000 a second, which filled its link of 25 Mbit/s, so that it lost all agents.
-//
-// Measured: see reservationsPerTask.
 func reservationLimit(tasks int) int {
 	return min(reservationsPerTask*tasks, maxReservations)
 }
@@ -58,9 +55,6 @@
 // change, and more are added when agents come.
 //
 // Reason: nobody knows which worker has room next. With the limit, the messages of a job do not grow with the cluster.
-//
-// Measured: with offers to the most urgent reservation, in place of a race for what becomes free, worth +0.019 +-0.003 and
-// +0.016 +-0.006 on two overloaded days.
 func (d *Dispatcher) reserve(now time.Time, j *job, tasks []*task) {
 	group := sameStep(tasks)
 	step := j.Steps[group[0].step]
@@ -153,8 +147,6 @@
 // is evacuated, are not used.
 //
 // Reason: the job that led to the offer may have been placed meanwhile.
-//
-// Measured: with reserve.
 func (d *Dispatcher) offerReceived(now time.Time, e OfferReceived) {
 	a, ok := d.agents[e.Agent]
 	if !ok {
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -13,16 +13,14 @@
 // submission.
 
 const (
-	// retryShare is the part, 0 to 1, of the usual remaining time below which a caller may have submitted its job
-	// before. Not varied in a run.
+	// retryShare is the part, 0 to 1, of the usual remaining time below which a caller may have submitted its job before.
 	retryShare = 0.6
-	// shorterWeight is the weight, 0 to 1, of a caller with less remaining time than usual in the usual time. It is
-	// small because the first callers after a restart are those that retry. Not varied in a run.
+	// shorterWeight is the weight, 0 to 1, of a caller with less remaining time than usual in the usual time. It is small because the first
+	// callers after a restart are those that retry.
 	shorterWeight = 0.02
-	// longerWeight is the weight, 0 to 1, of a caller with more remaining time than usual. Not varied in a run.
+	// longerWeight is the weight, 0 to 1, of a caller with more remaining time than usual.
 	longerWeight = 0.3
-	// lateRetryFreeShare is the part, 0 to 1, of the CPU of a service's workers that must be free before a late retry
-	// is placed. Not varied in a run.
+	// lateRetryFreeShare is the part, 0 to 1, of the CPU of a service's workers that must be free before a late retry is placed.
 	lateRetryFreeShare = 0.25
 )
 
@@ -41,9 +39,6 @@
 // Reason: after an outage all callers retry at once, with jobs whose answers would be useless; these kept the workers
 // busy for a second. They are not refused, because a late answer is better than none while there are free resources. The
 // condition on the timeout is there because callers give short jobs less time than long ones.
-//
-// Measured: with two other changes, score 0.916 -> 0.926 on one site and 0.924 on another, as before. The condition on the
-// timeout: mean worth of days with trouble 0.870 -> 0.879.
 func (c callerTimes) observe(j *job) (isLateRetry bool) {
 	remaining := j.RemainingTime
 	if remaining <= 0 {
--- a/internal/dispatch/return.go
+++ b/internal/dispatch/return.go
@@ -15,12 +15,12 @@
 	// RetryAfter is the shortest time after which the caller of a refused job may submit it again: one second is the least that
 	// callers are told, in whole seconds.
 	RetryAfter = time.Second
-	// maxRetryAfter is the longest such time. What an entry knows of its load says nothing of later. Design.
+	// maxRetryAfter is the longest such time. What an entry knows of its load says nothing of later.
 	maxRetryAfter = 10 * time.Second
-	// returnShare is the part, 0 to 1, of the work done lately that returning callers are expected to bring. It is that of the
-	// free resources with which late retries are placed (lateRetryFreeShare): the rest is for new callers. Design.
+	// returnShare is the part, 0 to 1, of the work done lately that returning callers are expected to bring. It is that of the free
+	// resources with which late retries are placed (lateRetryFreeShare): the rest is for new callers.
 	returnShare = lateRetryFreeShare
-	// rateWindow is the time over which the rate of work is averaged: more than the longest tasks take, less than a burst. Design.
+	// rateWindow is the time over which the rate of work is averaged: more than the longest tasks take, less than a burst.
 	rateWindow = 2 * time.Second
 )
 
@@ -74,8 +74,6 @@
 //
 // Reason: jobs are refused in bursts. Callers that return together make the next one, and callers that return in the order in
 // which they were refused wait about equally long. The rate says when there is room for them, whatever the size of the site.
-//
-// Measured: not varied; TestRefusedCallersReturnInTheirOrder.
 func (p *returnPlan) plan(now time.Time, w work, random *rand.Rand) (wait time.Duration, ok bool) {
 	p.recent.decay(now, rateWindow)
 	rate := returnShare * float64(p.recent.sum) / rateWindow.Seconds()
--- a/internal/entry/accepted.go
+++ b/internal/entry/accepted.go
@@ -10,8 +10,8 @@
 	"github.com/go-kit/log/level"
 )
 
-// maxAcceptedIDs is how many ids one line of accepted jobs holds at most. Design: with the ids of the users' callers, 16
-// characters each, a line stays below 600 bytes; not varied.
+// maxAcceptedIDs is how many ids one line of accepted jobs holds at most: with the ids of the users' callers, 16 characters each, a line
+// stays below 600 bytes.
 const maxAcceptedIDs = 32
 
 // acceptedJobs collects the ids of accepted jobs for the log. Without them a job that is lost with its entry would have no
--- a/internal/entry/dependencies.go
+++ b/internal/entry/dependencies.go
@@ -11,8 +11,8 @@
 	"github.com/go-kit/log/level"
 )
 
-// maxDependencies bounds the lost dependencies that are remembered; the loss of further ones is not logged. It is above
-// the number of entries that the target size needs. Not measured.
+// maxDependencies bounds the lost dependencies that are remembered; the loss of further ones is not logged. It is above the number of
+// entries that the target size needs.
 const maxDependencies = 256
 
 // dependencies logs once when a dependency is lost and once when it is regained.
--- a/internal/entry/durable.go
+++ b/internal/entry/durable.go
@@ -33,8 +33,8 @@
 const (
 	// statusTime is how long the state of a durable job is known after its end. The platform asks for 120 s (status_s).
 	statusTime = 130 * time.Second
-	// commitDivisor divides the store's rate of writes for the commits of all entries: half of it is left for claims,
-	// members and the operators. Not measured.
+	// commitDivisor divides the store's rate of writes for the commits of all entries: half of it is left for claims, members and the
+	// operators.
 	commitDivisor = 2
 )
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -18,10 +18,10 @@
 
 // Bounds of the log, in lines a second.
 const (
-	// successLines bounds the lines of jobs that were completed within their objective. Design: a sample, at 55 entries a thousand
-	// lines a second in all.
+	// successLines bounds the lines of jobs that were completed within their objective: a sample, at 55 entries a thousand lines a second
+	// in all.
 	successLines = 20
-	// otherLines bounds the lines of all other decisions. Design: every refusal of an entry of the large site at twice its cores.
+	// otherLines bounds the lines of all other decisions: every refusal of an entry of the large site at twice its cores.
 	otherLines = 200
 )
 
@@ -72,6 +72,10 @@
 		e.metrics.Add(metric.Containments, 1)
 	case dispatch.DecisionLetOut:
 		e.metrics.Add(metric.KindsContained, -1)
+	case dispatch.DecisionLimited:
+		e.metrics.Set(metric.IsLimited, 1)
+	case dispatch.DecisionUnlimited:
+		e.metrics.Set(metric.IsLimited, 0)
 	}
 }
 
@@ -111,6 +115,10 @@
 		return "given_up"
 	case dispatch.DecisionContained:
 		return "kind_contained"
+	case dispatch.DecisionLimited:
+		return "limited"
+	case dispatch.DecisionUnlimited:
+		return "unlimited"
 	case dispatch.DecisionLetOut:
 		return "kind_let_out"
 	case dispatch.DecisionAnswered:
@@ -150,6 +158,8 @@
 		return describeCrashes(d.Crashes)
 	case dispatch.DecisionContained:
 		return fmt.Sprintf("jobs given up %v, confined to %v", d.Jobs, d.Agents)
+	case dispatch.DecisionLimited:
+		return fmt.Sprintf("starts are counted after %s at the earliest", d.CountTime.Round(time.Millisecond))
 	case dispatch.DecisionAnswered:
 		return describeAnswer(d)
 	case dispatch.DecisionWorker:
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -19,8 +19,7 @@
 	"sailhead/internal/worker"
 )
 
-// livenessInterval is the time between two checks of the sessions for agents that do not answer. Design: a sixth of
-// timing.SuspectAfter.
+// livenessInterval is the time between two checks of the sessions for agents that do not answer: a sixth of timing.SuspectAfter.
 const livenessInterval = 50 * time.Millisecond
 
 // epoch is the origin of the times in agentSession.
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -83,8 +83,7 @@
 }
 
 const (
-	// ownerWait is how long a request waits for its shard to have an owner before the caller is sent away with a time to
-	// retry. Not measured.
+	// ownerWait is how long a request waits for its shard to have an owner before the caller is sent away with a time to retry.
 	ownerWait = 700 * time.Millisecond
 	// ownerPollInterval is the time between two reads of the owner.
 	ownerPollInterval = 40 * time.Millisecond
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -22,17 +22,16 @@
 //  3. It stops listening, and waits until no job is under way and all shards are released.
 //  4. Requests that are still open get answerTimeout to be answered.
 const (
-	// stopMargin is kept of StopTimeout for the end of the process. Not measured.
+	// stopMargin is kept of StopTimeout for the end of the process.
 	stopMargin = 400 * time.Millisecond
-	// releaseMargin is how long before the end of the stop the shards are released at the latest, so that the
-	// commit that records the release is written. Not measured.
+	// releaseMargin is how long before the end of the stop the shards are released at the latest, so that the commit that records the
+	// release is written.
 	releaseMargin = 1200 * time.Millisecond
-	// balancerDelay is how long after BeginShutdown the balancer may send new connections. It asks every second, and an
-	// answer may be late. Measured: closing the listener sooner left connections refused.
+	// balancerDelay is how long after BeginShutdown the balancer may send new connections. It asks every second, and an answer may be late.
 	balancerDelay = 2300 * time.Millisecond
-	// quietTime is how long no connection must have come before the entry stops listening. Not measured.
+	// quietTime is how long no connection must have come before the entry stops listening.
 	quietTime = 250 * time.Millisecond
-	// answerTimeout is how long the last open requests may take to be answered. Not measured.
+	// answerTimeout is how long the last open requests may take to be answered.
 	answerTimeout = 250 * time.Millisecond
 	// shutdownPollInterval is the time between two checks of what a stop waits for.
 	shutdownPollInterval = 20 * time.Millisecond
--- a/internal/metric/histogram.go
+++ b/internal/metric/histogram.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// longestTime is the largest time that a histogram can hold; longer ones are recorded as this. Not measured.
+	// longestTime is the largest time that a histogram can hold; longer ones are recorded as this.
 	longestTime = time.Minute
-	// figures is the number of significant decimal digits of a histogram. Not measured; two mean an error of 1 %.
+	// figures is the number of significant decimal digits of a histogram.
 	figures = 2
-	// maxLabels is the largest number of labels with a histogram of their own, so that operators who create many kinds
-	// cannot fill the memory. Not measured.
+	// maxLabels is the largest number of labels with a histogram of their own, so that operators who create many kinds cannot fill the
+	// memory.
 	maxLabels = 64
 	// otherLabel is the label under which times of all further labels are recorded.
 	otherLabel = "other"
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -44,6 +44,7 @@
 	ZonesEvacuated   = "zones_evacuated"
 	KindsContained   = "kinds_contained"
 	Containments     = "containments"
+	IsLimited        = "is_limited"
 	UnreadablePrefix = "unreadable_"
 	// SessionSent and SessionReceived show messages and bytes by the kind of message.
 	SessionSent     = "session_sent"
