--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,8 +55,7 @@
 	Ring int
 }
 
-// stopMargin is the part of Settings.StopTimeout that is left for closing sessions and ending the process after the
-// wait for running tasks. Other values were not measured.
+// stopMargin is the part of Settings.StopTimeout that is left for closing sessions and ending the process after the wait for running tasks.
 const stopMargin = 700 * time.Millisecond
 
 // rejectionsPerSecond bounds the log lines about rejected heartbeats: the worker beside the agent sends one in 1.5 s.
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// announceInterval is the time between two announcements while no entry has a session. Design: as often as entries exchange
-	// members (timing.ExchangeInterval); 70 agents then make 175 calls a second to all seeds together, and only until a session opens.
+	// announceInterval is the time between two announcements while no entry has a session: as often as entries exchange members
+	// (timing.ExchangeInterval); 70 agents then make 175 calls a second to all seeds together, and only until a session opens.
 	announceInterval = 400 * time.Millisecond
 	// announceFailuresPerSecond bounds the log lines about announcements that failed.
 	announceFailuresPerSecond = 1
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -14,8 +14,8 @@
 	"sailhead/internal/runner"
 )
 
-// tickInterval is the time between two checks of everything that depends on time. Design: several in the shortest
-// interval that the runner checks, stopRetryInterval; not measured.
+// tickInterval is the time between two checks of everything that depends on time: several in the shortest interval that the runner checks,
+// stopRetryInterval.
 const tickInterval = 20 * time.Millisecond
 
 // post queues an event for the event loop. It blocks while the queue is full, and drops the event once the agent stops.
--- a/internal/agent/registration.go
+++ b/internal/agent/registration.go
@@ -16,8 +16,8 @@
 	"sailhead/internal/worker"
 )
 
-// registerRetryInterval is the shortest time between two attempts to write the record; up to as much is added at random, so
-// that the agents do not all return at once to a store that has recovered. Not measured.
+// registerRetryInterval is the shortest time between two attempts to write the record; up to as much is added at random, so that the agents
+// do not all return at once to a store that has recovered.
 const registerRetryInterval = 300 * time.Millisecond
 
 // registration holds the worker that the agent's record in the store should name.
--- a/internal/cli/metrics.go
+++ b/internal/cli/metrics.go
@@ -15,7 +15,7 @@
 const (
 	// droppedLines is the name of the counter of log lines that were dropped.
 	droppedLines = "log_lines_dropped"
-	// metricsHeaderTimeout is the longest time in which a client sends the header of a request. Not measured.
+	// metricsHeaderTimeout is the longest time in which a client sends the header of a request.
 	metricsHeaderTimeout = time.Second
 )
 
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -18,7 +18,7 @@
 	"sailhead/internal/settings"
 )
 
-// operateTimeout is the longest time that one line of an operator may take. Not measured.
+// operateTimeout is the longest time that one line of an operator may take.
 const operateTimeout = 20 * time.Second
 
 // operatorOptions are the options of the commands that connect to running processes.
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -61,8 +61,7 @@
 	return p.stop()
 }
 
-// signalBuffer is how many signals may wait to be handled; the Go runtime drops further ones. Not measured: one is
-// enough for a shutdown, the others let SIGHUP arrive while an earlier one is handled.
+// signalBuffer is how many signals may wait to be handled; the Go runtime drops further ones.
 const signalBuffer = 4
 
 // onPlatform is a running process on the users' platform.
--- a/internal/cli/platformentry.go
+++ b/internal/cli/platformentry.go
@@ -37,8 +37,8 @@
 	}}, nil
 }
 
-// closeTime is how long the clean-ups after a shutdown may take. A call to a store that does not answer would take longer,
-// and the process ends anyway. Not measured.
+// closeTime is how long the clean-ups after a shutdown may take. A call to a store that does not answer would take longer, and the process
+// ends anyway.
 const closeTime = 150 * time.Millisecond
 
 // closeWithin runs clean-ups in order and returns when they are done or the limit is over. Clean-ups that are left then go
--- a/internal/cluster/crash.go
+++ b/internal/cluster/crash.go
@@ -15,14 +15,12 @@
 // Crashes of workers spread with each exchange, so that an entry without a session with the agent knows them too when a job
 // comes again there.
 const (
-	// crashSpreadTime is how long an entry passes a crash on after it heard of it. An entry exchanges with a random other one
-	// about twice a second and with as many that ask it, so 55 entries have all heard of a crash after about ten exchanges.
-	// Design, not measured.
+	// crashSpreadTime is how long an entry passes a crash on after it heard of it. An entry exchanges with a random other one about twice a
+	// second and with as many that ask it, so 55 entries have all heard of a crash after about ten exchanges.
 	crashSpreadTime = 5 * time.Second
-	// crashLifetime is how long a crash is remembered, so that it is not taken for a new one. Design: longer than the slowest
-	// entry passes it on.
+	// crashLifetime is how long a crash is remembered, so that it is not taken for a new one: longer than the slowest entry passes it on.
 	crashLifetime = 4 * crashSpreadTime
-	// maxCrashes bounds the crashes that are remembered and sent. Design: about 300 bytes each, 10 KB in an exchange at most.
+	// maxCrashes bounds the crashes that are remembered and sent: about 300 bytes each, 10 KB in an exchange at most.
 	maxCrashes = 32
 )
 
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -129,8 +129,8 @@
 	at          time.Time
 }
 
-// removalLifetime is how long a removal is remembered. By then every other entry has removed the member too, as each does
-// ten minutes after it last reached it (forgetAfter of package entry). Design, not measured.
+// removalLifetime is how long a removal is remembered. By then every other entry has removed the member too, as each does ten minutes after
+// it last reached it (forgetAfter of package entry).
 const removalLifetime = time.Hour
 
 // NewDirectory returns an empty directory.
--- a/internal/durable/admission.go
+++ b/internal/durable/admission.go
@@ -15,8 +15,8 @@
 // Rule: a job that is known is not accepted again, its state answers. A new one is refused if the shard has its part of
 // Limits.Jobs unfinished. The answer to a caller waits until the change is written.
 //
-// Reason: the limit bounds the memory, and each shard has its own part of it so that admission does not depend on which other
-// shards the entry owns. Design, not measured.
+// Reason: the limit bounds the memory, and each shard has its own part of it so that admission does not depend on which other shards the
+// entry owns.
 
 func (c *Coordinator) maxJobsPerShard() int { return c.limits.Jobs / Shards }
 
--- a/internal/durable/batch.go
+++ b/internal/durable/batch.go
@@ -11,8 +11,7 @@
 	"sailhead/internal/durable/durablepb"
 )
 
-// maxBatchSize is the largest size of a batch in bytes, unless a single record is larger. Not measured; a record of an
-// accepted job takes 60 bytes and its payload (docs/MEASUREMENTS.md).
+// maxBatchSize is the largest size of a batch in bytes, unless a single record is larger.
 const maxBatchSize = 256 << 10
 
 // change is a record to be written, with the effects that wait for its write.
--- a/internal/durable/claim.go
+++ b/internal/durable/claim.go
@@ -20,8 +20,8 @@
 // Reason: the order gives each shard one likely owner, spreads the shards over the entries, and keeps the entries from all
 // calling the store when an owner is lost.
 
-// claimRankDelay is how long an entry waits for each entry before it in a shard's order. Design: longer than a claim takes to
-// be written and reported by the watch; not measured.
+// claimRankDelay is how long an entry waits for each entry before it in a shard's order: longer than a claim takes to be written and
+// reported by the watch.
 const claimRankDelay = 400 * time.Millisecond
 
 // claimIfDue claims a shard if this entry may.
--- a/internal/durable/client.go
+++ b/internal/durable/client.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	// ownerTimeout bounds a request to another entry, which may have to wait for the store. Design: two calls to the store that take
-	// timing.StoreCallTimeout each. Not measured.
+	// ownerTimeout bounds a request to another entry, which may have to wait for the store: two calls to the store that take
+	// timing.StoreCallTimeout each.
 	ownerTimeout = 1500 * time.Millisecond
-	// ownerDialTimeout bounds the opening of a connection. Design: a hundred round trips between availability zones. Not measured.
+	// ownerDialTimeout bounds the opening of a connection: a hundred round trips between availability zones.
 	ownerDialTimeout = 250 * time.Millisecond
-	// ownerIdleTimeout is how long an idle connection stays open. Not measured.
+	// ownerIdleTimeout is how long an idle connection stays open.
 	ownerIdleTimeout = 10 * time.Second
-	// ownerIdleConnections is the largest number of idle connections to one entry. Not measured.
+	// ownerIdleConnections is the largest number of idle connections to one entry.
 	ownerIdleConnections = 8
 )
 
--- a/internal/durable/commit.go
+++ b/internal/durable/commit.go
@@ -22,9 +22,6 @@
 // Reason: requests wait for the commit, so it starts as soon as the rate allows, with all that is queued. An unconfirmed
 // commit may be written: its repetition meets its own batches then, which tells that it is. A different commit under the same
 // sequences would be taken for written although it is not.
-//
-// Measured: 1.6 calls to the store a job, 10 to 18 ms from a submission to its answer
-// (docs/MEASUREMENTS.md).
 
 const (
 	// maxEntries is the largest number of entries in a transaction of the store. A part takes partEntries: the claim, the free
@@ -35,8 +32,8 @@
 	releaseEntries = 1
 	// maxRemovals bounds the batches that a commit removes.
 	maxRemovals = 8
-	// commitRetryInterval is the time between two tries of a commit that was not confirmed. Design: ten times as long as the store
-	// takes to answer while it is in order. Not measured.
+	// commitRetryInterval is the time between two tries of a commit that was not confirmed: ten times as long as the store takes to answer
+	// while it is in order.
 	commitRetryInterval = 40 * time.Millisecond
 )
 
--- a/internal/durable/coordinator.go
+++ b/internal/durable/coordinator.go
@@ -17,7 +17,7 @@
 	Commits int
 }
 
-// storeRetryInterval is the time between two tries of a claim, or of a lease that the store did not grant. Not measured.
+// storeRetryInterval is the time between two tries of a claim, or of a lease that the store did not grant.
 const storeRetryInterval = 250 * time.Millisecond
 
 // Coordinator is the part of an entry that owns shards and records their jobs. It is not safe for concurrent use.
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -8,8 +8,8 @@
 // Shard is the number of a shard, below Shards.
 type Shard uint8
 
-// Shards is the number of shards. It is part of the stored format: with another number, stored jobs would be looked for in
-// the wrong shard. It bounds the number of entries that can own durable jobs. Not varied in a run.
+// Shards is the number of shards. It is part of the stored format: with another number, stored jobs would be looked for in the wrong shard.
+// It bounds the number of entries that can own durable jobs.
 const Shards = 16
 
 // ShardOf returns the shard of a job by its id.
--- a/internal/durable/lease.go
+++ b/internal/durable/lease.go
@@ -15,16 +15,13 @@
 //
 // Reason: another entry may claim the shards once the store's lease has expired. An owner that still believed in its lease
 // would start runs that the new owner starts too. Writes alone would be safe, they carry the fencing token.
-//
-// Measured: random schedule 1437 of this package: a late answer revived a lease that had been dropped, and
-// its claims kept the shards without an owner. Hence a dropped lease is ended, also when its answer is late.
 
 const (
-	// renewalsPerLease is the number of renewals in the length of a lease: with 6 s, one a second. Design: five may fail
-	// before the lease expires, and the rate fits the store's; not measured.
+	// renewalsPerLease is the number of renewals in the length of a lease: with 6 s, one a second. Five may fail before the lease expires,
+	// and the rate fits the store's.
 	renewalsPerLease = 6
-	// leaseSafetyDivisor gives the part of a lease that is not relied on, one in 20: more than the drift of two clocks of
-	// two percent each (see timing.ClockDriftDivisor), the store's and this VM's. Design, not measured.
+	// leaseSafetyDivisor gives the part of a lease that is not relied on, one in 20: more than the drift of two clocks of two percent each
+	// (see timing.ClockDriftDivisor), the store's and this VM's.
 	leaseSafetyDivisor = 20
 )
 
--- a/internal/durable/query.go
+++ b/internal/durable/query.go
@@ -17,8 +17,7 @@
 //
 // Reason: callers query when they expect the end, and query again much later if it is not there.
 
-// stateQueryTimeout is the longest wait of a state query. Measured: worth of a quiet day 0.298 with queries answered
-// at once, 0.700 with this wait; other lengths were not tried.
+// stateQueryTimeout is the longest wait of a state query.
 const stateQueryTimeout = 150 * time.Millisecond
 
 // stateQuery is a state query that waits.
--- a/internal/durable/recovery.go
+++ b/internal/durable/recovery.go
@@ -29,12 +29,9 @@
 // Reason: an owner that does not answer may be cut off and still serve the shard. LeaseTime after this entry's claim it has
 // either learned from the store that its own claim is gone, or renewed nothing since and dropped the shard. Its agents then
 // stop the runs within timing.SessionLease and report ends that were not recorded; RecoveryDelay covers both.
-//
-// Measured: a failover takes 2.5 s after a kill and up to 8.5 s after the loss of a VM
-// (docs/FINDINGS.md). The delays themselves were not varied.
 
-// loadRetryInterval is the time after which a shard that is not loaded is read again. The earlier read may still be in
-// flight then: the first that succeeds counts. Not measured.
+// loadRetryInterval is the time after which a shard that is not loaded is read again. The earlier read may still be in flight then: the
+// first that succeeds counts.
 const loadRetryInterval = time.Second
 
 // load reads the batches of a claimed shard.
--- a/internal/durable/release.go
+++ b/internal/durable/release.go
@@ -15,8 +15,7 @@
 // may be left; if none are, the next owner starts at once (recovery.go). The shards are not divided further: all wait until
 // the last run of the entry has ended.
 //
-// Reason for the wait: a run that is stopped is lost work. Measured: soak seed 502: a release that reported
-// no runs, while tasks at an agent without a session might still run, let them run twice; such tasks count as runs since.
+// Reason for the wait: a run that is stopped is lost work.
 
 // loseShard stops serving a shard at once. Requests that wait for a write get InDoubt: the write may have succeeded.
 func (c *Coordinator) loseShard(s *shard, reason string) {
--- a/internal/logging/ring.go
+++ b/internal/logging/ring.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 )
 
-// ringLines is how many lines may wait to be written. Not measured.
+// ringLines is how many lines may wait to be written.
 const ringLines = 2048
 
 // Ring is a writer that never blocks. A goroutine writes the lines to the underlying writer; while ringLines wait for it,
--- a/internal/native/admission/demand.go
+++ b/internal/native/admission/demand.go
@@ -9,8 +9,8 @@
 	"sailhead/internal/native/model"
 )
 
-// minSlotShare is the smallest part, 0 to 1, of the slots that Demand.Wait counts on for an urgency, however much of
-// them more urgent tasks use. It keeps the wait finite. Not measured.
+// minSlotShare is the smallest part, 0 to 1, of the slots that Demand.Wait counts on for an urgency, however much of them more urgent tasks
+// use. It keeps the wait finite.
 const minSlotShare = 0.05
 
 // Demand is the work before a new task at one or more workers, as an immutable value.
@@ -50,8 +50,6 @@
 //
 // Reason: expected work counts, not the number of tasks, as kinds differ in service time; and more urgent tasks that
 // arrive later are started first.
-//
-// Measured: as a part of the admission of jobs; see owner.Owner.refuse.
 func (d Demand) Wait() time.Duration {
 	if d.Ahead <= d.Slots {
 		return 0
--- a/internal/native/admission/estimator.go
+++ b/internal/native/admission/estimator.go
@@ -24,8 +24,8 @@
 	minSamples = 20
 )
 
-// The quantiles of an Estimate, in percent. A high one plans new work, so that most tasks end in time; the median
-// decides whether work that was admitted is worth starting. Not measured alone.
+// The quantiles of an Estimate, in percent. A high one plans new work, so that most tasks end in time; the median decides whether work that
+// was admitted is worth starting.
 const (
 	medianPercent = 50
 	highPercent   = 95
@@ -79,8 +79,6 @@
 // Rule: with fewer than minSamples samples every figure is the service time that operators expect of the kind.
 //
 // Reason: a quantile of a few samples says little.
-//
-// Measured: no.
 func (e *Estimator) Of(kind string, expected time.Duration) Estimate {
 	s, ok := e.kinds[kind]
 	if !ok || s.count < minSamples {
--- a/internal/native/admission/retryafter.go
+++ b/internal/native/admission/retryafter.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// The shortest and the longest base of a retry-after. The shortest keeps callers from retrying at once after a refusal
-// without a backlog, the longest lets them see that a backlog is gone. Not measured.
+// The shortest and the longest base of a retry-after. The shortest keeps callers from retrying at once after a refusal without a backlog,
+// the longest lets them see that a backlog is gone.
 const (
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -23,8 +23,6 @@
 // most maxRetryAfter.
 //
 // Reason: work is refused in bursts; callers that retry at the same time would be the next one.
-//
-// Measured: no.
 func RetryAfter(backlog time.Duration, random *rand.Rand) time.Duration {
 	base := min(max(backlog, minRetryAfter), maxRetryAfter)
 	return base + time.Duration(random.Int64N(int64(base)))
--- a/internal/native/backend/client.go
+++ b/internal/native/backend/client.go
@@ -31,10 +31,10 @@
 )
 
 const (
-	// dialTimeout is the longest time to connect. The server is on the same VM. Not measured.
+	// dialTimeout is the longest time to connect. The server is on the same VM.
 	dialTimeout = 300 * time.Millisecond
-	// idleTimeout is how long an idle connection is kept. It is shorter than that of usual HTTP servers, so that no task is
-	// sent on a connection that the server is closing. Not measured.
+	// idleTimeout is how long an idle connection is kept. It is shorter than that of usual HTTP servers, so that no task is sent on a
+	// connection that the server is closing.
 	idleTimeout = 4 * time.Second
 	// maxResult is the largest result of a task, in bytes.
 	maxResult = 8 << 20
--- a/internal/native/caller/server.go
+++ b/internal/native/caller/server.go
@@ -31,7 +31,7 @@
 const (
 	// maxTrace is the longest trace that is accepted from a caller, in bytes.
 	maxTrace = 64
-	// idleTimeout is how long a connection without a request is kept. Not measured.
+	// idleTimeout is how long a connection without a request is kept.
 	idleTimeout = time.Minute
 	// maxHeader is the largest header of a request, in bytes.
 	maxHeader = 16 << 10
--- a/internal/native/configuration/configuration.go
+++ b/internal/native/configuration/configuration.go
@@ -17,7 +17,7 @@
 	"sailhead/internal/native/model"
 )
 
-// HistoryLength is the number of changes in a configuration's history. Not measured.
+// HistoryLength is the number of changes in a configuration's history.
 const HistoryLength = 200
 
 // Configuration is one version of the configuration.
@@ -65,7 +65,7 @@
 	Change  Envelope  `json:"change"`
 }
 
-// The defaults of a kind. Not measured.
+// The defaults of a kind.
 const (
 	DefaultUrgency  = 5
 	DefaultDeadline = 5 * time.Second
--- a/internal/native/daemon/agent.go
+++ b/internal/native/daemon/agent.go
@@ -24,8 +24,8 @@
 	"sailhead/internal/settings"
 )
 
-// taskRetention is how long after its deadline a guard remembers a task. It must outlast every call that may still name
-// the task: an owner stops asking lateOutcomeTimeout after the deadline. Not measured.
+// taskRetention is how long after its deadline a guard remembers a task. It must outlast every call that may still name the task: an owner
+// stops asking lateOutcomeTimeout after the deadline.
 const taskRetention = 30 * time.Second
 
 // Agent runs beside a backend server: it owns submissions and guards its worker.
--- a/internal/native/daemon/entry.go
+++ b/internal/native/daemon/entry.go
@@ -38,7 +38,7 @@
 	stopPeers     func(context.Context) error
 }
 
-// expireInterval is the time between two ticks of the ownership tables, which remove what has expired. Not measured.
+// expireInterval is the time between two ticks of the ownership tables, which remove what has expired.
 const expireInterval = time.Second
 
 // NewEntry starts an entry. The clean-up performs a planned stop (see shutdown.go).
--- a/internal/native/daemon/forward.go
+++ b/internal/native/daemon/forward.go
@@ -28,11 +28,11 @@
 //
 // It ends after maxForwards, or answerGrace after the deadline. The answer is failed then, may have run.
 const (
-	// forwardInterval is the time between two forwards of one request. Not measured.
+	// forwardInterval is the time between two forwards of one request.
 	forwardInterval = 20 * time.Millisecond
-	// maxForwards is the largest number of forwards of one request. Not measured.
+	// maxForwards is the largest number of forwards of one request.
 	maxForwards = 12
-	// answerGrace is how long after the deadline an entry waits for the owner's answer. Not measured.
+	// answerGrace is how long after the deadline an entry waits for the owner's answer.
 	answerGrace = 300 * time.Millisecond
 )
 
@@ -129,8 +129,6 @@
 //
 // Reason: the owner that it names may answer for the key. If that one has declined too, each of them would send the request
 // to the other until maxForwards, and the next choice would never be asked.
-//
-// Measured: TestPlannedStopsCutNothingOff, in eight copies at a time; see the commit.
 func (f *forwarding) declined(owner, boundTo ownership.MemberID) {
 	if boundTo == "" || slices.Contains(f.avoid, boundTo) {
 		f.avoid = append(f.avoid, owner)
--- a/internal/native/daemon/forwarder_service.go
+++ b/internal/native/daemon/forwarder_service.go
@@ -35,10 +35,10 @@
 }
 
 const (
-	// maxResultWait is how long a fence waits for the result of a request to another owner; see awaitResult. Design: a
-	// tenth of ownership.FenceTimeout, more than an owner takes to decline; not varied.
+	// maxResultWait is how long a fence waits for the result of a request to another owner; see awaitResult: a tenth of
+	// ownership.FenceTimeout, more than an owner takes to decline.
 	maxResultWait = 100 * time.Millisecond
-	// resultPollInterval is the time between two checks for the result. Not measured.
+	// resultPollInterval is the time between two checks for the result.
 	resultPollInterval = 2 * time.Millisecond
 )
 
@@ -48,8 +48,6 @@
 // Reason: with a request under way the fence fails, and the asker may then never run the key. While the first choice of a key
 // leaves, two copies of a submission at two entries made each other's fences fail at one owner after the other, until none was
 // left: a request to the leaving owner was under way for the millisecond in which the fence came.
-//
-// Measured: TestPlannedStopsCutNothingOff, in eight copies at a time; see the commit.
 func (e *Entry) awaitResult(ctx context.Context, key model.Key, asker ownership.MemberID) {
 	ctx, cancel := context.WithTimeout(ctx, maxResultWait)
 	defer cancel()
--- a/internal/native/daemon/guard_duty.go
+++ b/internal/native/daemon/guard_duty.go
@@ -17,7 +17,7 @@
 	"sailhead/internal/timeline"
 )
 
-// guardTickInterval is the time between two ticks of the guard, which refuses waiting tasks by time. Not measured.
+// guardTickInterval is the time between two ticks of the guard, which refuses waiting tasks by time.
 const guardTickInterval = 20 * time.Millisecond
 
 // drainReason is who drains a worker. The worker drains while any reason is set.
--- a/internal/native/daemon/run_task.go
+++ b/internal/native/daemon/run_task.go
@@ -23,10 +23,10 @@
 //     reportInterval, until the guard answers, its host refuses the connection (the incarnation is gone), or
 //     lateOutcomeTimeout after the deadline. A report makes the guard refuse the task if the start has not arrived.
 const (
-	// reportInterval is the time between two reports of one task. Not measured.
+	// reportInterval is the time between two reports of one task.
 	reportInterval = 50 * time.Millisecond
-	// lateOutcomeTimeout is how long after the job's deadline the owner still waits for an outcome. The job is answered by
-	// then, but the outcome says whether the worker's slot is free. Not measured.
+	// lateOutcomeTimeout is how long after the job's deadline the owner still waits for an outcome. The job is answered by then, but the
+	// outcome says whether the worker's slot is free.
 	lateOutcomeTimeout = time.Second
 )
 
--- a/internal/native/daemon/shutdown.go
+++ b/internal/native/daemon/shutdown.go
@@ -25,16 +25,13 @@
 //     keys, an entry its bindings to one other entry.
 //  4. It answers peers for lingerTime more, closes its server for peers, and ends its duties.
 const (
-	// shutdownPollInterval is the time between two checks of what a stop waits for. Not measured.
+	// shutdownPollInterval is the time between two checks of what a stop waits for.
 	shutdownPollInterval = 5 * time.Millisecond
 	// maxLeaveDelay bounds the random pause between two attempts to leave. Without the pause, processes that stopped at
-	// once waited for each other until StopTimeout (TestAllMayStopAtOnce: 30 s before, 3 s after); 200 ms
-	// itself was not varied.
+	// once waited for each other until StopTimeout (TestAllMayStopAtOnce).
 	maxLeaveDelay = 200 * time.Millisecond
-	// lingerTime is how long a process that has left still answers its peers. Requests that were sent under the old
-	// roster are refused and go elsewhere; a closed connection would leave their outcome unknown. Measured in eight
-	// copies of TestPlannedStopsCutNothingOff at once: 1 of 64 runs lost an answer before, 4 of 96 with this alone, 0 of
-	// 48 together with other changes. 500 ms itself was not varied.
+	// lingerTime is how long a process that has left still answers its peers. Requests that were sent under the old roster are refused and
+	// go elsewhere; a closed connection would leave their outcome unknown.
 	lingerTime = 500 * time.Millisecond
 )
 
--- a/internal/native/demo/demo.go
+++ b/internal/native/demo/demo.go
@@ -30,14 +30,14 @@
 	Verbose bool
 }
 
-// The largest options, for one small machine. Not measured.
+// The largest options, for one small machine.
 const (
 	maxProcesses = 64
 	maxTime      = 20 * time.Second
 	maxRate      = 1000.0
 )
 
-// startTimeout is the longest time that the processes may take to know each other and the configuration. Not measured.
+// startTimeout is the longest time that the processes may take to know each other and the configuration.
 const startTimeout = 6 * time.Second
 
 // check returns an error that names the first option out of range.
--- a/internal/native/gossip/doc.go
+++ b/internal/native/gossip/doc.go
@@ -20,7 +20,4 @@
 //   - A peer does not answer: the exchange fails, and the next one has another peer.
 //   - The platform is down: documents that some process has still reach all others.
 //   - This process dies: a new one reads the documents from the platform or gets them from the seeds.
-//
-// Measured: a committed change reaches every node in 2.9 s at 10 nodes and in 5.2 s at 300, as means of 8 and 4 changes
-// (docs/MEASUREMENTS.md).
 package gossip
--- a/internal/native/gossip/exchange.go
+++ b/internal/native/gossip/exchange.go
@@ -19,10 +19,9 @@
 )
 
 const (
-	// maxLoads is the largest number of loads in a message, besides the sender's own. Measured:
-	// together with fewer peers an exchange and shorter ids: 1.4 to 1.5 KB/s a node, 5.9 to 8.5 KB/s before.
+	// maxLoads is the largest number of loads in a message, besides the sender's own.
 	maxLoads = 3
-	// exchangeTimeout is the longest time of an exchange with one peer, both messages included. Not measured.
+	// exchangeTimeout is the longest time of an exchange with one peer, both messages included.
 	exchangeTimeout = 800 * time.Millisecond
 )
 
--- a/internal/native/guard/admission.go
+++ b/internal/native/guard/admission.go
@@ -28,9 +28,6 @@
 //
 // Reason: the owner has admitted the job on an older view. A refusal here lets it place the task elsewhere. It says
 // only that this start did not run the task; another start of it is another decision.
-//
-// Measured: MaxWait (owner/place.go) and the check of a stuck worker; the rest is not
-// measured alone.
 func (g *Guard) refuse(now time.Time, task Task) (outcome model.TaskNotStarted, isRefused bool) {
 	estimate := g.estimator.Of(task.Kind, task.Expected)
 	load := g.Load(now)
@@ -66,9 +63,6 @@
 // Reason: a task that is late before its start only takes a slot from others. The median is used, not the high quantile
 // of refuse, as the task was admitted and other tasks of its job may be done. The owner can place the tasks of a stuck
 // worker elsewhere.
-//
-// Measured: with the admission of jobs; starts that could not end in time fell from 679 and 3,357 to 0 (two sites at
-// 150 % load, a simulator that is gone).
 func (g *Guard) dropLate(now time.Time) []Effect {
 	var effects []Effect
 	isStuck := g.isStuck(now)
@@ -91,8 +85,8 @@
 	// stuckFactor is the number of mean service times without an end after which a worker is stuck; see isStuck. Not
 	// measured alone.
 	stuckFactor = 4
-	// minStuckTimeout is the shortest time without an end after which a worker is stuck. It covers kinds whose tasks
-	// are much longer than a small mean. Not measured alone.
+	// minStuckTimeout is the shortest time without an end after which a worker is stuck. It covers kinds whose tasks are much longer than a
+	// small mean.
 	minStuckTimeout = 500 * time.Millisecond
 )
 
@@ -105,9 +99,6 @@
 // minStuckTimeout.
 //
 // Reason: tasks that are sent to a backend server that hangs wait until their deadlines pass.
-//
-// Measured: with the admission of jobs, one dead worker at 60 % load: failed jobs of one kind fell from 2.9 % to 0.23 %,
-// of another from 5.9 % to 0.
 func (g *Guard) isStuck(now time.Time) bool {
 	timeout := max(stuckFactor*g.mean, minStuckTimeout)
 	return g.running >= g.limits.Slots && now.Sub(g.lastProgress) > timeout
--- a/internal/native/guard/guard.go
+++ b/internal/native/guard/guard.go
@@ -42,7 +42,7 @@
 	lastCleanUp time.Time
 }
 
-// cleanUpDivisor sets the interval of cleanUp, a part of the retention. Not measured.
+// cleanUpDivisor sets the interval of cleanUp, a part of the retention.
 const cleanUpDivisor = 8
 
 // New returns a guard without tasks.
--- a/internal/native/guard/load.go
+++ b/internal/native/guard/load.go
@@ -10,11 +10,11 @@
 	"sailhead/internal/native/model"
 )
 
-// meanWeight is the number of tasks over which the mean service time is averaged. Not measured.
+// meanWeight is the number of tasks over which the mean service time is averaged.
 const meanWeight = 32
 
-// restDivisor sets the work that a running task has left: half of the mean service time, as a task seen at a random
-// moment is half done on average. Not measured alone.
+// restDivisor sets the work that a running task has left: half of the mean service time, as a task seen at a random moment is half done on
+// average.
 const restDivisor = 2
 
 // Load returns the load of the worker, by which owners place and admit. A stuck worker is reported as leaving, so that
@@ -36,8 +36,7 @@
 	return load
 }
 
-// usageTime is the time constant with which the use of the slots decays. Measured as a part of
-// admission; other values were not.
+// usageTime is the time constant with which the use of the slots decays.
 const usageTime = 5 * time.Second
 
 // usage is the slot time that each urgency has used, with exponential decay.
--- a/internal/native/guard/queue.go
+++ b/internal/native/guard/queue.go
@@ -63,9 +63,6 @@
 //
 // Reason: urgent kinds lose nothing to less urgent ones. The due time is later for large jobs, so that a single task
 // does not wait for all their tasks (owner/order.go). The id only makes the order definite.
-//
-// Measured: the due time, against the order of deadlines: p99 of single tasks at 80 % load 1.64 and
-// 1.47 against 3.18 and 2.34 of the ideal (two sites, a simulator that is gone).
 func (t Task) isBefore(other Task) bool {
 	if t.Urgency != other.Urgency {
 		return t.Urgency > other.Urgency
--- a/internal/native/keyvalue/document.go
+++ b/internal/native/keyvalue/document.go
@@ -25,9 +25,9 @@
 // How Update repeats a compare-and-swap after a conflict or a lost answer: after a random pause of up to the backoff, which
 // doubles with each attempt. Many writers at once would otherwise use up the service's rate with conflicts.
 const (
-	// maxSwaps is the largest number of attempts of one update. Not measured.
+	// maxSwaps is the largest number of attempts of one update.
 	maxSwaps = 50
-	// minBackoff is the backoff after the first attempt. Not measured.
+	// minBackoff is the backoff after the first attempt.
 	minBackoff = 50 * time.Millisecond
 	// maxBackoff is the largest backoff. docs/MEASUREMENTS.md has a run of 300 processes that joined at once; 3 s itself was not
 	// varied.
--- a/internal/native/keyvalue/keyvalue.go
+++ b/internal/native/keyvalue/keyvalue.go
@@ -61,5 +61,5 @@
 	ParamTTL       = "ttl"
 )
 
-// watchWait is how long the service holds one call of a watch open. Not measured.
+// watchWait is how long the service holds one call of a watch open.
 const watchWait = 20 * time.Second
--- a/internal/native/membership/liveness.go
+++ b/internal/native/membership/liveness.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// ResponseTimeout is how long a process with a response due may send nothing before it is probed, and how long the
-	// probe waits for its answer. Measured together with suspicionTimeout.
+	// ResponseTimeout is how long a process with a response due may send nothing before it is probed, and how long the probe waits for its
+	// answer.
 	ResponseTimeout = 400 * time.Millisecond
-	// suspicionTimeout is how long a process that failed a probe is suspected, unless it is heard from before. After it
-	// new work goes there again and is probed again. Measured together with ResponseTimeout.
+	// suspicionTimeout is how long a process that failed a probe is suspected, unless it is heard from before. After it new work goes there
+	// again and is probed again.
 	suspicionTimeout = 3 * time.Second
 )
 
@@ -29,10 +29,6 @@
 //
 // Reason: suspicion only steers new work elsewhere. It removes nobody and moves no key, as a process that does not
 // respond may continue later. A probe is sent only where somebody waits, so that idle processes cost nothing.
-//
-// Measured: real processes under faults alone and in pairs. With an agent frozen, runs took 5.9 to 11.5
-// s before, as answers came late until the end of the deadlines of 5 s. After it the last answer that was not complete
-// came within 2 s of the fault, but for two runs of 36 (5.3 s).
 type Liveness struct {
 	mu    sync.Mutex
 	peers map[ownership.MemberID]*contact
--- a/internal/native/membership/membership.go
+++ b/internal/native/membership/membership.go
@@ -31,8 +31,7 @@
 	return keyRosterPrefix + region
 }
 
-// retryDelay is the pause after a failed call to the platform. Not measured; the platform's limits are on calls a
-// second.
+// retryDelay is the pause after a failed call to the platform.
 const retryDelay = 300 * time.Millisecond
 
 // ErrRosterMoved is returned by Leave if the roster has changed since the hand-over. The hand-over must be made again.
--- a/internal/native/membership/vms.go
+++ b/internal/native/membership/vms.go
@@ -15,8 +15,8 @@
 	"sailhead/internal/native/ownership"
 )
 
-// listReaderLease is the lease of the entry that reads the list of VMs. After its death no entry reads for that long,
-// which delays removals. Not measured.
+// listReaderLease is the lease of the entry that reads the list of VMs. After its death no entry reads for that long, which delays
+// removals.
 const listReaderLease = 10 * time.Second
 
 // ReadList applies the platform's list of VMs to the roster at each interval until the context ends.
@@ -95,8 +95,6 @@
 // Reason: a member that was never seen may have joined before the list shows its VM. For the time of the lag the list
 // may still show an earlier VM at the address. A process that does not respond is no proof of death: a removed agent's
 // keys may start elsewhere, so a removed agent that runs on could start them twice.
-//
-// Measured: no; the lag is a setting.
 func applyList(r ownership.Roster, vms []keyvalue.VM, now time.Time, lag time.Duration) (ownership.Roster, error) {
 	shown := make(map[string]keyvalue.VMState, len(vms))
 	for _, vm := range vms {
--- a/internal/native/operator/query.go
+++ b/internal/native/operator/query.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// inspectTimeout is the longest wait for the answer of one process. Not measured.
+	// inspectTimeout is the longest wait for the answer of one process.
 	inspectTimeout = 2 * time.Second
-	// maxInspections is the largest number of processes that are asked at the same time. Not measured.
+	// maxInspections is the largest number of processes that are asked at the same time.
 	maxInspections = 32
 	// timeFormat is the form of times in tables, in UTC.
 	timeFormat = "2006-01-02T15:04:05.000Z"
--- a/internal/native/owner/admission.go
+++ b/internal/native/owner/admission.go
@@ -12,7 +12,7 @@
 	"sailhead/internal/native/model"
 )
 
-// noWorkerBacklog is the backlog assumed for the retry-after of a job that no worker accepts. Not measured.
+// noWorkerBacklog is the backlog assumed for the retry-after of a job that no worker accepts.
 const noWorkerBacklog = time.Second
 
 // refuse decides whether a job is refused before its first start, and returns the answer if it is.
@@ -26,9 +26,6 @@
 //
 // Reason: a job is answered whole, so the tasks of a job that ends too late are wasted work. A refusal before the
 // first start costs nothing and lets the caller retry; a refusal by a guard comes after other tasks have started.
-//
-// Measured: with a simulator that is gone. At 150 % load the complete work grew from 0.873 and 0.564
-// of the capacity (two sites) to 1.014 and 1.015, and wasted messages fell from 4.79 and 3.70 a task to 0.33 and 0.00.
 func (o *Owner) refuse(now time.Time, j *job, kind configuration.Kind) (answer model.NotRun, isRefused bool) {
 	tasks := len(j.model.Tasks)
 	estimate := o.estimator.Of(kindName(j.model), kind.Expected)
--- a/internal/native/owner/answer.go
+++ b/internal/native/owner/answer.go
@@ -21,8 +21,6 @@
 // tasks are withdrawn. The last task that is done completes the job.
 //
 // Reason: a job is answered whole or as failed, and a task that may have run is not run again, of any kind.
-//
-// Measured: no.
 func (o *Owner) taskEnd(now time.Time, e TaskEnded) []Effect {
 	o.view.Returned(e.Guard)
 	j, ok := o.jobs[e.Task.Key]
@@ -73,8 +71,6 @@
 //
 // Reason: guards may start its tasks until they get the withdrawals. DeadlinePassed may come early, as the timer uses
 // another reading of the clock.
-//
-// Measured: no.
 func (o *Owner) deadline(now time.Time, key model.Key) []Effect {
 	j, ok := o.jobs[key]
 	if !ok {
--- a/internal/native/owner/order.go
+++ b/internal/native/owner/order.go
@@ -5,8 +5,7 @@
 
 import "time"
 
-// sizeWeight is how many mean service times later a job is due that would fill every slot once; see dueTime. Measured:
-// 2 and 8 had less effect, no run with a larger one is recorded.
+// sizeWeight is how many mean service times later a job is due that would fill every slot once; see dueTime.
 const sizeWeight = 32
 
 // dueTime returns the time by which the guards order the tasks of a job among those of the same urgency.
@@ -19,9 +18,6 @@
 //
 // Reason: a single task does not wait for all tasks of a large job that came a little earlier. The due time is fixed
 // once, so a large job is overtaken only for a bounded time.
-//
-// Measured: with a simulator that is gone, against a weight of 0. The p99 of single tasks at 80 % load
-// fell from 3.18 and 2.34 of the ideal (two sites) to 1.64 and 1.47, at 95 % from 10.39 and 5.67 to 2.70 and 2.30.
 func (o *Owner) dueTime(now time.Time, j *job) time.Time {
 	mean := o.estimator.Of(kindName(j.model), j.kind.Expected).Mean
 	size := float64(len(j.tasks)) / float64(max(o.view.Slots(), 1))
--- a/internal/native/owner/place.go
+++ b/internal/native/owner/place.go
@@ -16,7 +16,7 @@
 // measured alone: commits 6e93315 and 57e8035 measured it with other changes.
 const reuseDelay = time.Second
 
-// maxTries is the number of guards to which a task is sent; see place. Not measured.
+// maxTries is the number of guards to which a task is sent; see place.
 const maxTries = 4
 
 // Bounces limits how often a task that would wait at one worker is placed on another. Each time costs two messages.
@@ -36,8 +36,6 @@
 //
 // Reason: each task that is sent to such an agent waits for an outcome. The time is short because a wrong suspicion
 // costs capacity, and one task is enough to find out again.
-//
-// Measured: as reuseDelay.
 func (o *Owner) suspend(now time.Time, guard ownership.MemberID) {
 	o.view.Suspend(guard, now.Add(reuseDelay))
 }
@@ -50,8 +48,6 @@
 //
 // Reason: a guard that has refused or fenced a task would most likely not start it now, and the answer should come soon
 // when the owner's view is that wrong.
-//
-// Measured: no.
 func (o *Owner) place(now time.Time, j *job, index int) []Effect {
 	t := &j.tasks[index]
 	guard, ok := o.view.Place(now, j.kind.Urgency, t.tried)
@@ -80,9 +76,6 @@
 // Rule: the first Bounces.Max guards may refuse, and only while another worker seems to have a free slot.
 //
 // Reason: views lag, so a task may wait at a worker while another one is free.
-//
-// Measured: with a simulator that is gone, one site at 80 % load, Max 0 and 1: p99 of single tasks
-// 1.516 and 1.411 of the ideal, wasted messages 0.000 and 0.540 a task.
 func (o *Owner) maxWait(now time.Time, j *job, t *task) time.Duration {
 	if len(t.tried) > o.bounces.Max || !o.view.HasFree(now, j.kind.Urgency, t.tried) {
 		return 0
@@ -98,8 +91,6 @@
 // guard gave, and at least that of a backlog of one expected service time.
 //
 // Reason: NotRun promises that nothing ran and nothing will run for this attempt.
-//
-// Measured: no.
 func (o *Owner) endUnplaceable(now time.Time, j *job, index int) []Effect {
 	if !j.mayHaveRun && len(j.outstanding()) == 0 {
 		return o.finish(now, j, model.NotRun{
--- a/internal/native/owner/quota.go
+++ b/internal/native/owner/quota.go
@@ -24,8 +24,6 @@
 // Reason: owners need not talk to each other. In the long run an organisation starts its quota of tasks a second; in a
 // burst it starts at most as many seconds of its quota as there are owners. The minimum of the bucket lets a job of
 // maximum size pass at all.
-//
-// Measured: no. Small quotas over many owners give shares below one task a second (docs/MEASUREMENTS.md).
 type quotas struct {
 	// limiters has the bucket of each organisation with a quota, by its name.
 	limiters map[string]*rate.Limiter
--- a/internal/native/ownership/binding.go
+++ b/internal/native/ownership/binding.go
@@ -59,8 +59,6 @@
 // Rule: no request is unconfirmed, the owner has not taken the key, and no promise binds it.
 //
 // Reason: only then is it certain that the owner has no record of the key and cannot start it.
-//
-// Measured: not a matter of load; spec/ownership.pml (MOVELOST, MOVEPROMISED).
 func (b Binding) mayMove() bool {
 	return !b.Promised && !b.Taken && b.Unconfirmed == 0
 }
--- a/internal/native/ownership/choice.go
+++ b/internal/native/ownership/choice.go
@@ -20,8 +20,6 @@
 //
 // Reason: every process that has the same roster finds the same owner without messages, and a join or a removal moves
 // only the keys of that agent.
-//
-// Measured: no.
 func (r Roster) Choices(key model.Key) []Member {
 	agents := r.Listed(RoleAgent)
 	slices.SortStableFunc(agents, func(a, b Member) int { return cmp.Compare(b.score(key), a.score(key)) })
--- a/internal/native/ownership/fence.go
+++ b/internal/native/ownership/fence.go
@@ -23,9 +23,6 @@
 // Rule: an entry that left the roster after it was asked still has to promise.
 //
 // Reason: the promise of its heir may be older than the bindings that the heir inherited.
-//
-// Measured: found by random schedules (seed 67147011; one double start in 200,000 schedules before,
-// none after); spec/handover.pml (DROPASKED).
 func (f *fence) isOpen() bool {
 	for id := range f.asked {
 		if !f.promised[id] {
@@ -45,8 +42,6 @@
 // Reason: at most one owner has the key settled. Any other owner needs a promise of every entry, and an entry that has
 // sent the key here does not give one. The entry that forwarded the key has bound it to this owner, which counts as its
 // promise.
-//
-// Measured: not a matter of load; spec/ownership.pml (NOFENCE). A fence costs two messages an entry.
 func (t *Table) accept(now time.Time, offer Offer) Decision {
 	key := offer.Job.Key
 	r := &record{state: stateRunning, hash: offer.Job.Hash(), attempt: offer.Job.Attempt, touched: now}
@@ -108,8 +103,6 @@
 // Rule: each entry that was removed later than the issue of the key, less the margin, has a listed heir.
 //
 // Reason: a dead entry may have sent the key to another owner, and nobody knows.
-//
-// Measured: not a matter of load; spec/ownership.pml (IGNOREDEAD), spec/join.pml (NOTOMB).
 func (t *Table) remembers(now time.Time, key model.Key) bool {
 	issued := t.limits.issueTime(key, now)
 	for _, m := range t.roster.Members {
@@ -131,9 +124,6 @@
 //
 // Reason: a promise that comes after the entry has removed its binding does not bind it. An entry with a later epoch
 // may know of entries that this owner has not asked.
-//
-// Measured: found by random schedules (a double start after 6,605 schedules without a time limit,
-// none in 100,000 after); spec/join.pml (NOCATCHUP).
 func (t *Table) Fenced(now time.Time, key model.Key, entry MemberID, verdict Verdict, epoch uint64) (Decision, bool) {
 	r, ok := t.records[key]
 	if !ok || r.state != stateFencing {
--- a/internal/native/ownership/handover_entry.go
+++ b/internal/native/ownership/handover_entry.go
@@ -41,9 +41,6 @@
 // for.
 //
 // Reason: of two owners that may both have the key, neither can be shown to be the one that runs it.
-//
-// Measured: TestPlannedStopsCutNothingOff failed 4 of 7 runs while owners were compared by name, none
-// of 8 after. The conflict is KEEPOWN in spec/handover.pml.
 func (f *Forwarder) Inherit(bindings map[model.Key]Binding) bool {
 	if f.handedOver || len(f.bindings)+len(bindings) > f.limits.Entries {
 		return false
--- a/internal/native/ownership/handover_owner.go
+++ b/internal/native/ownership/handover_owner.go
@@ -74,9 +74,6 @@
 //
 // Reason: entries promise the key to the heir from now on, so a fence would succeed although the key has an answer. A
 // decline binds only the owner that gave it.
-//
-// Measured: found by random schedules (a double start after 715 schedules, none in 100,000 after);
-// spec/leave.pml (FENCEPAST, NORECORDS).
 func (t *Table) Inherit(records []Record) (ended []model.Key, ok bool) {
 	if t.handedOver || len(t.records)+len(records) > t.limits.Entries {
 		return nil, false
--- a/internal/native/ownership/limits.go
+++ b/internal/native/ownership/limits.go
@@ -25,8 +25,7 @@
 	return 2 * l.Skew
 }
 
-// FenceTimeout is the longest time that a fence waits for promises. Measured: with 500 ms one key was
-// declined as a promise came later, on a busy machine; other values were not tried.
+// FenceTimeout is the longest time that a fence waits for promises.
 const FenceTimeout = time.Second
 
 // Retention is how long after its last use the record of a key is kept: as long as a caller or a late message can bring
--- a/internal/native/ownership/promise.go
+++ b/internal/native/ownership/promise.go
@@ -35,8 +35,6 @@
 //
 // Reason: the asker starts the key once all entries have promised, so a promise must hold until the binding expires. A
 // forwarder that cannot record a promise must not give it.
-//
-// Measured: not a matter of load; spec/ownership.pml (NOFENCE).
 func (f *Forwarder) Fence(now time.Time, key model.Key, asker MemberID) Verdict {
 	if f.closed {
 		return CannotTell{}
--- a/internal/native/ownership/roster_change.go
+++ b/internal/native/ownership/roster_change.go
@@ -86,8 +86,6 @@
 // the settlements before it the last one stays.
 //
 // Reason: firstChoiceSince, heirOf and Table.remembers need removed members only for keys issued around the removal.
-//
-// Measured: no.
 func (r Roster) WithPruned(before time.Time) Roster {
 	next := r.next()
 	next.Members = slices.DeleteFunc(next.Members, func(m Member) bool {
--- a/internal/native/ownership/route.go
+++ b/internal/native/ownership/route.go
@@ -40,10 +40,6 @@
 // Reason: a key that was or may have been sent to one owner could start twice at another. A suspected owner may answer
 // later, so it is no reason to fail what is bound to it. An owner to be avoided has declined this request, but has not
 // answered another one of the same key yet; it declines again, and the key may move then.
-//
-// Measured: that suspects keep their keys, eight copies of the system tests at a time, 1 of 64 runs
-// failed before, 0 of 48 after. That avoided owners do: testdata/declined, and TestPlannedStopsCutNothingOff. That keys
-// must not move is in spec/ownership.pml (MOVELOST, MOVEPROMISED, NOMEMO).
 func (f *Forwarder) Route(now time.Time, key model.Key, avoid, suspects []MemberID) Route {
 	if f.closed {
 		return NoRoute{Reason: "the entry is stopping"}
@@ -132,8 +128,6 @@
 //
 // Reason: an earlier entry may have sent an older key to any owner, and a joined entry has no binding of it. A removed
 // entry still counts as earlier, as its bindings may be lost.
-//
-// Measured: not a matter of load; spec/join.pml (NOACK, NOISSUE, NOTOMB).
 func (f *Forwarder) mayForward(id MemberID, key model.Key, now time.Time) bool {
 	entry, ok := f.roster.MemberByID(id)
 	if !ok || !entry.IsListed() {
--- a/internal/native/ownership/take.go
+++ b/internal/native/ownership/take.go
@@ -12,7 +12,7 @@
 // FieldDeadline is the field that the Rejected answer to a passed deadline names.
 const FieldDeadline = "deadline"
 
-// minRetryAfter is the retry-after of refusals by a leaving owner or a full table. Not measured.
+// minRetryAfter is the retry-after of refusals by a leaving owner or a full table.
 const minRetryAfter = time.Second
 
 // Offer is a submission that an entry forwards to an owner.
@@ -76,8 +76,6 @@
 //
 // Reason: a key is accepted only under the epoch of the entry that forwards it, so that both agree who was first
 // choice.
-//
-// Measured: not a matter of load; spec/leave.pml (WRONGINC, TAKELATE), spec/ownership.pml (REDECIDE).
 func (t *Table) Take(now time.Time, offer Offer) Decision {
 	if offer.Owner != t.self {
 		return Refuse{Reason: "the offer names another incarnation"}
@@ -169,8 +167,6 @@
 //
 // Reason: a refusal must be final, or a late copy of the offer could run after the caller was told that it did not. One
 // time is enough to remember it. The caller needs a key issued later, hence the retry-after.
-//
-// Measured: no; testdata/full shows the rule.
 func (t *Table) refuseUnrecorded(until time.Time) Decision {
 	if until.After(t.refusedUntil) {
 		t.refusedUntil = until
--- a/internal/native/peer/client.go
+++ b/internal/native/peer/client.go
@@ -22,11 +22,10 @@
 
 const (
 	// dialTimeout is the longest time to connect. A peer on a live VM accepts at once; one that does not is avoided.
-	// Not measured.
 	dialTimeout = 300 * time.Millisecond
-	// idleTimeout is how long both sides keep a connection without a request. Not measured.
+	// idleTimeout is how long both sides keep a connection without a request.
 	idleTimeout = 90 * time.Second
-	// maxIdleConns is the largest number of idle connections that are kept to one peer. Not measured.
+	// maxIdleConns is the largest number of idle connections that are kept to one peer.
 	maxIdleConns = 128
 )
 
--- a/internal/native/peer/server.go
+++ b/internal/native/peer/server.go
@@ -25,7 +25,7 @@
 	PathHealth = "/healthz"
 )
 
-// headerTimeout is the longest time that a peer may take to send the header of a request. Not measured.
+// headerTimeout is the longest time that a peer may take to send the header of a request.
 const headerTimeout = 5 * time.Second
 
 // Services are the services that a process offers to its peers. A nil service is not offered.
--- a/internal/native/placement/place.go
+++ b/internal/native/placement/place.go
@@ -20,8 +20,6 @@
 // workers where the task was not tried.
 //
 // Reason: a start at the owner's own worker needs no message. For the policies see policy.go.
-//
-// Measured: the policies (docs/MEASUREMENTS.md, Baselines); the preference for the own worker was not measured alone.
 func (v *View) Place(now time.Time, urgency int, tried []ownership.MemberID) (ownership.MemberID, bool) {
 	candidates := make([]*worker, 0, len(v.order))
 	for _, w := range v.order {
@@ -49,8 +47,7 @@
 	return false
 }
 
-// waitFactor is the factor by which Finish lengthens the estimated wait. Measured at 150 % load, two
-// sites: starts that could not end in time were 5 and 37 with 1.25, 0 and 19 with 1.5, 0 and 0 with 2.
+// waitFactor is the factor by which Finish lengthens the estimated wait.
 const waitFactor = 2.0
 
 // Finish estimates how long the last of a number of new tasks takes to end. It returns false if no worker accepts
@@ -64,8 +61,6 @@
 //
 // Reason: the owner may place the tasks on any worker. The factor is there because other owners admit jobs at the same
 // time on the same view, and because a job of which one task comes too late has wasted all the others.
-//
-// Measured: see waitFactor and owner.Owner.refuse.
 func (v *View) Finish(now time.Time, tasks, urgency int, estimate admission.Estimate) (time.Duration, bool) {
 	var total admission.Demand
 	for _, w := range v.order {
--- a/internal/native/placement/policy.go
+++ b/internal/native/placement/policy.go
@@ -15,10 +15,6 @@
 //
 // Reason: loads on a view are old, so owners that all compare all workers choose the same one; a random subset spreads
 // them. Random alone suffers from slow workers.
-//
-// Measured: docs/MEASUREMENTS.md, Baselines, with a simulator that is gone. The policies differ little at 80 % load;
-// TwoChoices is the default for its p50 of jobs with many tasks, and for its p99 of single tasks at 95 % load and with
-// a slow worker.
 type Policy interface{ isPolicy() }
 
 // Random chooses any worker.
--- a/internal/native/placement/rank.go
+++ b/internal/native/placement/rank.go
@@ -22,10 +22,6 @@
 //
 // Reason: expected work tells more than a number of tasks, as kinds differ in service time. Between equal ends the near
 // worker saves a hop between zones.
-//
-// Measured: with a simulator that is gone, two sites, one slow worker at 60 % load: p99 of jobs with
-// many tasks 10.42 and 4.36 of the ideal when tasks were counted, 4.90 and 2.36 with this rule. The order after finish
-// was not measured.
 func (w *worker) isBetter(other *worker, by rank) bool {
 	own, others := w.finish(by), other.finish(by)
 	if own != others {
--- a/internal/native/placement/view.go
+++ b/internal/native/placement/view.go
@@ -60,7 +60,7 @@
 	v.observeMean(load.Mean)
 }
 
-// typicalWeight is the number of loads over which the typical mean service time is averaged. Not measured.
+// typicalWeight is the number of loads over which the typical mean service time is averaged.
 const typicalWeight = 64
 
 // observeMean adds the mean service time of a worker to the typical one, as an exponential moving average.
--- a/internal/runner/acknowledge.go
+++ b/internal/runner/acknowledge.go
@@ -19,14 +19,13 @@
 // are resent to all entries every timing.EndResendInterval, also after the worker's incarnation has ended. At
 // maxUnacknowledged the worker gets no new tasks.
 // Reason: the owner may have died before it recorded the end; the next owner would run the task again.
-// Measured: soak seed 1796225628: owner and worker died one after the other, and a done task was done again.
 
 const (
-	// maxUnacknowledged is the largest number of unacknowledged ends. Design: below the number of ends that a worker lists
-	// in one answer, which is some hundreds. Not measured.
+	// maxUnacknowledged is the largest number of unacknowledged ends: below the number of ends that a worker lists in one answer, which is
+	// some hundreds.
 	maxUnacknowledged = 300
-	// unacknowledgedRenewInterval is the time between two renewals while ends are unacknowledged. It replaces the long
-	// poll, which would be answered at once. Not measured.
+	// unacknowledgedRenewInterval is the time between two renewals while ends are unacknowledged. It replaces the long poll, which would be
+	// answered at once.
 	unacknowledgedRenewInterval = 15 * time.Millisecond
 )
 
--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -34,11 +34,10 @@
 )
 
 const (
-	// unhealthyBackoff is how long a worker gets no tasks after it rejected a call as unhealthy. Measured: 200 and 800 ms
-	// make no difference on a day with workers that reject a part of their calls (two pairs each).
+	// unhealthyBackoff is how long a worker gets no tasks after it rejected a call as unhealthy.
 	unhealthyBackoff = 400 * time.Millisecond
-	// fullBackoff is how long no task is started after the worker rejected one for lack of resources although it fits by
-	// the runner's own count. Design: the time to the next listing.
+	// fullBackoff is how long no task is started after the worker rejected one for lack of resources although it fits by the runner's own
+	// count: the time to the next listing.
 	fullBackoff = timing.RenewInterval
 )
 
@@ -85,12 +84,10 @@
 }
 
 const (
-	// minLoadInterval is the shortest time between two loads on a session. Measured: against 4 ms, worth
-	// +0.001 +-0.004 with 20 ms and with 50 ms; 41 -> 32 processor seconds on a day with 67 agents.
+	// minLoadInterval is the shortest time between two loads on a session.
 	minLoadInterval = 20 * time.Millisecond
-	// loadShare is the part of the interval between loads that each session adds; see loadInterval. It bounds what an agent
-	// sends to entries that have nothing here to 125 loads a second, however many they are. Measured in virtual
-	// time: 4, 8 and 12 ms serve the same share of the callers on time, 0.994 of those at 0.95 of all cores.
+	// loadShare is the part of the interval between loads that each session adds; see loadInterval. It bounds what an agent sends to
+	// entries that have nothing here to 125 loads a second, however many they are.
 	loadShare = 8 * time.Millisecond
 )
 
@@ -103,8 +100,6 @@
 //
 // Reason: each entry gets the loads of all its agents, so their pace decides what an entry has to read, and the number of
 // sessions what an agent has to write. An entry with tasks here frees its own count of them by the next load.
-//
-// Measured: see the constants.
 func (r *Runner) loadInterval(s *session) time.Duration {
 	if s.ownLoadDue {
 		return minLoadInterval
--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -17,7 +17,6 @@
 // Reason: the heartbeat may have been delayed by a cut until after its incarnation crashed, and this process may be too young
 // to have known that one. Taken for a new incarnation it would end the runs, the health and the draining state of the
 // current one, and have its later heartbeats ignored. The question costs a worker's restart one call to the VM's own worker.
-// Measured: not applicable; random schedules with a heartbeat delayed by up to 5 s after each restart (random_test.go).
 
 // handleUnknownIncarnation asks the worker whether it is the incarnation of a heartbeat.
 func (r *Runner) handleUnknownIncarnation(record worker.Record) {
--- a/internal/runner/containment.go
+++ b/internal/runner/containment.go
@@ -12,7 +12,6 @@
 // started beside it. Runs that were there before go on.
 // Reason: of a kind that crashes workers each job is suspect. A task that crashes its worker does so soon after its start, so a
 // crash in that time speaks against the job that was started last, without a second one.
-// Measured: with package dispatch, TestOtherKindsAreServedBesideAKindThatCrashesWorkers in package overload.
 
 // containedJob is the contained job that was started last. The zero value is none.
 type containedJob struct {
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -20,13 +20,12 @@
 // for certain and no start was sent after its own: a start under way has most likely not begun, but it may have.
 // Reason: any of these runs may have caused the crash, and would cause the next one on another worker. Every entry has to know,
 // also one whose session was cut at that moment, as the job may be submitted again there.
-// Measured: not applicable; with package dispatch, TestATaskThatCrashesItsWorkersIsGivenUp in package overload.
 
 const (
-	// crashReportTime is how long a crash is reported on new sessions. Design: an entry that lost its session dials again within
-	// a second, and the new owner of a durable job takes over within ten; an entry that starts later knows of none.
+	// crashReportTime is how long a crash is reported on new sessions: an entry that lost its session dials again within a second, and the
+	// new owner of a durable job takes over within ten; an entry that starts later knows of none.
 	crashReportTime = 30 * time.Second
-	// maxCrashReports bounds the crashes that are kept for new sessions. Design: a worker is away for some seconds after each.
+	// maxCrashReports bounds the crashes that are kept for new sessions: a worker is away for some seconds after each.
 	maxCrashReports = 8
 )
 
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -11,7 +11,6 @@
 // counts, whichever entry told it, and the agent keeps it when the entry's session ends.
 // Reason: entries place nothing in an evacuated zone, but a start may be on its way, and an entry that neither the store nor
 // another entry reaches does not know. It does not count against the worker's health, and the task runs elsewhere at once.
-// Measured: not applicable; random schedules with news that is lost, late and reordered (random_test.go).
 
 // applyEvacuation applies a change of the evacuated zones, or of the worker to one in another zone.
 func (r *Runner) applyEvacuation() {
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -20,32 +20,27 @@
 // moment ago says nothing of an end that has not been heard of, over whatever link: between two long polls, or while there is none, as
 // an end is not acknowledged. A long poll that waits at the worker is answered at once when a run ends, before the worker can
 // close it. What is left: a quick link that closes a connection less than a round trip before the worker crashes is taken for the worker.
-// Measured: TestARunThatEndedUnheardIsNoEvidence in package overload: of 376 jobs that crash nothing, 15 to 109 are given up though
-// fewer than two workers crashed under a task, if it is enough that a run was listed or accepted within 150 ms, 0 to 109 within
-// 30 ms, none by this rule. Without the long poll, jobs whose tasks crash workers 120 ms after their start take 4.8 workers away
-// each in place of 2.0.
 
 const (
 	// shortestTask is how long a task takes at least. Source: the users' brief, by which tasks last 50 to 500 ms.
 	shortestTask = 50 * time.Millisecond
-	// minSureTime is how long a run surely runs, whatever is known of its kind. Design: half of shortestTask, as workers are faster or
-	// slower.
+	// minSureTime is how long a run surely runs, whatever is known of its kind: half of shortestTask, as workers are faster or slower.
 	minSureTime = shortestTask / 2
 	// sureDivisor is the part of its usual time, one in so many, for which a run surely runs. Source: the guesses of
 	// the users' callers are off by 40 %, so a job in three takes 1.5 times less or more than usual, and one in 170 three times.
 	sureDivisor = 3
-	// maxConfirmTime is how long after the worker closed a connection its crash may be noticed to have happened then. Design: the
-	// question that is asked at once takes a round trip of some milliseconds; a connection may also be closed by the link.
+	// maxConfirmTime is how long after the worker closed a connection its crash may be noticed to have happened then: the question that is
+	// asked at once takes a round trip of some milliseconds; a connection may also be closed by the link.
 	maxConfirmTime = 25 * time.Millisecond
-	// maxAnswerAge is how long before that the worker must have answered a renewal: one that hangs tells of no end. Design: two
-	// renewals and an answer.
+	// maxAnswerAge is how long before that the worker must have answered a renewal: one that hangs tells of no end. Two renewals and an
+	// answer.
 	maxAnswerAge = 150 * time.Millisecond
-	// minPollTime is how long a long poll must have been under way to have reached the worker, and pollTrips how many round trips.
-	// Design: it reaches the worker in half of one, and a link may be slower than a moment ago.
+	// minPollTime is how long a long poll must have been under way to have reached the worker, and pollTrips how many round trips: it
+	// reaches the worker in half of one, and a link may be slower than a moment ago.
 	minPollTime = 5 * time.Millisecond
 	pollTrips   = 2
-	// maxPollTrip is the longest round trip with which a closed long poll tells anything: if the link closes it, the worker's answer
-	// to the next question shows that within one. Design: ten times what a call to the worker on the same VM takes.
+	// maxPollTrip is the longest round trip with which a closed long poll tells anything: if the link closes it, the worker's answer to the
+	// next question shows that within one. Ten times what a call to the worker on the same VM takes.
 	maxPollTrip = 10 * time.Millisecond
 )
 
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -20,9 +20,6 @@
 // Reason: entries avoid a slow or failing worker, and move runs off a slow one. The running tasks show a worker that hangs,
 // on which nothing ends. The worker's clock tells how long a run took also if the answer was heard late, over a slow link or by
 // an agent that was paused.
-// Measured: judging by single long runs, or by the progress last seen against the present time, moved 40 to 73 healthy
-// runs on a quiet day (worth 0.955 -> 0.911). Hence the median over jobs, and the
-// progress against the time of its listing.
 
 // What is not said to be measured below was varied: with half and with twice each value, worth on four days with workers that hang, fail,
 // reject or are slow differs by +0.002 at most, 8 pairs each with errors of 0.001 to 0.002.
@@ -35,10 +32,9 @@
 	// maxStretch bounds what running tasks add to the moving average. Without it a worker that hung would be unhealthy for
 	// seconds after it has recovered.
 	maxStretch = 9
-	// failureDecay and slownessDecay are the times in which the averages fall to 1/e of their value without new runs. A worker
-	// that gets no tasks cannot show that it has recovered, so it is tried again after some seconds. A slow worker is tried
-	// sooner than a failing one, as its running tasks show within 0.1 s whether it is still slow. Measured: slownessDecay of
-	// 1 s against 3 s, worth +0.009 +-0.003 on a day with workers that recover; 0.5 s +0.006 +-0.004.
+	// failureDecay and slownessDecay are the times in which the averages fall to 1/e of their value without new runs. A worker that gets no
+	// tasks cannot show that it has recovered, so it is tried again after some seconds. A slow worker is tried sooner than a failing one,
+	// as its running tasks show within 0.1 s whether it is still slow.
 	failureDecay  = 3 * time.Second
 	slownessDecay = time.Second
 	// minJobs is how many jobs need running tasks for a median: one job's expected time is often off by a factor of two.
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -18,7 +18,6 @@
 // waits timing.DurableLossDelay longer. A start under way is left to its own answer.
 // Reason: the entry reruns a lost task elsewhere, so the run here must have ended. The end of a durable task's run that
 // was done must not be missed, as the task would run twice.
-// Measured: see timing.WorkerLease and timing.DurableLossDelay.
 
 // isUnresponsive reports whether the worker has left all renewals unanswered for timing.WorkerUnresponsiveAfter. One that was not asked
 // has not failed to answer: without that, each idle worker of a quiet day was unresponsive for a moment now and then, 31 times with 11
@@ -28,9 +27,9 @@
 	return wasAsked && now.Sub(i.lastAnswered) > timing.WorkerUnresponsiveAfter
 }
 
-// maxClockAge is how old a reading of the worker's clock may be for a lease to be computed from it. The worker's clock stands still
-// while the VM is suspended and this process's does not, so an old reading would give a lease that is longer by the suspension.
-// Every answer brings a new one, at least every idleRenewInterval, and one lost answer is within this. Design.
+// maxClockAge is how old a reading of the worker's clock may be for a lease to be computed from it. The worker's clock stands still while
+// the VM is suspended and this process's does not, so an old reading would give a lease that is longer by the suspension. Every answer
+// brings a new one, at least every idleRenewInterval, and one lost answer is within this.
 const maxClockAge = timing.WorkerUnresponsiveAfter
 
 // leaseUntil returns the end of a lease that begins now, on the worker's clock, or zero if that clock is unknown.
@@ -46,8 +45,8 @@
 	return withDrift(r.limits.Lease) + r.limits.Stop
 }
 
-// maxTickGap is the time between two ticks above which this process may have been suspended with its VM. Design: a shorter
-// suspension is within the lease, which is renewed as soon as it is over.
+// maxTickGap is the time between two ticks above which this process may have been suspended with its VM: a shorter suspension is within the
+// lease, which is renewed as soon as it is over.
 const maxTickGap = 500 * time.Millisecond
 
 // noteTick lets the lease of the runs end later by the time for which the process may have been suspended: the worker's clock then
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -17,7 +17,6 @@
 // was requested later.
 // Reason: answers on different connections may overtake one another, so a listing may be older than an end that is known. It speaks of
 // the moment at which the worker answered, which its clock tells, and of none before it was requested.
-// Measured: not applicable; random schedules with calls that are lost, late and reordered (random_test.go).
 
 // applyListing applies the answer to a renewal: first the ends, then the runs that are listed, then what it shows about
 // runs whose start or stop is unconfirmed.
--- a/internal/runner/orphan.go
+++ b/internal/runner/orphan.go
@@ -20,8 +20,6 @@
 // Reason: the entry that owned the run has lost its session with the earlier process and will place the task elsewhere.
 // What an orphan uses is not known, and some workers start what does not fit. A run that the earlier process was
 // stopping need not be listed, and has ended after Limits.Stop.
-// Measured: tasks were started beside orphans that were being stopped, in 1 to 2 of 3 runs of a day with a
-// restart of everything, which took workers over their capacity; see timing.OrphanEndTimeout too.
 
 // stopOrphan stops a listed run that this process did not start.
 func (r *Runner) stopOrphan(now time.Time, run worker.Run) {
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -24,8 +24,7 @@
 // already, that one is reported as not started.
 // Reason: the job has a new owner, or its entry a new session, and two runs of a task must not overlap.
 
-// supersedeTimeout is the least time that a task may wait for the end of the run that it supersedes. Design: a stop and
-// some retries of it fit; not measured.
+// supersedeTimeout is the least time that a task may wait for the end of the run that it supersedes: a stop and some retries of it fit.
 const supersedeTimeout = 500 * time.Millisecond
 
 // handleStart queues a task, or reports why it is not started.
--- a/internal/runner/renew.go
+++ b/internal/runner/renew.go
@@ -20,14 +20,12 @@
 // entry the wait for the next one.
 
 const (
-	// idleRenewInterval is the time between two renewals while no run is active. They only show whether the worker
-	// responds. Design: after a lost answer another one is sent timing.RenewInterval later, within timing.WorkerUnresponsiveAfter.
+	// idleRenewInterval is the time between two renewals while no run is active. They only show whether the worker responds: after a lost
+	// answer another one is sent timing.RenewInterval later, within timing.WorkerUnresponsiveAfter.
 	idleRenewInterval = 200 * time.Millisecond
-	// longPollTimeout is how long a long poll waits for an end on the worker. Measured: with 250 ms worth +0.0018 +-0.0007, with 1 s
-	// +0.0005 +-0.0018, on four days with workers that hang, fail, reject or are slow, 8 pairs each.
+	// longPollTimeout is how long a long poll waits for an end on the worker.
 	longPollTimeout = 500 * time.Millisecond
-	// longPollBackoff is the pause after a long poll that brought no listing. Measured: without it a worker that closed
-	// each connection at once got 7,294 failed long polls in 5 s from four agents.
+	// longPollBackoff is the pause after a long poll that brought no listing.
 	longPollBackoff = timing.RenewInterval
 )
 
--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -20,7 +20,6 @@
 // Reason: one order over all entries, in place of a race in which the entry that asks fastest is served. Tasks are bound to
 // a worker only when it has room, as nobody knows which one has it next. An offer costs a round trip to the entry, about
 // 1 ms in which the resources are not used.
-// Measured: worth +0.019 +-0.003 and +0.016 +-0.006 on two overloaded days; starts turned away 17,000 -> 2,057.
 
 const (
 	// minOfferTimeout is the least time for which offered resources are kept for an entry that does not answer, and maxOfferTimeout the
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,8 +26,8 @@
 	Queue int
 }
 
-// defaultQueue is the largest number of queued tasks. Design: tasks wait in the queue for a repeated start only, so more of them than
-// run on any worker is a fault of the entries.
+// defaultQueue is the largest number of queued tasks: tasks wait in the queue for a repeated start only, so more of them than run on any
+// worker is a fault of the entries.
 const defaultQueue = 512
 
 // DefaultLimits returns the limits for a worker that grants leases of up to maxLease and stops runs within stopTime.
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -19,8 +19,6 @@
 // then on. If the run is neither listed nor has ended, it never began, and the task is queued again at once. Other starts
 // under way are rejected for their token too, and sent again.
 // Reason: two runs of a task must not overlap, and a task of 60 ms cannot wait for the 50 ms that a stop may take.
-// Measured: random schedules with 5 % and 30 % of the calls lost or late, no overlap (random_test.go);
-// spec/session.pml, mutant NOFENCE.
 
 const (
 	// fenceStep is added to the fencing token when the worker has seen a higher one. Tokens are milliseconds of the
@@ -28,8 +26,8 @@
 	fenceStep = 1 << 30
 	// checkStep is added to the fencing token to fence a start without an answer.
 	checkStep = 1
-	// runStep is added to a run number that the worker has already seen end or stop: the agent does not know how far the
-	// worker has come. Design: a task rarely has as many runs, and another step follows if it has.
+	// runStep is added to a run number that the worker has already seen end or stop: the agent does not know how far the worker has come. A
+	// task rarely has as many runs, and another step follows if it has.
 	runStep = 16
 )
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -19,12 +19,9 @@
 // listing lacks it that was requested later than the answer plus Limits.Stop plus the drift of the worker's clock.
 // Reason: an unresponsive worker does not carry out stops, and would have to work off all of them before it answers anything new;
 // without a lease its runs end by themselves. A run may continue for Limits.Stop after the answer, and the worker need not list it during that time.
-// Measured: without the wait a task ran twice on one day; with it 1,500 random
-// schedules pass; spec/session.pml, mutant STOPTIME.
 
 const (
-	// stopRetryInterval is the time between two stops of the same run. Design: longer than the call's time-out of 25 ms.
-	// Measured: 30 and 80 ms make no difference on four days with workers that hang, fail, reject or are slow, 8 pairs each.
+	// stopRetryInterval is the time between two stops of the same run: longer than the call's time-out of 25 ms.
 	stopRetryInterval = 40 * time.Millisecond
 	// minRetryInterval is the shortest time between two calls of which the first was not answered. Without it a worker
 	// that closes each connection at once is called in a loop: 7,294 long polls failed in 5 s.
--- a/internal/runner/suspect.go
+++ b/internal/runner/suspect.go
@@ -16,11 +16,8 @@
 // were there before go on.
 // Reason: all tasks on a worker that crashes are suspects, and most are innocent. A second crash tells which one it was only if
 // nothing else began in the meantime: a task that crashes its worker does so soon after its start.
-// Measured: TestOthersAreServedBesideTasksThatCrashWorkers in package overload.
 
-// suspectTime is how long nothing else is started beside a suspect. Measured among tasks that crash workers, at 0.9 of all cores:
-// with 300 ms 0.853 of the other jobs are on time and 0.1 in 10,000 given up, with 100 ms 0.863 and 0.3, with 40 ms 0.868 and
-// 7 (the last one with each second crash counted).
+// suspectTime is how long nothing else is started beside a suspect.
 const suspectTime = 100 * time.Millisecond
 
 // isolate begins the time in which nothing is started beside a suspect.
--- a/internal/runner/urgency.go
+++ b/internal/runner/urgency.go
@@ -26,9 +26,6 @@
 //
 // Reason: the runs of a begun job are lost work unless the rest of the job is done. A job that will be late anyway must not
 // make others late.
-//
-// Measured: other orders, worth +-0.003: newest first within a priority -0.005, StartBy alone -0.001, begun jobs in line with the
-// others 0.000, jobs that have begun and cannot be in time last -0.003.
 func (u Urgency) Compare(other Urgency, now time.Time) int {
 	return cmp.Or(
 		trueFirst(u.HasBegun, other.HasBegun),
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -21,7 +21,7 @@
 	"sailhead/internal/wire"
 )
 
-// failuresPerSecond bounds the log lines about sessions that failed. Design: half of the sessions of an agent of a large site.
+// failuresPerSecond bounds the log lines about sessions that failed: half of the sessions of an agent of a large site.
 const failuresPerSecond = 5
 
 // Server is the agent's end of all its sessions. It is safe for concurrent use.
--- a/internal/session/connection.go
+++ b/internal/session/connection.go
@@ -15,16 +15,16 @@
 )
 
 const (
-	// ringSize is how many messages may wait to be written. If more do, the peer does not read, and the session ends. Design: at
-	// the target size an agent starts 22 tasks a second, so this is seconds of messages even if one entry sends all. Not measured.
+	// ringSize is how many messages may wait to be written. If more do, the peer does not read, and the session ends: at the target size an
+	// agent starts 22 tasks a second, so this is seconds of messages even if one entry sends all.
 	ringSize = 1024
-	// writeTimeout bounds the writing of the messages that wait. Not measured; it is longer than timing.CloseAfter, so
-	// pings end the session of a peer that does not read first.
+	// writeTimeout bounds the writing of the messages that wait. It is longer than timing.CloseAfter, so pings end the session of a peer that
+	// does not read first.
 	writeTimeout = time.Second
-	// bufferSize is the size of each buffer of a connection, in bytes: about ten payloads. Two buffers and 100 sessions take 0.8 of the
-	// 32 MB that a process may have. Not measured.
+	// bufferSize is the size of each buffer of a connection, in bytes: about ten payloads. Two buffers and 100 sessions take 0.8 of the 32
+	// MB that a process may have.
 	bufferSize = 4 << 10
-	// maxMessage is the largest message, in bytes. Not measured; payloads are a few hundred bytes.
+	// maxMessage is the largest message, in bytes: payloads are a few hundred.
 	maxMessage = 1 << 20
 )
 
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -17,8 +17,8 @@
 	"sailhead/internal/worker"
 )
 
-// dialTimeout bounds the opening of a connection. Design: a hundred round trips between availability zones, and four attempts in the
-// time after which an agent counts as lost.
+// dialTimeout bounds the opening of a connection: a hundred round trips between availability zones, and four attempts in the time after
+// which an agent counts as lost.
 const dialTimeout = 250 * time.Millisecond
 
 // AgentHandler receives the messages of an agent on a session, from one goroutine and in order.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -14,8 +14,7 @@
 	"github.com/tailscale/hujson"
 )
 
-// maxFile is the largest settings file, in bytes. It keeps a wrong path, such as that of a log, from being read
-// whole; not measured.
+// maxFile is the largest settings file, in bytes. It keeps a wrong path, such as that of a log, from being read whole.
 const maxFile = 1 << 20
 
 // Error says which line of a settings file is wrong and why. Option is empty if the line holds none.
--- a/internal/settings/option.go
+++ b/internal/settings/option.go
@@ -53,8 +53,7 @@
 	backend         = []Role{RoleBackendStandin}
 )
 
-// Options returns all options in the order in which dump-settings prints them. The defaults and ranges were not measured,
-// except where a comment names a source. On the users' platform the deploy file replaces the defaults of stop_timeout,
+// Options returns all options in the order in which dump-settings prints them. On the users' platform the deploy file replaces the defaults of stop_timeout,
 // hold_time, stop_time and store_writes by the platform's own bounds (grace_s, hold_max_ms, stop_ms, writes_per_s).
 func Options() []Option {
 	return slices.Concat(commonOptions(), entryOptions(), agentOptions(), platformOptions(), standinOptions())
--- a/internal/timeline/logs.go
+++ b/internal/timeline/logs.go
@@ -40,7 +40,7 @@
 	return ""
 }
 
-// maxLogLine is the longest line that can be read, in bytes. Not measured.
+// maxLogLine is the longest line that can be read, in bytes.
 const maxLogLine = 1 << 20
 
 // ReadLogs reads log lines, which may be of several processes. Lines without a time or a process are skipped: other
