--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -89,15 +89,15 @@
 	at time.Time
 	// hadLongPoll is set if a long poll waited at the worker, which would have told of an end before.
 	hadLongPoll bool
-	// maySameIDFollow is set if a later process of the ID may have accepted a run. aliveAt is when the incarnation is known to have been
+	// mayKeepID is set if a later process of the ID may have accepted a run. aliveAt is when the incarnation is known to have been
 	// there for the last time.
-	maySameIDFollow bool
-	aliveAt         time.Time
+	mayKeepID bool
+	aliveAt   time.Time
 }
 
 // evidence returns what is known of the crash of the incarnation if it is noticed now, by the given end.
 func (i *incarnation) evidence(now time.Time, end incarnationEnd) crashEvidence {
-	evidence := crashEvidence{at: now, maySameIDFollow: i.tellsStart() && end.maySameIDFollow(), aliveAt: i.lastAnswered}
+	evidence := crashEvidence{at: now, mayKeepID: i.tellsStart() && end.mayKeepID(), aliveAt: i.lastAnswered}
 	if i.isQuick() && i.closing.at.After(i.lastAnswered) {
 		evidence.aliveAt = i.closing.at
 	}
@@ -120,7 +120,7 @@
 
 // isOfIncarnation reports whether the run of a task was confirmed by the incarnation that crashed and not by a later one.
 func (e crashEvidence) isOfIncarnation(t *task) bool {
-	return !e.maySameIDFollow || t.confirmedAt.Before(e.aliveAt)
+	return !e.mayKeepID || t.confirmedAt.Before(e.aliveAt)
 }
 
 // surelyRuns returns for how long a run of the task surely runs after its start was sent.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -212,8 +212,8 @@
 	return e != endLeft && !record.Draining
 }
 
-// maySameIDFollow reports whether a later process of the same ID may have answered calls that were meant for the one that ended.
-func (e incarnationEnd) maySameIDFollow() bool {
+// mayKeepID reports whether a later process of the same ID may have answered calls that were meant for the one that ended.
+func (e incarnationEnd) mayKeepID() bool {
 	return e == endRestarted || e == endNotListening
 }
 
