agent, entry: a recalled worker is registered once; members are awaited for 300 ms

Seen in the log of the fleet's small twin: after a restart of everything each agent writes its record twice within 10 ms, as the worker that it recalls counts as a change; on the whole fleet 800 writes more at the moment at which all processes call the store.

--- a/internal/agent/registration.go
+++ b/internal/agent/registration.go
@@ -50,23 +50,29 @@
 	}
 }
 
-// workerOr returns the worker, or the given one while none is known.
-func (r *registration) workerOr(otherwise *worker.Record) *worker.Record {
+// recall sets the worker that an earlier process registered, unless one is known. The record that names it is about to be written.
+func (r *registration) recall(record worker.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.worker == nil {
-		return otherwise
+		r.worker = &record
 	}
+}
+
+// latest returns the worker, or nil while none is known.
+func (r *registration) latest() *worker.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.worker
 }
 
 // register writes the agent's record to the store, and again whenever the worker changes. First it reads the record of the
 // agent's earlier process: if that incarnation of the worker still answers, the agent need not wait for a heartbeat.
 func (a *Agent) register() {
-	earlier := a.recallWorker()
+	a.recallWorker()
 	for {
 		member := a.self
-		member.Worker = a.registration.workerOr(earlier)
+		member.Worker = a.registration.latest()
 		if !a.putRecord(member) {
 			return
 		}
@@ -76,24 +82,23 @@
 	}
 }
 
-// recallWorker passes the worker that the earlier process of the agent registered to the runner, and returns it, or nil
-// if there is none.
-func (a *Agent) recallWorker() *worker.Record {
+// recallWorker passes the worker that the earlier process of the agent registered to the runner, if there is one.
+func (a *Agent) recallWorker() {
 	earlier, ok, err := a.store.Member(a.self.Name)
 	if err != nil {
 		_ = level.Warn(a.logger).Log("msg", "unable to read the agent's earlier record", "err", err)
-		return nil
+		return
 	}
 	if !ok || earlier.Worker == nil {
-		return nil
+		return
 	}
 	record := *earlier.Worker
 	// The clock was read long ago, and any heartbeat is newer than the record.
 	record.Clock = 0
 	record.Sequence = 0
+	a.registration.recall(record)
 	a.post(runner.WorkerRecalled{Record: record})
 	_ = level.Info(a.logger).Log("msg", "worker recalled", "life", record.Incarnation())
-	return &record
 }
 
 // putRecord writes the record and retries until that succeeds. It returns false if the agent stops first. Only the first
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -32,7 +32,7 @@
 	// their place. The sessions of all entries would change at once otherwise when many members come.
 	replacedPerSecond = 8
 	// membersDelay is how long an entry that starts waits for the store to tell the members before it chooses by those that it has heard of.
-	membersDelay = time.Second
+	membersDelay = 300 * time.Millisecond
 	// youngFor is how long an entry may know few of the other entries, and maxYoungAgents how many agents it chooses at most in this time: by the
 	// entries that it knows it would need many more sessions than in the end.
 	youngFor       = 3 * time.Second
