--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -36,7 +36,7 @@
 	notBefore time.Time
 	// start is the number of the latest start among those that were sent to agent.
 	start uint64
-	// rejections counts the starts that agents rejected since the last run of the task, if there was one.
+	// rejections counts the starts of the task that agents rejected.
 	rejections int
 	// failures counts the runs that failed.
 	failures int
