--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -15,8 +15,10 @@
 	"sailhead/internal/timing"
 )
 
-// Store is the platform's store as an entry follows it. Read and Watch are called by one goroutine only.
+// Store is the platform's store as an entry follows it. The methods that read and watch are called by one goroutine only.
 type Store interface {
+	// ReadConfiguration returns the configuration and the evacuated availability zones, which are read sooner than everything.
+	ReadConfiguration() (StoreUpdate, error)
 	// Read returns what the store holds.
 	Read() (StoreUpdate, error)
 	// Watch waits for changes since the last reading and returns them; none after a while. ok is false if the store has
@@ -45,6 +47,7 @@
 // followStore reads the store, then applies its changes as they come. While the store does not answer, members and
 // configuration come from other entries (exchange).
 func (e *Entry) followStore() {
+	e.readConfiguration()
 	isCurrent := false
 	tellRead := sync.OnceFunc(func() { close(e.membersRead) })
 	for e.context.Err() == nil {
@@ -66,6 +69,18 @@
 	}
 }
 
+// readConfiguration takes the configuration into use before the members are read, of which there may be thousands: without it an entry
+// rejects all jobs. If the store does not answer, followStore reads it again with everything else.
+func (e *Entry) readConfiguration() {
+	update, err := e.store.ReadConfiguration()
+	e.dependencies.observe("store", err)
+	if err != nil {
+		return
+	}
+	e.applyEvacuations(update.Evacuations)
+	e.applyConfiguration(update.Document)
+}
+
 // nextUpdate reads the store if its history is not known, and waits for changes otherwise.
 func (e *Entry) nextUpdate(isCurrent *bool) (StoreUpdate, error) {
 	if !*isCurrent {
@@ -83,9 +98,7 @@
 // applyUpdate takes a change of the store into use. The evacuations come first: nothing is placed without agents or a
 // configuration, so neither comes before it is known which availability zones are evacuated.
 func (e *Entry) applyUpdate(update StoreUpdate) {
-	if state, isChanged := e.directory.MergeEvacuations(update.Evacuations); isChanged {
-		e.EvacuationsHeard(state)
-	}
+	e.applyEvacuations(update.Evacuations)
 	for _, m := range update.Members {
 		if e.directory.AddMember(m) {
 			_ = level.Info(e.logger).Log("msg", "member", "name", m.Name, "role", m.Role, "address", m.Address)
@@ -96,6 +109,13 @@
 	e.applyClaims(update)
 }
 
+// applyEvacuations takes into use which availability zones are evacuated.
+func (e *Entry) applyEvacuations(news evacuation.State) {
+	if state, isChanged := e.directory.MergeEvacuations(news); isChanged {
+		e.EvacuationsHeard(state)
+	}
+}
+
 // applyConfiguration takes a configuration into use if it is newer. One that cannot be read changes nothing.
 func (e *Entry) applyConfiguration(document []byte) {
 	if len(document) == 0 {
