--- a/internal/worker/incarnation.go
+++ b/internal/worker/incarnation.go
@@ -12,9 +12,6 @@
 	StartedMillis int64
 }
 
-// IsKnown reports whether the incarnation identifies a process.
-func (i Incarnation) IsKnown() bool { return i.ID != "" }
-
 // IsRestartOf reports whether i is another process than the other incarnation under the same ID.
 func (i Incarnation) IsRestartOf(other Incarnation) bool {
 	return i.ID == other.ID && i.StartedMillis != other.StartedMillis
