session, runner: what the parts of hard load tell each other

Change: fields of Hello, Start, Reserve, Offer and Load, which nothing uses yet, so that the parts can be built side by side; kind, estimate and weight are filled in. Package overload gets jobs of varied sizes, workers of two sizes, availability zones and bursts, and a test that nothing of a burst is left two seconds after it.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -36,6 +36,8 @@
 	Service string
 	// Priority is 0 for the most urgent jobs.
 	Priority int
+	// Weight is that of the kind in the shares of workers, zero for 1.
+	Weight float64
 	// Attempts is how many runs of a task may fail. Use MaxAttempts, which treats 0 as 1.
 	Attempts int
 	// Stretch and Target set the objective of a job: Stretch times the expected time of its longest chain of steps,
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -114,6 +114,7 @@
 		Name: t.name, Run: t.run, Payload: j.Payload, Needs: step.Needs, Checkpoint: t.checkpoint,
 		Expected: j.times[t.step].forHealth(), Urgency: j.urgency(), Offer: p.offer, IsDurable: j.isDurable,
 		IsSuspect: d.isSuspect(t), Kind: j.Kind.Name, IsContained: d.isContained(j),
+		Estimate: j.times[t.step].task, Weight: j.Kind.Weight,
 	}})
 	d.emit(j.decisionMade(now, DecisionPlaced{}).withRun(t.name, t.run, t.agent))
 }
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -58,7 +58,10 @@
 func (d *Dispatcher) reserve(now time.Time, j *job, tasks []*task) {
 	group := sameStep(tasks)
 	step := j.Steps[group[0].step]
-	wanted := runner.Reservation{Job: j.ID, Needs: step.Needs, Urgency: j.urgency()}
+	wanted := runner.Reservation{
+		Job: j.ID, Needs: step.Needs, Urgency: j.urgency(),
+		Kind: j.Kind.Name, Estimate: j.times[group[0].step].task, Weight: j.Kind.Weight,
+	}
 	r := &j.reservation
 	isChanged := wanted != r.latest
 	if !isChanged && r.view == d.view {
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -115,7 +115,7 @@
 	reached := clock.Now()
 	defer e.choice.setLost(agent.Name, false)
 	for ctx.Err() == nil {
-		conn, err := session.Dial(ctx, agent.Address, e.self.Name, e.traffic)
+		conn, err := session.Dial(ctx, agent.Address, session.Entry{Name: e.self.Name, Zone: e.self.Zone}, e.traffic)
 		if err == nil {
 			delay = minRedialDelay
 			e.choice.setLost(agent.Name, false)
--- /dev/null
+++ b/internal/overload/burst_test.go
@@ -0,0 +1,66 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// burstFrom and burstTo are the time of the bursts below; jobs come until playLength.
+	burstFrom, burstTo = 4 * time.Second, 8 * time.Second
+	playLength         = 11 * time.Second
+	// usualLoad is the load outside the bursts.
+	usualLoad = 0.62
+)
+
+// burstPatterns are bursts of more work than fits: of one kind, of all, in one availability zone, at one entry.
+var burstPatterns = []struct {
+	name  string
+	burst burst
+}{
+	{"long kind 6 times", burst{kind: "confirmation", factor: 6}},
+	{"short kind 5 times", burst{kind: "lookup", factor: 5}},
+	{"everything twice", burst{factor: 2}},
+	{"one zone 3.5 times", burst{zone: "zone-a", factor: 3.5}},
+	{"one entry 9 times", burst{entry: 1, factor: 9}},
+}
+
+// TestCallersAfterABurstAreServed plays the patterns of burstPatterns. Two seconds after the burst nothing of it is left: the longest jobs take
+// as long.
+func TestCallersAfterABurstAreServed(t *testing.T) {
+	for _, pattern := range burstPatterns {
+		t.Run(pattern.name, func(t *testing.T) {
+			t.Parallel()
+			b := pattern.burst
+			b.from, b.to = burstFrom, burstTo
+			s := newScarcity(1, 12, 69, usualLoad, b)
+			s.play(playLength)
+			t.Log("served on time during the burst:\n" + s.table(burstFrom, burstTo))
+			for _, k := range variedKinds {
+				share, jobs := s.served(during(burstTo+2*time.Second, playLength, k.Name, ""))
+				if share < 0.98 {
+					t.Errorf("%s: %.3f of the work of %d jobs is on time after the burst, want 0.98", k.Name, share, jobs)
+				}
+			}
+		})
+	}
+}
+
+// table returns the parts of the work that are served on time, by kind and zone, of the jobs that come in a time.
+func (s *scarcity) table(from, to time.Duration) string {
+	var text strings.Builder
+	for _, zone := range append([]string{""}, zones...) {
+		fmt.Fprintf(&text, "%-7s", zone)
+		for _, k := range append([]variedKind{{}}, variedKinds...) {
+			share, jobs := s.served(during(from, to, k.Name, zone))
+			fmt.Fprintf(&text, " %s %.3f of %d", k.Name, share, jobs)
+		}
+		text.WriteString("\n")
+	}
+	return text.String()
+}
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -103,15 +103,24 @@
 func newSite(seed uint64, entries, agents, subsetSize int) *site {
 	s := &site{
 		now: origin, random: rand.New(rand.NewPCG(seed, 1)), agents: make(map[dispatch.AgentID]*agent),
-		restartAfter: restartAfter, crashAfter: crashAfter,
+		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration),
 		starts: make(map[string]int), crashes: make(map[string]int), startsAtThird: make(map[string]int),
 	}
+	s.build(entries, agents, subsetSize, func(int, *agent) {})
+	return s
+}
+
+// zones are the availability zones in which the entries are, in turn.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// build adds entries and agents, and lets the site run until all workers accept tasks. describe may change an agent before its worker begins.
+func (s *site) build(entries, agents, subsetSize int, describe func(number int, a *agent)) {
 	var names []string
 	var registered []dispatch.AgentID
 	for i := range agents {
 		name := fmt.Sprintf("agent-%d", i)
 		names, registered = append(names, name), append(registered, dispatch.AgentID(name))
-		s.addAgent(dispatch.AgentID(name))
+		describe(i, s.addAgent(dispatch.AgentID(name)))
 	}
 	for i := range entries {
 		e := s.addEntry(i)
@@ -121,7 +130,6 @@
 		}
 	}
 	s.run(time.Second)
-	return s
 }
 
 func (s *site) after(d time.Duration, do func()) {
@@ -158,14 +166,17 @@
 	entries map[runner.SessionID]*entry
 	// delay is the time of a message between the agent and its worker.
 	delay time.Duration
+	// cpu is the capacity of its worker, in thousandths of a core.
+	cpu int
 }
 
-func (s *site) addAgent(id dispatch.AgentID) {
+func (s *site) addAgent(id dispatch.AgentID) *agent {
 	limits := runner.DefaultLimits(time.Second, 50*time.Millisecond)
-	a := &agent{site: s, id: id, runner: runner.New(limits, 1), entries: make(map[runner.SessionID]*entry), delay: workerDelay}
+	a := &agent{site: s, id: id, runner: runner.New(limits, 1), entries: make(map[runner.SessionID]*entry), delay: workerDelay, cpu: workerCPU}
 	a.worker = newFakeWorker(a)
 	s.agents[id] = a
 	s.every(agentTick, func() { a.handle(runner.Ticked{}) })
+	return a
 }
 
 func (a *agent) handle(event runner.Event) {
@@ -215,8 +226,10 @@
 
 // entry is an entry with its callers.
 type entry struct {
-	site       *site
-	name       string
+	site *site
+	name string
+	// zone is its availability zone, empty if that does not matter.
+	zone       string
 	dispatcher *dispatch.Dispatcher
 	lastWaiter dispatch.Waiter
 	// crashes are those that the entry spreads to others.
@@ -232,7 +245,7 @@
 
 func (s *site) addEntry(number int) *entry {
 	e := &entry{
-		site: s, name: fmt.Sprintf("entry-%d", number),
+		site: s, name: fmt.Sprintf("entry-%d", number), zone: zones[number%len(zones)],
 		dispatcher: dispatch.New(dispatch.Limits{Jobs: 2000, NoContainment: *noContainment}, rand.New(rand.NewPCG(s.random.Uint64(), 1))),
 		answered:   make(map[dispatch.Waiter]func(dispatch.Answer)),
 		sessions:   make(map[dispatch.AgentID]runner.SessionID), in: &link{}, out: &link{}, payloads: make(map[dispatch.AgentID]string),
@@ -261,7 +274,7 @@
 	e.sessions[a.id] = id
 	e.handle(dispatch.AgentUp{Agent: a.id})
 	a.entries[id] = e
-	e.out.carry(s, messageSize, func() { a.handle(runner.SessionOpened{Session: id, Entry: e.name}) })
+	e.out.carry(s, messageSize, func() { a.handle(runner.SessionOpened{Session: id, Entry: e.name, Zone: e.zone}) })
 }
 
 // isOpen reports whether a session with an agent is the present one.
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -69,10 +69,11 @@
 	w.incarnations++
 	w.id = fmt.Sprintf("%s-%d", w.agent.id, w.incarnations)
 	w.running, w.ends, w.number, w.isDown = make(map[string]fakeRun), nil, 0, false
-	record := worker.Record{
-		ID: w.id, Service: service, Capacity: worker.Resources{CPU: workerCPU, Memory: 32 << 10}, Sequence: 1, Clock: time.Hour,
-	}
-	w.site.after(0, func() { w.agent.handle(runner.HeartbeatReceived{Record: record}) })
+	w.site.after(0, func() {
+		capacity := worker.Resources{CPU: w.agent.cpu, Memory: 128 << 10}
+		record := worker.Record{ID: w.id, Service: service, Capacity: capacity, Sequence: 1, Clock: time.Hour}
+		w.agent.handle(runner.HeartbeatReceived{Record: record})
+	})
 }
 
 // crash ends the incarnation with all its runs. The next one begins after site.restartAfter.
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -35,6 +35,14 @@
 	IsSuspect bool
 	// Kind is the kind of the job.
 	Kind string
+	// Estimate is the estimated run time of the task, also if it rests on the caller's guess alone.
+	Estimate time.Duration
+	// Weight is that of the kind in the shares of the worker, zero for 1.
+	Weight float64
+	// IgnoresEjection is set if the task is started although the worker is ejected.
+	IgnoresEjection bool
+	// KindFailureRate is the share of the runs of the kind, 0 to 1, that fail on workers that are not ejected.
+	KindFailureRate float64
 	// IsContained is set if the kind of the job is contained; see containment.go.
 	IsContained bool
 	// IsDurable is set for a task of a durable job: the worker remembers its end until an owner acknowledged it.
@@ -48,6 +56,8 @@
 type SessionOpened struct {
 	Session SessionID
 	Entry   string
+	// Zone is the availability zone of the entry, empty if it is not known.
+	Zone string
 }
 
 // SessionClosed reports that the connection of a session has ended.
--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -42,6 +42,10 @@
 	// Count is the number of tasks. Zero cancels the reservation.
 	Count   int
 	Urgency Urgency
+	// Kind is the kind of the job, Estimate the estimated run time of a task, and Weight that of the kind in the shares of the worker, zero for 1.
+	Kind     string
+	Estimate time.Duration
+	Weight   float64
 }
 
 // OfferID identifies an offer within one process of the agent. Zero is none.
@@ -56,6 +60,10 @@
 	Resources worker.Resources
 	// Left is how many tasks the reservation still counts. At zero it is gone.
 	Left int
+	// Kind is that of the reservation. Jobs of the kind use the offer first.
+	Kind string
+	// IsProbe is set if the offer is for one task that shows whether the worker is well again. No reservation leads to it.
+	IsProbe bool
 }
 
 // reservation is a reservation of a session.
--- a/internal/session/accept_test.go
+++ b/internal/session/accept_test.go
@@ -36,7 +36,7 @@
 	events := make(chan runner.Event, 100)
 	_, closeServer := NewServer(&failingListener{Listener: listener, failures: 2}, 77, new(Traffic), func(e runner.Event) { events <- e }, logging.Discard())
 	defer closeServer()
-	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1", new(Traffic))
+	entry, err := Dial(context.Background(), listener.Addr().String(), Entry{Name: "entry-1", Zone: "zone-a"}, new(Traffic))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -124,7 +124,7 @@
 func (s *Server) handle(id runner.SessionID, payload *receivedPayload, m *sessionpb.FromEntry) {
 	switch message := m.Message.(type) {
 	case *sessionpb.FromEntry_Hello:
-		s.post(runner.SessionOpened{Session: id, Entry: message.Hello.Entry})
+		s.post(runner.SessionOpened{Session: id, Entry: message.Hello.Entry, Zone: message.Hello.Zone})
 	case *sessionpb.FromEntry_Pong:
 		s.post(runner.PongReceived{Session: id, Sent: s.started.Add(time.Duration(message.Pong.Time))})
 	case *sessionpb.FromEntry_Start:
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -32,6 +32,16 @@
 	return time.Duration(millis) * time.Millisecond
 }
 
+// hundredths returns a factor or share as it is on the wire.
+func hundredths(factor float64) uint32 {
+	return count(int(math.Round(factor * hundred)))
+}
+
+// fraction is the inverse of hundredths.
+func fraction(hundredths uint32) float64 {
+	return float64(hundredths) / hundred
+}
+
 func packStart(number uint64, t runner.Task) *sessionpb.Start {
 	return &sessionpb.Start{
 		Number: number, Task: t.Name, Run: t.Run, Payload: t.Payload,
@@ -39,6 +49,7 @@
 		Checkpoint: t.Checkpoint, WaitMs: millis(t.MaxWait), ExpectedMs: millis(t.Expected), Kept: t.IsDurable, Offer: uint64(t.Offer),
 		Priority: count(t.Urgency.Priority), Begun: t.Urgency.HasBegun, SlackMs: slack(t.Urgency),
 		Suspect: t.IsSuspect, Kind: t.Kind, Contained: t.IsContained,
+		EstimateMs: millis(t.Estimate), Weight: hundredths(t.Weight), IgnoresEjection: t.IgnoresEjection, KindFailures: hundredths(t.KindFailureRate),
 	}
 }
 
@@ -49,6 +60,7 @@
 		MaxWait: duration(s.WaitMs), Expected: duration(s.ExpectedMs), IsDurable: s.Kept, Offer: runner.OfferID(s.Offer),
 		Urgency: urgency(s.Begun, s.Priority, s.SlackMs), IsSuspect: s.Suspect,
 		Kind: s.Kind, IsContained: s.Contained,
+		Estimate: duration(s.EstimateMs), Weight: fraction(s.Weight), IgnoresEjection: s.IgnoresEjection, KindFailureRate: fraction(s.KindFailures),
 	}
 }
 
@@ -67,6 +79,7 @@
 	return &sessionpb.FromEntry{Message: &sessionpb.FromEntry_Reserve{Reserve: &sessionpb.Reserve{
 		Job: r.Job, Cpu: count(r.Needs.CPU), Memory: count(r.Needs.Memory), Gpu: count(r.Needs.GPU), Count: count(r.Count),
 		Priority: count(r.Urgency.Priority), Begun: r.Urgency.HasBegun, SlackMs: slack(r.Urgency),
+		Kind: r.Kind, EstimateMs: millis(r.Estimate), Weight: hundredths(r.Weight),
 	}}}
 }
 
@@ -74,6 +87,7 @@
 	return runner.Reservation{
 		Job: r.Job, Needs: worker.Resources{CPU: int(r.Cpu), Memory: int(r.Memory), GPU: int(r.Gpu)}, Count: int(r.Count),
 		Urgency: urgency(r.Begun, r.Priority, r.SlackMs),
+		Kind:    r.Kind, Estimate: duration(r.EstimateMs), Weight: fraction(r.Weight),
 	}
 }
 
@@ -81,12 +95,13 @@
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Offer{Offer: &sessionpb.Offer{
 		Offer: uint64(o.ID), Job: o.Job, Left: count(o.Left),
 		Cpu: count(o.Resources.CPU), Memory: count(o.Resources.Memory), Gpu: count(o.Resources.GPU),
+		Kind: o.Kind, Probe: o.IsProbe,
 	}}}
 }
 
 func unpackOffer(o *sessionpb.Offer) runner.Offer {
 	return runner.Offer{
-		ID: runner.OfferID(o.Offer), Job: o.Job, Left: int(o.Left),
+		ID: runner.OfferID(o.Offer), Job: o.Job, Left: int(o.Left), Kind: o.Kind, IsProbe: o.Probe,
 		Resources: worker.Resources{CPU: int(o.Cpu), Memory: int(o.Memory), GPU: int(o.Gpu)},
 	}
 }
@@ -112,14 +127,32 @@
 		Accepts: l.Accepts, Leaving: l.ShuttingDown, Reserved: l.HasReservations, Heard: l.HasHeard,
 		Slowness: count(int(l.Slowness * hundred)), FailureRate: count(int(l.FailureRate * hundred)),
 		TimeFactor: count(int(l.TimeFactor * hundred)),
+		Ejected:    l.IsEjected, Headroom: packHeadroom(l.Headroom),
 	}}}
 }
 
+func packHeadroom(headroom []runner.Headroom) []*sessionpb.Headroom {
+	var packed []*sessionpb.Headroom
+	for _, h := range headroom {
+		packed = append(packed, &sessionpb.Headroom{LongerThanMs: millis(h.LongerThan), Cpu: count(h.CPU)})
+	}
+	return packed
+}
+
+func unpackHeadroom(packed []*sessionpb.Headroom) []runner.Headroom {
+	var headroom []runner.Headroom
+	for _, h := range packed {
+		headroom = append(headroom, runner.Headroom{LongerThan: duration(h.LongerThanMs), CPU: int(h.Cpu)})
+	}
+	return headroom
+}
+
 func unpackLoad(l *sessionpb.Load) runner.Load {
 	return runner.Load{
 		Used:    worker.Resources{CPU: int(l.Cpu), Memory: int(l.Memory), GPU: int(l.Gpu)},
 		Accepts: l.Accepts, ShuttingDown: l.Leaving, HasReservations: l.Reserved, HasHeard: l.Heard,
-		Slowness: float64(l.Slowness) / hundred, FailureRate: float64(l.FailureRate) / hundred, TimeFactor: float64(l.TimeFactor) / hundred,
+		Slowness: fraction(l.Slowness), FailureRate: fraction(l.FailureRate), TimeFactor: fraction(l.TimeFactor),
+		IsEjected: l.Ejected, Headroom: unpackHeadroom(l.Headroom),
 	}
 }
 
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -48,16 +48,23 @@
 	payload  sentPayload
 }
 
-// Dial opens a session with the agent at an address, HOST:PORT, for the entry of the given name. traffic counts its messages. It returns an error if
-// the connection is not open within 250 ms.
-func Dial(ctx context.Context, address, entry string, traffic *Traffic) (*AgentConn, error) {
+// Entry is what an entry tells an agent of itself.
+type Entry struct {
+	Name string
+	// Zone is its availability zone.
+	Zone string
+}
+
+// Dial opens a session of an entry with the agent at an address, HOST:PORT. traffic counts its messages. It returns an error if the connection
+// is not open within 250 ms.
+func Dial(ctx context.Context, address string, entry Entry, traffic *Traffic) (*AgentConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "session: unable to reach the agent %s", address)
 	}
 	s := &AgentConn{connection: newConnection(conn, traffic)}
-	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Hello{Hello: &sessionpb.Hello{Entry: entry}}})
+	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Hello{Hello: &sessionpb.Hello{Entry: entry.Name, Zone: entry.Zone}}})
 	return s, nil
 }
 
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -56,7 +56,7 @@
 	events := make(chan runner.Event, 100)
 	server, closeServer := NewServer(listener, 77, new(Traffic), func(e runner.Event) { events <- e }, logging.Discard())
 	t.Cleanup(closeServer)
-	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1", new(Traffic))
+	entry, err := Dial(context.Background(), listener.Addr().String(), Entry{Name: "entry-1", Zone: "zone-a"}, new(Traffic))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,12 +69,13 @@
 func TestMessagesArriveUnchanged(t *testing.T) {
 	entry, server, h, events := pair(t)
 	opened := next(t, events).(runner.SessionOpened)
-	if opened.Entry != "entry-1" {
-		t.Fatalf("got %+v, want entry-1", opened)
+	if opened.Entry != "entry-1" || opened.Zone != "zone-a" {
+		t.Fatalf("got %+v, want entry-1 of zone-a", opened)
 	}
 	task := runner.Task{
 		Name: "j.0.0.1", Run: 3, Payload: "p", Needs: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Checkpoint: "c",
-		MaxWait: time.Second, Expected: 2 * time.Second, Offer: 5, IsSuspect: true,
+		MaxWait: time.Second, Expected: 2 * time.Second, Offer: 5, IsSuspect: true, Kind: "k", IsContained: true,
+		Estimate: 3 * time.Second, Weight: 1.5, IgnoresEjection: true, KindFailureRate: 0.03,
 		Urgency: runner.Urgency{HasBegun: true, Priority: 4, StartBy: clock.Now().Add(time.Minute)},
 	}
 	entry.Start(9, task)
@@ -90,6 +91,7 @@
 	reservation := runner.Reservation{
 		Job: "j", Needs: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Count: 8,
 		Urgency: runner.Urgency{Priority: 2, StartBy: clock.Now().Add(-time.Minute)},
+		Kind:    "k", Estimate: 3 * time.Second, Weight: 0.5,
 	}
 	entry.Reserve(reservation)
 	entry.AnswerOffer(6)
@@ -103,11 +105,12 @@
 	}
 	record := worker.Record{ID: "i", Service: "s", Zone: "z", Capacity: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Labels: []string{"a"}}
 	load := runner.Load{Used: worker.Resources{CPU: 7}, Accepts: true, HasReservations: true, HasHeard: true, ShuttingDown: true, Slowness: 1.5, FailureRate: 0.25}
+	load.IsEjected, load.Headroom = true, []runner.Headroom{{LongerThan: time.Second, CPU: 4000}}
 	update := runner.Update{Name: "j.0.0.1", Run: 3, Outcome: runner.OutcomeFailed, Reason: "r", Checkpoint: "c"}
 	server.Send(runner.SendWorker{Session: opened.Session, Record: record})
 	server.Send(runner.SendLoad{Session: opened.Session, Handled: 9, Load: load})
 	server.Send(runner.SendUpdate{Session: opened.Session, Update: update})
-	offer := runner.Offer{ID: 7, Job: "j", Resources: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Left: 4}
+	offer := runner.Offer{ID: 7, Job: "j", Resources: worker.Resources{CPU: 1, Memory: 2, GPU: 3}, Left: 4, Kind: "k", IsProbe: true}
 	server.Send(runner.SendOffer{Session: opened.Session, Offer: offer})
 	crash := runner.Crash{Incarnation: worker.Incarnation{ID: "i", StartedMillis: 1796280000000}, Runs: []runner.CrashedRun{
 		{RunID: runner.RunID{Task: "j.0.0.1", Run: 3}}, {RunID: runner.RunID{Task: "j.0.0.2", Run: 1}, WasRunning: true, IsLatest: true},
@@ -160,7 +163,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	entry, err := Dial(context.Background(), listener.Addr().String(), "entry-1", new(Traffic))
+	entry, err := Dial(context.Background(), listener.Addr().String(), Entry{Name: "entry-1", Zone: "zone-a"}, new(Traffic))
 	if err != nil {
 		t.Fatal(err)
 	}
