stream: framed protobuf over one TCP connection, in a package of its own

Cause: jobs that are handed over between entries need what sessions have. Change: the connection of package session moves to package stream; the counting of messages stays in session, behind an interface. No behaviour changes.

--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -18,6 +18,7 @@
 	"sailhead/internal/logging"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
+	"sailhead/internal/stream"
 	"sailhead/internal/wire"
 )
 
@@ -37,7 +38,7 @@
 	// lastID is the ID of the latest session.
 	lastID atomic.Uint64
 	mu     sync.Mutex
-	open   map[runner.SessionID]*connection
+	open   map[runner.SessionID]*stream.Connection
 }
 
 // NewServer accepts sessions on the listener and passes the entries' messages to post as events; those of one session are
@@ -46,7 +47,7 @@
 func NewServer(listener net.Listener, incarnation int64, traffic *Traffic, post func(runner.Event), logger log.Logger) (*Server, func()) {
 	s := &Server{
 		listener: listener, post: post, logger: logging.NewLimited(logger, failuresPerSecond),
-		incarnation: incarnation, traffic: traffic, started: clock.Now(), open: make(map[runner.SessionID]*connection),
+		incarnation: incarnation, traffic: traffic, started: clock.Now(), open: make(map[runner.SessionID]*stream.Connection),
 	}
 	go s.accept()
 	return s, s.close
@@ -62,7 +63,7 @@
 		conn, err := s.listener.Accept()
 		switch {
 		case err == nil:
-			go s.serve(newConnection(conn, s.traffic))
+			go s.serve(stream.New(conn, s.traffic))
 		case errors.Is(err, net.ErrClosed):
 			return
 		default:
@@ -78,16 +79,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.open {
-		c.close(errClosed)
+		c.Close(stream.ErrClosed)
 	}
 }
 
 // serve posts the messages of one session as events, and then its end.
-func (s *Server) serve(c *connection) {
+func (s *Server) serve(c *stream.Connection) {
 	id := runner.SessionID(s.lastID.Add(1))
 	s.add(id, c)
 	var payload receivedPayload
-	err := read(c, func(m *sessionpb.FromEntry) { s.handle(id, &payload, m) })
+	err := stream.Read(c, func(m *sessionpb.FromEntry) { s.handle(id, &payload, m) })
 	s.remove(id)
 	s.logEnd(id, err)
 	s.post(runner.SessionClosed{Session: id})
@@ -95,13 +96,13 @@
 
 // logEnd logs why a session failed. A session that either end closed in order is not a failure.
 func (s *Server) logEnd(id runner.SessionID, err error) {
-	if errors.Is(err, io.EOF) || errors.Is(err, errClosed) {
+	if errors.Is(err, io.EOF) || errors.Is(err, stream.ErrClosed) {
 		return
 	}
 	_ = level.Info(s.logger).Log("msg", "session failed", "session", id, "err", err)
 }
 
-func (s *Server) add(id runner.SessionID, c *connection) {
+func (s *Server) add(id runner.SessionID, c *stream.Connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[id] = c
@@ -114,7 +115,7 @@
 }
 
 // connection returns the connection of a session, or nil if it has ended.
-func (s *Server) connection(id runner.SessionID) *connection {
+func (s *Server) connection(id runner.SessionID) *stream.Connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.open[id]
@@ -161,14 +162,14 @@
 		s.send(e.Session, packCrash(e.Crash))
 	case runner.CloseSession:
 		if c := s.connection(e.Session); c != nil {
-			c.close(errClosed)
+			c.Close(stream.ErrClosed)
 		}
 	}
 }
 
 func (s *Server) send(id runner.SessionID, message *sessionpb.FromAgent) {
 	if c := s.connection(id); c != nil {
-		c.send(message)
+		c.Send(message)
 	}
 }
 
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -14,6 +14,7 @@
 	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
+	"sailhead/internal/stream"
 	"sailhead/internal/worker"
 )
 
@@ -42,7 +43,7 @@
 // AgentConn is an entry's end of a session. Its methods do not block, except Serve, and are safe for concurrent use.
 // What is sent after the session has ended is dropped.
 type AgentConn struct {
-	connection *connection
+	connection *stream.Connection
 	// starting orders the starts, as each may refer to the one before. It guards payload but for mayRepeat.
 	starting sync.Mutex
 	payload  sentPayload
@@ -63,15 +64,15 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "session: unable to reach the agent %s", address)
 	}
-	s := &AgentConn{connection: newConnection(conn, traffic)}
-	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Hello{Hello: &sessionpb.Hello{Entry: entry.Name, Zone: entry.Zone}}})
+	s := &AgentConn{connection: stream.New(conn, traffic)}
+	s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Hello{Hello: &sessionpb.Hello{Entry: entry.Name, Zone: entry.Zone}}})
 	return s, nil
 }
 
 // Serve passes the agent's messages to the handler and answers its pings until the session ends. It always returns an
 // error: the reason for the end.
 func (s *AgentConn) Serve(handler AgentHandler) error {
-	return read(s.connection, func(m *sessionpb.FromAgent) {
+	return stream.Read(s.connection, func(m *sessionpb.FromAgent) {
 		handler.MessageReceived()
 		s.handle(handler, m)
 	})
@@ -83,7 +84,7 @@
 	case *sessionpb.FromAgent_Ping:
 		handler.Incarnation(message.Ping.Incarnation)
 		s.payload.mayRepeat.Store(message.Ping.KnowsRepeats)
-		s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Pong{Pong: &sessionpb.Pong{Time: message.Ping.Time}}})
+		s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Pong{Pong: &sessionpb.Pong{Time: message.Ping.Time}}})
 	case *sessionpb.FromAgent_Worker:
 		handler.Worker(unpackWorker(message.Worker))
 	case *sessionpb.FromAgent_Load:
@@ -103,37 +104,37 @@
 	s.starting.Lock()
 	defer s.starting.Unlock()
 	s.payload.shorten(start)
-	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Start{Start: start}})
+	s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Start{Start: start}})
 }
 
 // Stop requests the stop of a task, whether it is queued or running.
 func (s *AgentConn) Stop(name string) {
-	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Stop{Stop: &sessionpb.Stop{Task: name}}})
+	s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Stop{Stop: &sessionpb.Stop{Task: name}}})
 }
 
 // Reserve asks for resources for tasks of a job, or cancels an earlier request.
 func (s *AgentConn) Reserve(reservation runner.Reservation) {
-	s.connection.send(packReservation(reservation))
+	s.connection.Send(packReservation(reservation))
 }
 
 // AnswerOffer answers an offer, after the starts that use it.
 func (s *AgentConn) AnswerOffer(offer runner.OfferID) {
 	answer := &sessionpb.OfferAnswer{Offer: uint64(offer)}
-	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_OfferAnswer{OfferAnswer: answer}})
+	s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_OfferAnswer{OfferAnswer: answer}})
 }
 
 // SendEvacuations tells the agent what the entry knows of the evacuated availability zones.
 func (s *AgentConn) SendEvacuations(state evacuation.State) {
-	s.connection.send(packEvacuations(state))
+	s.connection.Send(packEvacuations(state))
 }
 
 // AcknowledgeEnd reports to the agent that the end of a run has been recorded in the store.
 func (s *AgentConn) AcknowledgeEnd(name string, run uint32) {
 	acknowledgement := &sessionpb.EndAcknowledgement{Task: name, Run: run}
-	s.connection.send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Noted{Noted: acknowledgement}})
+	s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Noted{Noted: acknowledgement}})
 }
 
 // Close closes the session without sending the messages that wait.
 func (s *AgentConn) Close() {
-	s.connection.close(errClosed)
+	s.connection.Close(stream.ErrClosed)
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -17,6 +17,7 @@
 	"sailhead/internal/logging"
 	"sailhead/internal/runner"
 	"sailhead/internal/session/sessionpb"
+	"sailhead/internal/stream"
 	"sailhead/internal/worker"
 )
 
@@ -168,11 +169,11 @@
 		t.Fatal(err)
 	}
 	payload := string(make([]byte, 4000))
-	for range 20 * ringSize {
+	for range 20 * stream.RingSize {
 		entry.Start(1, runner.Task{Name: "t", Payload: payload})
 	}
 	select {
-	case <-entry.connection.closed:
+	case <-entry.connection.Closed():
 	case <-time.After(10 * time.Second):
 		t.Fatal("the session is still open")
 	}
--- a/internal/session/traffic.go
+++ b/internal/session/traffic.go
@@ -4,7 +4,6 @@
 package session
 
 import (
-	"bufio"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -94,6 +93,12 @@
 	return t
 }
 
+// Sent counts a message that was written.
+func (t *Traffic) Sent(message proto.Message, bytes int) { t.sent[kindOf(message)].add(bytes) }
+
+// Received counts a message that was read.
+func (t *Traffic) Received(message proto.Message, bytes int) { t.received[kindOf(message)].add(bytes) }
+
 type volume struct {
 	messages, bytes atomic.Int64
 }
@@ -119,32 +124,3 @@
 	}
 	return all
 }
-
-// countingReader counts the bytes that are read from it.
-type countingReader struct {
-	*bufio.Reader
-	bytes int
-}
-
-// Read reads and counts.
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.bytes += n
-	return n, err
-}
-
-// ReadByte reads and counts one byte.
-func (r *countingReader) ReadByte() (byte, error) {
-	b, err := r.Reader.ReadByte()
-	if err == nil {
-		r.bytes++
-	}
-	return b, err
-}
-
-// take returns the number of bytes since the last call.
-func (r *countingReader) take() int {
-	bytes := r.bytes
-	r.bytes = 0
-	return bytes
-}
