--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 GO ?= go
 VERSION ?= dev
-GENERATED := internal/native/peer/peerpb internal/wire/wirepb internal/session/sessionpb internal/cluster/clusterpb internal/durable/durablepb
+GENERATED := internal/native/peer/peerpb internal/wire/wirepb internal/handover/handoverpb internal/session/sessionpb internal/cluster/clusterpb internal/durable/durablepb
 
 # FUZZ lists the readers of what other processes wrote, each as PACKAGE:TARGET; FUZZTIME how many inputs CI plays of each.
 FUZZ := platform:FuzzHeartbeat platform:FuzzRoute platform:FuzzConfiguration platform:FuzzStoredRecord platform:FuzzListing \
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -12,7 +12,8 @@
 // This file decides when a job that is not durable is refused or ended early. Three rules apply, each with its inputs,
 // reason and measurements below:
 //
-//	on arrival           refusalReason     NotRun
+//	on arrival           containedReason   NotRun
+//	                     ownRefusalReason  handed over (handover.go) or NotRun
 //	nothing was placed   refuseAt          NotRun
 //	later                expiresAt         Interrupted, or NotRun if nothing can have run
 //
@@ -22,7 +23,11 @@
 // submit admits a job or refuses it. A job that is under way already gets another waiter.
 func (d *Dispatcher) submit(now time.Time, e Submitted) {
 	earlier, isKnown := d.jobs[e.Job.ID]
+	handedOver, isHandedOver := d.handedOver[e.Job.ID]
 	switch {
+	case isHandedOver:
+		handedOver.waiters = append(handedOver.waiters, e.Waiter)
+		d.emit(handedOver.decisionMade(now, DecisionJoined{}))
 	case isKnown && earlier.isDurable:
 		answer := NotRun{Reason: "the job is kept already", RetryAfter: d.soon()}
 		d.emit(Reply{Waiters: []Waiter{e.Waiter}, Answer: answer})
@@ -34,7 +39,7 @@
 	}
 }
 
-// admit accepts a new job or refuses it.
+// admit accepts a new job, hands it over or refuses it.
 func (d *Dispatcher) admit(now time.Time, e Submitted) {
 	j := newJob(now, e.Job, d.runTimes)
 	j.waiters = []Waiter{e.Waiter}
@@ -43,42 +48,33 @@
 		d.finish(now, j, d.evacuatedAnswer(reason))
 		return
 	}
-	if reason := d.refusalReason(now, j); reason != "" {
+	if reason := d.containedReason(j); reason != "" {
 		d.finish(now, j, NotRun{Reason: reason, RetryAfter: d.soon()})
 		return
 	}
+	reason := d.ownRefusalReason(now, j)
+	switch {
+	case !d.handsOver(j, reason):
+		d.acceptHere(now, j, reason)
+	case d.mayHandOver():
+		d.handOver(now, j)
+	default:
+		d.acceptHere(now, j, reasonNotKeepingUp)
+	}
+}
+
+// acceptHere accepts a job, or refuses it for the entry's own reason, if there is one.
+func (d *Dispatcher) acceptHere(now time.Time, j *job, refusal string) {
+	if refusal != "" {
+		d.finish(now, j, NotRun{Reason: refusal, RetryAfter: d.soon(), IsElsewhere: true})
+		return
+	}
 	j.lateRetry = d.callerTimes.observe(j)
 	d.add(j)
 	d.emit(j.decisionMade(now, DecisionAccepted{Tasks: len(j.tasks), Objective: j.objective}))
 	d.giveUpIfDue(now, j)
 }
 
-// refusalReason returns why a job is refused on arrival, or "" if it is accepted.
-//
-// Inputs: the number of jobs under way, durable ones included, and Limits.Jobs; the time of the shutdown, if any; the
-// objective of the job; whether its kind is contained; whether the entry keeps up.
-//
-// Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, if its kind is contained
-// and no agent of the kind accepts tasks (containment.go), or if the entry is over its limit (congestion.go).
-//
-// Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
-// submitted to another entry, while one that is interrupted may have run.
-func (d *Dispatcher) refusalReason(now time.Time, j *job) string {
-	if reason := d.containedReason(j); reason != "" {
-		return reason
-	}
-	switch {
-	case len(d.jobs) >= d.limits.Jobs:
-		return "too many jobs are under way"
-	case d.isShuttingDown() && now.Add(j.objective).After(d.shutdownAt):
-		return "the entry stops before the job would end"
-	case d.congestion.isLimited() && !d.congestion.mayAccept(d.tasksUnderWay()):
-		return "the entry does not keep up"
-	default:
-		return ""
-	}
-}
-
 // maxWaitShare is the part, 0 to 1, of a job's slack for which it may wait; see refuseAt. The slack is the time between the expected time
 // of its longest chain of steps and its objective.
 const maxWaitShare = 0.6
@@ -128,6 +124,7 @@
 
 // expire applies refuseAt and expiresAt, and ends all jobs that are not durable when the process ends.
 func (d *Dispatcher) expire(now time.Time) {
+	d.expireHandedOver(now)
 	for _, j := range slices.Clone(d.waiting) {
 		if !j.isDurable && !j.mayHaveBegun() && now.After(j.refuseAt()) {
 			d.abandon(now, j, "no worker has room in time: "+d.describeCapacity(j))
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -10,8 +10,11 @@
 
 // callerLeft removes a waiter from its job and drops the job with the last one.
 func (d *Dispatcher) callerLeft(now time.Time, e CallerLeft) {
-	j, ok := d.jobs[e.Job]
-	if !ok {
+	j, isHandedOver := d.handedOver[e.Job]
+	if !isHandedOver {
+		j = d.jobs[e.Job]
+	}
+	if j == nil {
 		return
 	}
 	j.waiters = slices.DeleteFunc(j.waiters, func(w Waiter) bool { return w == e.Waiter })
@@ -19,21 +22,36 @@
 		return
 	}
 	d.emit(j.decisionMade(now, DecisionCallerLeft{}))
+	if isHandedOver {
+		d.withdraw(j)
+		return
+	}
 	d.drop(now, j)
 }
 
 // cancel ends a job on request. Package durable cancels durable jobs.
 func (d *Dispatcher) cancel(now time.Time, e CancelRequested) {
+	answer := Interrupted{Reason: "the job was cancelled"}
+	if j, ok := d.handedOver[e.Job]; ok {
+		d.replyHandedOver(now, j, answer)
+		d.withdraw(j)
+		d.emit(CancelReply{Waiter: e.Waiter, Known: true})
+		return
+	}
 	j, ok := d.jobs[e.Job]
 	isKnown := ok && !j.isDurable
 	if isKnown {
-		d.finish(now, j, Interrupted{Reason: "the job was cancelled"})
+		d.finish(now, j, answer)
 	}
 	d.emit(CancelReply{Waiter: e.Waiter, Known: isKnown})
 }
 
-// stateOf returns the state of a job. Durable jobs are unknown here; package durable knows their state.
+// stateOf returns the state of a job. Durable jobs are unknown here; package durable knows their state. A job that was handed over may have
+// begun.
 func (d *Dispatcher) stateOf(id string) JobState {
+	if _, ok := d.handedOver[id]; ok {
+		return JobBegun
+	}
 	j, ok := d.jobs[id]
 	switch {
 	case !ok || j.isDurable:
--- a/internal/dispatch/congestion.go
+++ b/internal/dispatch/congestion.go
@@ -48,6 +48,8 @@
 	// when a job came.
 	limit       float64
 	mostWaiting int
+	// handOver is the part of the jobs that is handed over to other entries; see handover.go.
+	handOver handOverShare
 }
 
 // startCounted notes that a load counts a start that was sent at a time.
@@ -67,6 +69,7 @@
 
 // adjust sets the limit at the end of a window.
 func (c *congestion) adjust() {
+	c.handOver = c.handOver.after(c.shortest)
 	switch {
 	case c.shortest > maxCountTime:
 		c.limit = max(c.recent*float64(maxCountTime)/float64(countRateTime), minWaiting)
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -45,6 +45,16 @@
 	IsDurable bool
 }
 
+// DecisionHandedOver reports that the job was handed over to another entry.
+type DecisionHandedOver struct{}
+
+// DecisionHandOverEnded reports that a job which was handed over was answered.
+type DecisionHandOverEnded struct {
+	Answer Answer
+	// Entry is the name of the entry that had it, empty if none has taken it.
+	Entry string
+}
+
 // DecisionJoined reports that another request waits for the answer to a job that was accepted before.
 type DecisionJoined struct{}
 
@@ -134,6 +144,8 @@
 type DecisionAccepts struct{ Accepts bool }
 
 func (DecisionAccepted) isDecision()          {}
+func (DecisionHandedOver) isDecision()        {}
+func (DecisionHandOverEnded) isDecision()     {}
 func (DecisionJoined) isDecision()            {}
 func (DecisionPlaced) isDecision()            {}
 func (DecisionEnded) isDecision()             {}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,8 @@
 	Jobs int
 	// NoContainment is set if kinds of which jobs crash workers are not contained; see containment.go.
 	NoContainment bool
+	// HandOver is set if jobs may be handed over to other entries; see handover.go.
+	HandOver bool
 }
 
 // Dispatcher runs the jobs of one entry. It is not safe for concurrent use.
@@ -61,6 +63,10 @@
 	callerTimes callerTimes
 	// congestion limits the accepted jobs while the entry's VM cannot keep up.
 	congestion congestion
+	// handedOver holds the jobs that other entries have, by their IDs.
+	handedOver map[string]*job
+	// onTheWay limits those that were handed over and not taken yet.
+	onTheWay congestion
 	// returns is used to spread the returns of refused callers.
 	returns returnPlan
 	// shutdownAt is when the process ends, zero while it is not shutting down.
@@ -81,6 +87,7 @@
 		lostSessions: make(map[AgentID]lostSession),
 		runTimes:     make(runTimes),
 		callerTimes:  make(callerTimes),
+		handedOver:   make(map[string]*job),
 	}
 }
 
@@ -139,6 +146,10 @@
 		d.updateRun(now, e)
 	case WorkerCrashed:
 		d.workerCrashed(now, e.Agent, e.Crash)
+	case HandOverTaken:
+		d.handOverTaken(now, e)
+	case HandOverEnded:
+		d.handOverEnded(now, e)
 	case EvacuationsChanged:
 		d.evacuationsChanged(now, e.State)
 	case ShutdownRequested:
@@ -162,9 +173,9 @@
 	d.effects = append(d.effects, effect)
 }
 
-// Counts returns the numbers of jobs under way, of those that may have tasks to place, and of agents in session.
+// Counts returns the numbers of jobs under way, handed over ones included, of those that may have tasks to place, and of agents in session.
 func (d *Dispatcher) Counts() (jobs, waiting, agents int) {
-	return len(d.jobs), len(d.waiting), len(d.agents)
+	return len(d.jobs) + len(d.handedOver), len(d.waiting), len(d.agents)
 }
 
 // isShuttingDown reports whether the process ends soon.
@@ -180,12 +191,17 @@
 	d.enqueue(j)
 }
 
-// jobsByArrival returns the jobs in the order of their arrival.
-func (d *Dispatcher) jobsByArrival() []*job {
-	jobs := make([]*job, 0, len(d.jobs))
-	for _, j := range d.jobs {
+// jobsByArrival returns the jobs under way here in the order of their arrival.
+func (d *Dispatcher) jobsByArrival() []*job { return jobsByArrival(d.jobs) }
+
+// jobsByArrival returns jobs in the order of their arrival.
+func jobsByArrival(all map[string]*job) []*job {
+	jobs := make([]*job, 0, len(all))
+	for _, j := range all {
 		jobs = append(jobs, j)
 	}
-	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.number, b.number) })
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.number, b.number), a.arrived.Compare(b.arrived), cmp.Compare(a.ID, b.ID))
+	})
 	return jobs
 }
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -59,6 +59,12 @@
 // CloseAgent closes the session with an agent, as nothing of this entry is there.
 type CloseAgent struct{ Agent AgentID }
 
+// HandOver hands a job over to another entry. The result comes as HandOverEnded.
+type HandOver struct{ Job Job }
+
+// WithdrawHandOver ends a job that was handed over. Its result is not needed any more.
+type WithdrawHandOver struct{ Job string }
+
 // RecordEnd passes the end of a run of a durable job to package durable, which records it before the worker may forget
 // it.
 type RecordEnd struct {
@@ -78,19 +84,21 @@
 // DurableBegun tells package durable that the first task of a job has begun.
 type DurableBegun struct{ Job string }
 
-func (Reply) isEffect()          {}
-func (StateReply) isEffect()     {}
-func (CancelReply) isEffect()    {}
-func (StartTask) isEffect()      {}
-func (StopTask) isEffect()       {}
-func (Reserve) isEffect()        {}
-func (AnswerOffer) isEffect()    {}
-func (CloseAgent) isEffect()     {}
-func (RecordEnd) isEffect()      {}
-func (DurableBegun) isEffect()   {}
-func (DurableGivenUp) isEffect() {}
-func (SpreadCrash) isEffect()    {}
-func (DecisionMade) isEffect()   {}
+func (Reply) isEffect()            {}
+func (StateReply) isEffect()       {}
+func (CancelReply) isEffect()      {}
+func (StartTask) isEffect()        {}
+func (StopTask) isEffect()         {}
+func (Reserve) isEffect()          {}
+func (AnswerOffer) isEffect()      {}
+func (CloseAgent) isEffect()       {}
+func (HandOver) isEffect()         {}
+func (WithdrawHandOver) isEffect() {}
+func (RecordEnd) isEffect()        {}
+func (DurableBegun) isEffect()     {}
+func (DurableGivenUp) isEffect()   {}
+func (SpreadCrash) isEffect()      {}
+func (DecisionMade) isEffect()     {}
 
 // JobState is the state of a job that is not durable.
 type JobState int
@@ -119,6 +127,8 @@
 	Reason string
 	// RetryAfter is how long the caller should wait before it submits the job again.
 	RetryAfter time.Duration
+	// IsElsewhere is set if the job was refused for the entry's own sake: another one may serve it at once.
+	IsElsewhere bool
 }
 
 // Interrupted means that the job ended early, and a task may have run.
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -119,6 +119,19 @@
 	Crash runner.Crash
 }
 
+// HandOverTaken reports that another entry has taken a job that was handed over.
+type HandOverTaken struct {
+	Job string
+	// Entry is the name of that entry.
+	Entry string
+}
+
+// HandOverEnded reports how a job ended that was handed over.
+type HandOverEnded struct {
+	Job    string
+	Result HandOverResult
+}
+
 // EvacuationsChanged reports which availability zones are evacuated, as far as this entry knows.
 type EvacuationsChanged struct{ State evacuation.State }
 
@@ -148,6 +161,8 @@
 func (RunUpdated) isEvent()         {}
 func (OfferReceived) isEvent()      {}
 func (WorkerCrashed) isEvent()      {}
+func (HandOverTaken) isEvent()      {}
+func (HandOverEnded) isEvent()      {}
 func (EvacuationsChanged) isEvent() {}
 func (ShutdownRequested) isEvent()  {}
 func (Ticked) isEvent()             {}
--- /dev/null
+++ b/internal/dispatch/handover.go
@@ -0,0 +1,169 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import "time"
+
+// This file decides which jobs the entry hands over to another entry before anything of them has begun.
+//
+// Inputs: why the job would be refused for the entry's own sake, if it would; the windows of congestion.go.
+//
+// Rule: a job that would be refused for the entry's own sake is handed over, and so is a share of all others that rises with each window
+// in which the entry is nearly late and falls with each one in which it is not. A job that was handed over once is not handed over again.
+// If no entry takes it, it is treated as it would be without this file. Of the jobs that no other entry has taken yet no more may be on their
+// way than congestion.go lets tasks wait.
+//
+// Reason: the balancer sends callers to the entries of their availability zone, whatever these can carry. A job that another entry runs costs
+// this one its payload once and an answer, in place of starts, reservations, offers and reports from each of its workers. A link that is
+// too small even for that makes everything late, so the jobs on their way are bounded as the tasks here are.
+
+const (
+	// nearlyLate is the shortest time from a start to the load that counts it from which jobs are handed over. It is half of maxCountTime, so
+	// that the entry hands jobs over before it refuses any.
+	nearlyLate = maxCountTime / 2
+	// shareRise and shareFall are the changes of the share with each window.
+	shareRise = 0.1
+	shareFall = 0.02
+	// maxHandOverShare leaves some jobs here, whose starts show whether the entry is still late.
+	maxHandOverShare = 0.95
+)
+
+// reasonNotKeepingUp is why a job is refused that the entry can neither run in time nor hand over.
+const reasonNotKeepingUp = "the entry does not keep up"
+
+// handOverShare is the part of the jobs, 0 to 1, that is handed over.
+type handOverShare float64
+
+// after returns the share after a window with a shortest time.
+func (s handOverShare) after(shortest time.Duration) handOverShare {
+	if shortest > nearlyLate {
+		return min(s+shareRise, maxHandOverShare)
+	}
+	return max(s-shareFall, 0)
+}
+
+// HandOverResult is how a job ended that was handed over. It is one of the types below.
+type HandOverResult interface{ isHandOverResult() }
+
+// HandOverAnswered carries the answer of the other entry.
+type HandOverAnswered struct{ Answer Answer }
+
+// HandOverRefused reports that no entry has taken the job, so nothing of it runs elsewhere.
+type HandOverRefused struct{ Reason string }
+
+// HandOverLost reports that the other entry may have run tasks of the job and will not answer.
+type HandOverLost struct{ Reason string }
+
+func (HandOverAnswered) isHandOverResult() {}
+func (HandOverRefused) isHandOverResult()  {}
+func (HandOverLost) isHandOverResult()     {}
+
+// ownRefusalReason returns why the entry refuses a job for its own sake, so that another one may serve it at once, or "" if it does not.
+//
+// Inputs: the number of jobs under way, durable ones and those handed over included, and Limits.Jobs; the time of the shutdown, if any; the
+// objective of the job; whether the entry keeps up.
+//
+// Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, or if the entry is over its limit
+// (congestion.go). One that another entry hands over is refused as soon as this entry hands jobs over itself.
+//
+// Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
+// submitted to another entry, while one that is interrupted may have run.
+func (d *Dispatcher) ownRefusalReason(now time.Time, j *job) string {
+	switch {
+	case len(d.jobs)+len(d.handedOver) >= d.limits.Jobs:
+		return "too many jobs are under way"
+	case d.isShuttingDown() && now.Add(j.objective).After(d.shutdownAt):
+		return "the entry stops before the job would end"
+	case d.congestion.isLimited() && !d.congestion.mayAccept(d.tasksUnderWay()):
+		return reasonNotKeepingUp
+	case j.IsHandedOver && d.congestion.handOver > 0:
+		return "the entry hands jobs over itself"
+	default:
+		return ""
+	}
+}
+
+// handsOver reports whether a job is handed over. refusal is why it is refused otherwise, or "".
+func (d *Dispatcher) handsOver(j *job, refusal string) bool {
+	if !d.limits.HandOver || j.IsHandedOver || len(d.handedOver) >= d.limits.Jobs {
+		return false
+	}
+	return refusal != "" || d.random.Float64() < float64(d.congestion.handOver)
+}
+
+// mayHandOver reports whether one more job may be on its way to another entry.
+func (d *Dispatcher) mayHandOver() bool {
+	return !d.onTheWay.isLimited() || d.onTheWay.mayAccept(d.handOversOnTheWay())
+}
+
+// handOversOnTheWay returns the number of jobs that were handed over and that no entry has taken yet.
+func (d *Dispatcher) handOversOnTheWay() int {
+	count := 0
+	for _, j := range d.handedOver {
+		if !j.isTaken {
+			count++
+		}
+	}
+	return count
+}
+
+// handOverTaken records that another entry has taken a job.
+func (d *Dispatcher) handOverTaken(now time.Time, e HandOverTaken) {
+	if j, ok := d.handedOver[e.Job]; ok && !j.isTaken {
+		j.isTaken, j.takenBy = true, e.Entry
+		d.onTheWay.startCounted(now, j.handedOverAt)
+	}
+}
+
+// handOver hands a job over.
+func (d *Dispatcher) handOver(now time.Time, j *job) {
+	j.handedOverAt = now
+	d.handedOver[j.ID] = j
+	d.emit(j.decisionMade(now, DecisionHandedOver{}))
+	d.emit(HandOver{Job: j.Job})
+}
+
+// handOverEnded applies the result of a job that was handed over. One that no other entry has taken is accepted or refused here.
+func (d *Dispatcher) handOverEnded(now time.Time, e HandOverEnded) {
+	j, ok := d.handedOver[e.Job]
+	if !ok {
+		return
+	}
+	delete(d.handedOver, e.Job)
+	switch result := e.Result.(type) {
+	case HandOverAnswered:
+		d.replyHandedOver(now, j, result.Answer)
+	case HandOverLost:
+		d.replyHandedOver(now, j, Interrupted(result))
+	case HandOverRefused:
+		d.acceptHere(now, j, d.ownRefusalReason(now, j))
+	}
+}
+
+// replyHandedOver answers the waiters of a job that was handed over.
+func (d *Dispatcher) replyHandedOver(now time.Time, j *job, answer Answer) {
+	d.emit(Reply{Waiters: j.waiters, Answer: answer})
+	d.emit(j.decisionMade(now, DecisionHandOverEnded{Answer: answer, Entry: j.takenBy}))
+}
+
+// withdraw ends a job that was handed over, because its callers have left or its time is over.
+func (d *Dispatcher) withdraw(j *job) {
+	delete(d.handedOver, j.ID)
+	d.emit(WithdrawHandOver{Job: j.ID})
+}
+
+// expireHandedOver ends the jobs that were handed over and are not answered before their callers' time is over or the entry stops.
+func (d *Dispatcher) expireHandedOver(now time.Time) {
+	for _, j := range jobsByArrival(d.handedOver) {
+		switch {
+		case j.RemainingTime > 0 && now.After(j.expiresAt()):
+			d.replyHandedOver(now, j, Interrupted{Reason: "the job's time is over"})
+		case d.isShuttingDown() && now.After(d.shutdownAt):
+			d.replyHandedOver(now, j, Interrupted{Reason: "the entry stops"})
+		default:
+			continue
+		}
+		d.withdraw(j)
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -25,6 +25,10 @@
 	Received time.Time
 	// RemainingTime is how long the caller still waited at Received, zero if it did not say.
 	RemainingTime time.Duration
+	// IsHandedOver is set if another entry has handed the job over, so it is not handed over again.
+	IsHandedOver bool
+	// Zone is the availability zone of the caller if that is not the entry's own, empty otherwise.
+	Zone string
 	// Payload is passed to every task.
 	Payload string
 	Steps   []Step
@@ -92,6 +96,10 @@
 	reservation reservation
 	// begun is set once a task may have run.
 	begun bool
+	// handedOverAt is when the job was handed over to another entry. isTaken is set once that has taken it, and takenBy is its name.
+	handedOverAt time.Time
+	isTaken      bool
+	takenBy      string
 	// everSent is set once a task was sent to an agent.
 	everSent bool
 }
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -66,6 +66,8 @@
 	// evacuating draws the operators' changes of the availability zones and the way of their news; nil for none. It is a source of
 	// its own, so that the schedule of a seed is the same without them.
 	evacuating *rand.Rand
+	// other is the entry to which jobs are handed over, nil if none are.
+	other *otherEntry
 	// history are all changes in order, and told what the dispatcher has been told of.
 	history []evacuation.Change
 	told    evacuation.State
@@ -134,6 +136,10 @@
 			s.answerOffer(e)
 		case CloseAgent:
 			s.closeAgent(e)
+		case HandOver:
+			s.other.take(e.Job)
+		case WithdrawHandOver:
+			s.other.withdraw(e.Job)
 		case Reply:
 			s.reply(e)
 		}
@@ -220,6 +226,9 @@
 	if until, ok := s.ghosts[e.Task.Name]; ok && s.now.Before(until) {
 		s.t.Fatalf("%s was sent to %s although a run of an ended session may continue for %s", e.Task.Name, e.Agent, until.Sub(s.now))
 	}
+	if s.other != nil && s.other.has(jobOf(e.Task.Name)) {
+		s.t.Fatalf("%s was sent to %s while another entry has its job", e.Task.Name, e.Agent)
+	}
 	a := s.agent(e.Agent)
 	if !a.up {
 		s.t.Fatalf("%s was sent to %s, which has no session", e.Task.Name, e.Agent)
@@ -394,6 +403,9 @@
 		if s.evacuating != nil {
 			s.evacuate()
 		}
+		if s.other != nil {
+			s.other.act()
+		}
 		s.handle(Ticked{})
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
+	"sailhead/internal/handover"
 	"sailhead/internal/logging"
 	"sailhead/internal/metric"
 	"sailhead/internal/session"
@@ -40,6 +41,8 @@
 	Jobs int
 	// ContainKinds is set if kinds of which jobs crash workers are confined to some workers.
 	ContainKinds bool
+	// HandOver is set if jobs are handed over to other entries when this one does not keep up or stops.
+	HandOver bool
 	// Durable is the store of the durable jobs, StoreWrites the store's rate of writes a second for all entries together.
 	Durable     DurableStore
 	StoreWrites int
@@ -90,6 +93,8 @@
 	surrenderWaiters *waiters[durable.Waiter, durable.SurrenderReply]
 
 	sessions *sessionTable
+	// handOvers carries jobs to other entries.
+	handOvers *handover.Sender
 	// traffic counts the messages of all sessions.
 	traffic *session.Traffic
 	choice  *agentChoice
@@ -145,9 +150,11 @@
 		idleAgents:       make(chan dispatch.AgentID, idleAgentsRing),
 	}
 	e.decider = &decider{
-		dispatcher:  dispatch.New(dispatch.Limits{Jobs: settings.Jobs, NoContainment: !settings.ContainKinds}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		dispatcher:  newDispatcher(settings),
 		coordinator: e.newCoordinator(), now: clock.Now, perform: e.perform,
 	}
+	handOvers, closeHandOvers := handover.NewSender(settings.Zone, e.handOverPeers, e)
+	e.handOvers = handOvers
 	e.SetSeeds(settings.Seeds)
 	exchanger, closeExchanger := cluster.NewExchanger(e.directory, e)
 	e.exchanger = exchanger
@@ -162,6 +169,13 @@
 		stopServing()
 		closeExchanger()
 		closePeers()
+		closeHandOvers()
 		e.duties.Wait()
 	}
 }
+
+// newDispatcher returns the dispatcher of an entry.
+func newDispatcher(settings Settings) *dispatch.Dispatcher {
+	limits := dispatch.Limits{Jobs: settings.Jobs, NoContainment: !settings.ContainKinds, HandOver: settings.HandOver}
+	return dispatch.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -84,8 +84,12 @@
 // do not crowd out the rest.
 func (e *Entry) loggerFor(decision dispatch.Decision) log.Logger {
 	switch decision := decision.(type) {
-	case dispatch.DecisionAccepted, dispatch.DecisionPlaced:
+	case dispatch.DecisionAccepted, dispatch.DecisionPlaced, dispatch.DecisionHandedOver:
 		return level.Debug(e.logger)
+	case dispatch.DecisionHandOverEnded:
+		if _, isCompleted := decision.Answer.(dispatch.Completed); isCompleted {
+			return e.successes
+		}
 	case dispatch.DecisionEnded:
 		if decision.Outcome == runner.OutcomeDone && decision.Reason == "" {
 			return level.Debug(e.logger)
@@ -103,6 +107,10 @@
 	switch decision.(type) {
 	case dispatch.DecisionAccepted:
 		return "taken"
+	case dispatch.DecisionHandedOver:
+		return "handed_over"
+	case dispatch.DecisionHandOverEnded:
+		return "hand_over_ended"
 	case dispatch.DecisionJoined:
 		return "joined"
 	case dispatch.DecisionPlaced:
@@ -162,6 +170,8 @@
 		return fmt.Sprintf("starts are counted after %s at the earliest", d.CountTime.Round(time.Millisecond))
 	case dispatch.DecisionAnswered:
 		return describeAnswer(d)
+	case dispatch.DecisionHandOverEnded:
+		return fmt.Sprintf("%s entry=%s", describeAnswer(dispatch.DecisionAnswered{Answer: d.Answer}), d.Entry)
 	case dispatch.DecisionWorker:
 		return d.Incarnation.String()
 	case dispatch.DecisionAccepts:
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -141,6 +141,10 @@
 		e.onSession(effect.Agent, func(agent *session.AgentConn) { agent.AnswerOffer(effect.Offer) })
 	case dispatch.CloseAgent:
 		e.agentIdle(effect.Agent)
+	case dispatch.HandOver:
+		e.handOver(effect.Job)
+	case dispatch.WithdrawHandOver:
+		e.handOvers.Withdraw(effect.Job)
 	case dispatch.SpreadCrash:
 		e.directory.AddCrash(clock.Now(), cluster.Crash{Agent: string(effect.Agent), Crash: effect.Crash})
 	case dispatch.DecisionMade:
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -15,6 +15,7 @@
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
+	"sailhead/internal/handover"
 	"sailhead/internal/timing"
 )
 
@@ -24,11 +25,12 @@
 	idleTimeout   = time.Minute
 )
 
-// servePeers serves other entries and agents: exchanges, announcements and requests to owners of shards. The clean-up
+// servePeers serves other entries and agents: exchanges, announcements, requests to owners of shards and jobs that are handed over. The clean-up
 // closes the listener and all connections.
-func servePeers(listener net.Listener, exchanger *cluster.Exchanger, local durable.LocalCoordinator) func() {
+func servePeers(listener net.Listener, exchanger *cluster.Exchanger, local *Entry) func() {
 	mux := http.NewServeMux()
 	mux.Handle(durable.PathPrefix, durable.NewServer(local))
+	mux.Handle(handover.Path, handover.NewServer(local))
 	mux.Handle("/", exchanger.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	// Serve only returns when the listener is closed, which the clean-up does.
--- /dev/null
+++ b/internal/handover/convert.go
@@ -0,0 +1,83 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package handover
+
+import (
+	"math"
+	"time"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/durable"
+	"sailhead/internal/handover/handoverpb"
+)
+
+// hundred converts a weight to and from the hundredths on the wire.
+const hundred = 100
+
+func millis(d time.Duration) uint32 {
+	return uint32(max(0, min(d.Milliseconds(), math.MaxUint32)))
+}
+
+func duration(millis uint32) time.Duration { return time.Duration(millis) * time.Millisecond }
+
+// packJob returns a job as it is on the wire at a time. The caller's zone is that of the sender unless the job names one.
+func packJob(now time.Time, number uint64, zone string, job dispatch.Job) *handoverpb.FromSender {
+	if job.Zone != "" {
+		zone = job.Zone
+	}
+	packed := &handoverpb.Job{
+		Number: number, Job: durable.PackJob(job), RemainingMs: millis(job.RemainingTime), Zone: zone,
+		TimeoutMs: millis(job.Kind.Timeout), Weight: uint32(math.Round(job.Kind.Weight * hundred)),
+	}
+	if !job.Received.IsZero() {
+		packed.AgeMs = millis(now.Sub(job.Received))
+	}
+	return &handoverpb.FromSender{Message: &handoverpb.FromSender_Job{Job: packed}}
+}
+
+// unpackJob returns a job that arrived at a time.
+func unpackJob(now time.Time, packed *handoverpb.Job) dispatch.Job {
+	job := durable.UnpackJob(packed.Job)
+	job.IsHandedOver = true
+	job.Received = now.Add(-duration(packed.AgeMs))
+	job.RemainingTime = duration(packed.RemainingMs)
+	job.Zone = packed.Zone
+	job.Kind.Timeout = duration(packed.TimeoutMs)
+	job.Kind.Weight = float64(packed.Weight) / hundred
+	return job
+}
+
+func packAnswer(number uint64, answer dispatch.Answer) *handoverpb.FromReceiver {
+	packed := &handoverpb.Answer{Number: number}
+	switch a := answer.(type) {
+	case dispatch.Completed:
+		packed.Outcome = handoverpb.Outcome_OUTCOME_COMPLETED
+	case dispatch.Failed:
+		packed.Outcome, packed.Reason = handoverpb.Outcome_OUTCOME_FAILED, a.Reason
+	case dispatch.NotRun:
+		packed.Outcome, packed.Reason, packed.RetryAfterMs = handoverpb.Outcome_OUTCOME_NOT_RUN, a.Reason, millis(a.RetryAfter)
+		if a.IsElsewhere {
+			packed.Outcome = handoverpb.Outcome_OUTCOME_REFUSED
+		}
+	case dispatch.Interrupted:
+		packed.Outcome, packed.Reason = handoverpb.Outcome_OUTCOME_INTERRUPTED, a.Reason
+	}
+	return &handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Answer{Answer: packed}}
+}
+
+// unpackAnswer returns the result of a job. An outcome that this version does not know says nothing of what has run.
+func unpackAnswer(packed *handoverpb.Answer) dispatch.HandOverResult {
+	switch packed.Outcome {
+	case handoverpb.Outcome_OUTCOME_COMPLETED:
+		return dispatch.HandOverAnswered{Answer: dispatch.Completed{}}
+	case handoverpb.Outcome_OUTCOME_FAILED:
+		return dispatch.HandOverAnswered{Answer: dispatch.Failed{Reason: packed.Reason}}
+	case handoverpb.Outcome_OUTCOME_NOT_RUN:
+		return dispatch.HandOverAnswered{Answer: dispatch.NotRun{Reason: packed.Reason, RetryAfter: duration(packed.RetryAfterMs)}}
+	case handoverpb.Outcome_OUTCOME_REFUSED:
+		return dispatch.HandOverRefused{Reason: packed.Reason}
+	default:
+		return dispatch.HandOverAnswered{Answer: dispatch.Interrupted{Reason: packed.Reason}}
+	}
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,315 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package handover
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"sailhead/internal/clock"
+	"sailhead/internal/dispatch"
+	"sailhead/internal/timing"
+	"sailhead/internal/worker"
+)
+
+// fakeEntry is an entry that takes jobs. Each waits in submitted until the test answers it, or its context ends.
+type fakeEntry struct {
+	submitted chan *submission
+}
+
+type submission struct {
+	job    dispatch.Job
+	ctx    context.Context
+	answer chan dispatch.Answer
+}
+
+func (f *fakeEntry) Submit(ctx context.Context, job dispatch.Job) dispatch.Answer {
+	s := &submission{job: job, ctx: ctx, answer: make(chan dispatch.Answer, 1)}
+	f.submitted <- s
+	select {
+	case answer := <-s.answer:
+		return answer
+	case <-ctx.Done():
+		return dispatch.Interrupted{Reason: "the caller has left"}
+	}
+}
+
+// outcome is what a sender reports of a job. The result is nil for the report that the job was taken.
+type outcome struct {
+	job, entry string
+	result     dispatch.HandOverResult
+}
+
+// recorder keeps the reports of a sender.
+type recorder struct{ outcomes chan outcome }
+
+func (r *recorder) HandOverTaken(job, entry string) { r.outcomes <- outcome{job: job, entry: entry} }
+
+func (r *recorder) HandOverEnded(job string, result dispatch.HandOverResult) {
+	r.outcomes <- outcome{job: job, result: result}
+}
+
+// rig is a sender and one or more other entries.
+type rig struct {
+	t       *testing.T
+	sender  *Sender
+	reports *recorder
+}
+
+// newRig returns a sender whose peers are at the addresses, with a connection to one of them.
+func newRig(t *testing.T, addresses ...string) *rig {
+	var peers []Peer
+	for i, address := range addresses {
+		peers = append(peers, Peer{Name: fmt.Sprintf("entry-%d", i), Address: address})
+	}
+	r := &rig{t: t, reports: &recorder{outcomes: make(chan outcome, 100)}}
+	sender, closeSender := NewSender("zone-a", func() []Peer { return append([]Peer(nil), peers...) }, r.reports)
+	t.Cleanup(closeSender)
+	r.sender = sender
+	return r
+}
+
+// serve serves an entry and returns its address and a function that ends all its connections.
+func serve(t *testing.T, local Local) (address string, kill func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var open []net.Conn
+	server := &http.Server{
+		Handler: NewServer(local),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				mu.Lock()
+				open = append(open, c)
+				mu.Unlock()
+			}
+		},
+	}
+	go func() { _ = server.Serve(listener) }()
+	kill = func() {
+		_ = server.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			_ = c.Close()
+		}
+	}
+	t.Cleanup(kill)
+	return listener.Addr().String(), kill
+}
+
+func job(id string) dispatch.Job {
+	return dispatch.Job{
+		ID: id, Payload: "p", Received: clock.Now().Add(-30 * time.Millisecond), RemainingTime: 2 * time.Second,
+		Kind: dispatch.Kind{
+			Name: "k", Service: "s", Priority: 2, Weight: 1.5, Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond, Timeout: time.Second,
+		},
+		Steps: []dispatch.Step{{Count: 4, Needs: worker.Resources{CPU: 3300, Memory: 64}, Expected: 900 * time.Millisecond, Rack: "r1"}},
+	}
+}
+
+// longest is how long the tests wait for what must happen.
+const longest = 10 * time.Second
+
+// handOver hands a job over as soon as a connection is open.
+func (r *rig) handOver(j dispatch.Job) {
+	r.t.Helper()
+	for end := time.Now().Add(longest); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if r.sender.HandOver(j) {
+			return
+		}
+	}
+	r.t.Fatalf("nobody takes the job %s", j.ID)
+}
+
+func next[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case item := <-from:
+		return item
+	case <-time.After(longest):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+func TestAJobArrivesUnchangedAndIsAnswered(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	address, _ := serve(t, local)
+	r := newRig(t, address)
+	sent := job("a")
+	r.handOver(sent)
+	s := next(t, local.submitted)
+	if off := s.job.Received.Sub(sent.Received); off < -2*time.Millisecond || off > longest {
+		t.Errorf("the job was received %s later", off)
+	}
+	want := sent
+	want.Received, want.IsHandedOver, want.Zone = s.job.Received, true, "zone-a"
+	if !reflect.DeepEqual(s.job, want) {
+		t.Errorf("got %+v, want %+v", s.job, want)
+	}
+	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", entry: "entry-0"}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	for _, answer := range []dispatch.Answer{
+		dispatch.Completed{}, dispatch.Failed{Reason: "f"}, dispatch.NotRun{Reason: "n", RetryAfter: 3 * time.Second}, dispatch.Interrupted{Reason: "i"},
+	} {
+		s.answer <- answer
+		got, want := next(t, r.reports.outcomes), outcome{job: s.job.ID, result: dispatch.HandOverAnswered{Answer: answer}}
+		if got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+		r.handOver(job(s.job.ID + "a"))
+		s = next(t, local.submitted)
+		next(t, r.reports.outcomes)
+	}
+}
+
+func TestAnEntryThatRefusedGetsNoJobsForSomeTime(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	address, _ := serve(t, local)
+	r := newRig(t, address)
+	r.handOver(job("a"))
+	next(t, r.reports.outcomes)
+	next(t, local.submitted).answer <- dispatch.NotRun{Reason: "late", RetryAfter: time.Second, IsElsewhere: true}
+	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", result: dispatch.HandOverRefused{Reason: "late"}}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if r.sender.HandOver(job("b")) {
+		t.Error("a job was handed over to an entry that has just refused one")
+	}
+	r.handOver(job("c"))
+}
+
+func TestAWithdrawnJobIsDropped(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	address, _ := serve(t, local)
+	r := newRig(t, address)
+	r.handOver(job("a"))
+	s := next(t, local.submitted)
+	r.sender.Withdraw("a")
+	next(t, s.ctx.Done())
+	if !r.sender.HandOver(job("a")) {
+		t.Error("the job cannot be handed over again")
+	}
+}
+
+// TestTheJobsOfAnEntryThatDiesAreLost kills the entry that has a job: it may have run.
+func TestTheJobsOfAnEntryThatDiesAreLost(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	address, kill := serve(t, local)
+	r := newRig(t, address)
+	r.handOver(job("a"))
+	next(t, r.reports.outcomes)
+	s := next(t, local.submitted)
+	kill()
+	got := next(t, r.reports.outcomes)
+	if _, isLost := got.result.(dispatch.HandOverLost); got.job != "a" || !isLost {
+		t.Errorf("got %+v, want a lost job", got)
+	}
+	next(t, s.ctx.Done())
+	if r.sender.HandOver(job("b")) {
+		t.Error("a job was handed over to an entry that is gone")
+	}
+}
+
+// proxy forwards the bytes of one connection, in both directions, until it is told to be silent.
+func proxy(t *testing.T, to string) (address string, silence func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	silent := make(chan struct{})
+	copyBytes := func(from, to net.Conn) {
+		buffer := make([]byte, 4096)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			select {
+			case <-silent:
+				// The bytes are lost, and the connection stays open.
+				_, _ = io.Copy(io.Discard, from)
+				return
+			default:
+				_, _ = to.Write(buffer[:n])
+			}
+		}
+	}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = in.Close()
+				return
+			}
+			go copyBytes(in, out)
+			go copyBytes(out, in)
+		}
+	}()
+	return listener.Addr().String(), func() { close(silent) }
+}
+
+// TestBothEndsNoticeAConnectionThatFellSilent cuts a connection without a reset while a job is under way. The other entry drops the job, and the
+// sender reports it as lost, before the caller comes again.
+func TestBothEndsNoticeAConnectionThatFellSilent(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	address, _ := serve(t, local)
+	through, silence := proxy(t, address)
+	r := newRig(t, through)
+	r.handOver(job("a"))
+	next(t, r.reports.outcomes)
+	s := next(t, local.submitted)
+	time.Sleep(2 * timing.CloseAfter)
+	if s.ctx.Err() != nil {
+		t.Fatal("the job was dropped while both ends were alive")
+	}
+	silence()
+	silenced := time.Now()
+	next(t, s.ctx.Done())
+	got := next(t, r.reports.outcomes)
+	if _, isLost := got.result.(dispatch.HandOverLost); !isLost {
+		t.Errorf("got %+v, want a lost job", got)
+	}
+	t.Logf("noticed after %s", time.Since(silenced))
+}
+
+// TestARunOfALostEntryEndsBeforeItsCallerComesAgain adds up the times until the receiver of a job stops its runs.
+func TestARunOfALostEntryEndsBeforeItsCallerComesAgain(t *testing.T) {
+	if noticed := timing.CloseAfter + pingInterval; noticed+timing.StopTime >= timing.CallerRetryAfter {
+		t.Errorf("silence is noticed after %s, and callers come again after %s", noticed, timing.CallerRetryAfter)
+	}
+}
+
+func TestChoosesTheEntryWithFewerJobs(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	candidates := []candidate{{jobs: 5}, {jobs: 1, refused: now.Add(-refusalBackoff / 2)}, {jobs: 3, refused: now.Add(-refusalBackoff)}}
+	draws := []int{0, 1}
+	draw := func(int) int {
+		drawn := draws[0]
+		draws = draws[1:]
+		return drawn
+	}
+	if got, ok := choose(now, candidates, draw); !ok || got != 2 {
+		t.Errorf("got %d %t, want 2", got, ok)
+	}
+	if got, ok := choose(now, candidates[1:2], draw); ok {
+		t.Errorf("got %d, want none", got)
+	}
+}
--- /dev/null
+++ b/internal/handover/server.go
@@ -0,0 +1,159 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package handover
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sailhead/internal/clock"
+	"sailhead/internal/dispatch"
+	"sailhead/internal/handover/handoverpb"
+	"sailhead/internal/stream"
+)
+
+const (
+	// Path is where a connection is opened, and protocol what it changes to.
+	Path     = "/handover"
+	protocol = "sailhead-handover"
+)
+
+// Local is the entry to which a server submits the jobs of others.
+type Local interface {
+	// Submit returns the final answer to a job. If the context ends first, the job is dropped.
+	Submit(ctx context.Context, job dispatch.Job) dispatch.Answer
+}
+
+// Server takes jobs from other entries.
+type Server struct {
+	local Local
+}
+
+// NewServer returns a server that submits jobs to the local entry. It serves Path.
+func NewServer(local Local) *Server { return &Server{local: local} }
+
+// ServeHTTP changes the protocol of a connection and serves it in another goroutine until it ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Upgrade") != protocol {
+		http.Error(w, "use the protocol "+protocol, http.StatusUpgradeRequired)
+		return
+	}
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		http.Error(w, "the connection cannot change its protocol", http.StatusInternalServerError)
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		http.Error(w, "the connection cannot change its protocol", http.StatusInternalServerError)
+		return
+	}
+	if err := acceptProtocol(conn); err != nil {
+		// The peer is gone, and it learns as much from the end of the connection.
+		_ = conn.Close()
+		return
+	}
+	go s.serve(conn)
+}
+
+// acceptProtocol tells the peer that the protocol changes, and removes the deadlines of the HTTP server.
+func acceptProtocol(conn net.Conn) error {
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	_, err := conn.Write([]byte("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"))
+	return err
+}
+
+// receiving is a connection on which jobs come.
+type receiving struct {
+	local  Local
+	conn   *stream.Connection
+	alive  liveness
+	ctx    context.Context
+	mu     sync.Mutex
+	cancel map[uint64]context.CancelFunc
+}
+
+// serve takes jobs until the connection ends, and drops those that are under way then.
+func (s *Server) serve(conn net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := &receiving{local: s.local, conn: stream.New(conn, uncounted{}), ctx: ctx, cancel: make(map[uint64]context.CancelFunc)}
+	go watch(r.conn, &r.alive, &handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Ping{Ping: &handoverpb.Ping{}}})
+	// Why the connection has ended is known to the sender, which logs it.
+	_ = stream.Read(r.conn, r.handle)
+}
+
+// handle applies a message of the sender. Messages that this version does not know are ignored.
+func (r *receiving) handle(m *handoverpb.FromSender) {
+	r.alive.received(clock.Now())
+	switch message := m.Message.(type) {
+	case *handoverpb.FromSender_Job:
+		r.take(message.Job)
+	case *handoverpb.FromSender_Withdrawal:
+		r.end(message.Withdrawal.Number)
+	}
+}
+
+// take submits a job and sends its answer when there is one.
+func (r *receiving) take(packed *handoverpb.Job) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.mu.Lock()
+	r.cancel[packed.Number] = cancel
+	r.mu.Unlock()
+	r.alive.began(clock.Now())
+	r.conn.Send(&handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Taken{Taken: &handoverpb.Taken{Number: packed.Number}}})
+	job := unpackJob(clock.Now(), packed)
+	go func() {
+		answer := r.local.Submit(ctx, job)
+		if ctx.Err() == nil {
+			r.conn.Send(packAnswer(packed.Number, answer))
+		}
+		r.end(packed.Number)
+	}()
+}
+
+// end ends a job. It does nothing if the job has ended.
+func (r *receiving) end(number uint64) {
+	r.mu.Lock()
+	cancel, ok := r.cancel[number]
+	delete(r.cancel, number)
+	r.mu.Unlock()
+	if ok {
+		cancel()
+		r.alive.ended()
+	}
+}
+
+// watch pings while jobs are under way on a connection, closes it if its peer is silent, and returns once it has ended.
+func watch(conn *stream.Connection, alive *liveness, ping proto.Message) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.Closed():
+			return
+		case <-ticker.C:
+		}
+		isActive, isSilent := alive.check(clock.Now())
+		switch {
+		case isSilent:
+			conn.Close(errSilent)
+		case isActive:
+			conn.Send(ping)
+		}
+	}
+}
+
+// uncounted is a counter of connections whose messages are not counted.
+type uncounted struct{}
+
+func (uncounted) Sent(proto.Message, int)     {}
+func (uncounted) Received(proto.Message, int) {}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -45,6 +45,9 @@
 	KindsContained   = "kinds_contained"
 	Containments     = "containments"
 	IsLimited        = "is_limited"
+	JobsHandedOver   = "jobs_handed_over"
+	HandOversRefused = "hand_overs_refused"
+	HandOversLost    = "hand_overs_lost"
 	UnreadablePrefix = "unreadable_"
 	// SessionSent and SessionReceived show messages and bytes by the kind of message.
 	SessionSent     = "session_sent"
--- a/internal/overload/link_test.go
+++ b/internal/overload/link_test.go
@@ -51,9 +51,9 @@
 
 // playSmallEntry lets one of eight entries, which has a link of 3 Mbit/s, get some jobs a second for five seconds, and few after that. The
 // others have room, and so have the workers.
-func playSmallEntry(seed uint64, jobsPerSecond float64) smallEntry {
+func playSmallEntry(seed uint64, jobsPerSecond float64, options ...func(*site)) smallEntry {
 	const few, most, pause, rest = 15, 5 * time.Second, 2 * time.Second, 5 * time.Second
-	s := newSite(seed, 8, 48, 48)
+	s := newSite(seed, 8, 48, 48, options...)
 	small := s.entries[0]
 	small.in.bytesPerSecond, small.out.bytesPerSecond = 375_000, 375_000
 	for _, e := range s.entries[1:] {
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -75,6 +75,8 @@
 	runTimes map[string]time.Duration
 	// onStart is called after each start that a worker has accepted, unless it is nil.
 	onStart func(w *fakeWorker, task string)
+	// limits are those of all entries.
+	limits dispatch.Limits
 	// lastSession is the ID of the session that was opened last.
 	lastSession runner.SessionID
 }
@@ -99,12 +101,16 @@
 }
 
 // newSite returns a site on which each entry has sessions with a subset of the agents, and lets it run until all workers
-// accept tasks.
-func newSite(seed uint64, entries, agents, subsetSize int) *site {
+// accept tasks. options may change it before that.
+func newSite(seed uint64, entries, agents, subsetSize int, options ...func(*site)) *site {
 	s := &site{
 		now: origin, random: rand.New(rand.NewPCG(seed, 1)), agents: make(map[dispatch.AgentID]*agent),
 		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration),
 		starts: make(map[string]int), crashes: make(map[string]int), startsAtThird: make(map[string]int),
+		limits: dispatch.Limits{Jobs: 2000, NoContainment: *noContainment},
+	}
+	for _, option := range options {
+		option(s)
 	}
 	s.build(entries, agents, subsetSize, func(int, *agent) {})
 	return s
@@ -246,7 +252,7 @@
 func (s *site) addEntry(number int) *entry {
 	e := &entry{
 		site: s, name: fmt.Sprintf("entry-%d", number), zone: zones[number%len(zones)],
-		dispatcher: dispatch.New(dispatch.Limits{Jobs: 2000, NoContainment: *noContainment}, rand.New(rand.NewPCG(s.random.Uint64(), 1))),
+		dispatcher: dispatch.New(s.limits, rand.New(rand.NewPCG(s.random.Uint64(), 1))),
 		answered:   make(map[dispatch.Waiter]func(dispatch.Answer)),
 		sessions:   make(map[dispatch.AgentID]runner.SessionID), in: &link{}, out: &link{}, payloads: make(map[dispatch.AgentID]string),
 	}
@@ -315,6 +321,9 @@
 		e.send(f.Agent, runner.ReservationRequested{Session: e.sessions[f.Agent], Reservation: f.Reservation})
 	case dispatch.AnswerOffer:
 		e.send(f.Agent, runner.OfferAnswered{Session: e.sessions[f.Agent], Offer: f.Offer})
+	case dispatch.HandOver:
+		e.handOver(f.Job)
+	case dispatch.WithdrawHandOver:
 	case dispatch.SpreadCrash:
 		e.crashes = append(e.crashes, dispatch.WorkerCrashed(f))
 	case dispatch.Reply:
--- a/internal/settings/option.go
+++ b/internal/settings/option.go
@@ -30,10 +30,10 @@
 	value func(*Settings) any
 }
 
-// The values of the option contain_kinds.
+// The values of options that turn something on or off.
 const (
-	ContainYes = "yes"
-	ContainNo  = "no"
+	Yes = "yes"
+	No  = "no"
 )
 
 // Groups of roles that have an option in common.
@@ -164,8 +164,11 @@
 		{Name: "store_writes", Help: "Writes to the platform's store that all entries together may make in a second.", Roles: platformEntries, Default: 400, Min: 1, Max: 1_000_000,
 			value: func(s *Settings) any { return &s.StoreWrites }},
 		{Name: "contain_kinds", Help: "Whether a kind of which jobs crash workers is confined to some workers.", Roles: platformEntries,
-			Default: ContainYes, Choices: []string{ContainYes, ContainNo},
+			Default: Yes, Choices: []string{Yes, No},
 			value: func(s *Settings) any { return &s.ContainKinds }},
+		{Name: "hand_over", Help: "Whether jobs are handed over to other entries while this one does not keep up or stops.", Roles: platformEntries,
+			Default: Yes, Choices: []string{Yes, No},
+			value: func(s *Settings) any { return &s.HandOver }},
 		{Name: "heartbeat_address", Help: "Address at which the worker beside the agent reports.", Roles: platformAgents, IsRequired: true, Default: Address(""),
 			value: func(s *Settings) any { return &s.HeartbeatAddress }},
 		{Name: "hold_time", Help: "Longest lease that the worker grants.", Roles: platformAgents,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,8 +103,9 @@
 	MetricsAddress   Address
 	Jobs             int
 	StoreWrites      int
-	// ContainKinds is ContainYes or ContainNo.
+	// ContainKinds and HandOver are Yes or No.
 	ContainKinds string
+	HandOver     string
 	// MaxWorkerLease is the option hold_time.
 	MaxWorkerLease time.Duration
 	StopTime       time.Duration
