overload: a seed repeats itself

TestJobsOutliveWorkersThatAreKilled drew the times of its kills agent by agent in the order of a map, so its seeds showed nothing again. They are drawn in the order of the agents' names; listings of the workers of the test and the sum over kinds of containment.shareOf have an order too. The test names the seed and the crashes of each job that is given up. Its check, bound and seeds are as they were.

Other maps that packages dispatch and runner iterate over were read: sums of integers, deletions and searches for any match, whose order shows in nothing.

--- a/internal/dispatch/kinds.go
+++ b/internal/dispatch/kinds.go
@@ -153,7 +153,9 @@
 // shareOf returns the part, 0 to 1, that a kind has of the work that callers submitted lately; 1 if there was none.
 func (c *containment) shareOf(now time.Time, k *kindRecord) float64 {
 	var all work
-	for _, each := range c.kinds {
+	// In the order of the names, as the sum depends on the order.
+	for _, name := range slices.Sorted(maps.Keys(c.kinds)) {
+		each := c.kinds[name]
 		each.arrivals.decay(now, arrivalWindow)
 		all += each.arrivals.sum
 	}
--- a/internal/overload/crash_test.go
+++ b/internal/overload/crash_test.go
@@ -147,13 +147,10 @@
 			var sum counts
 			kills := 0
 			for seed := range max(*crashSeeds, minKillSeeds) {
-				s := newSite(seed+1, 12, 48, 48)
-				for _, a := range s.agents {
-					s.killAgain(a.worker, test.every)
+				s, traffic := playKills(seed+1, test.every)
+				for _, made := range s.givenUp {
+					t.Logf("seed %d: %s is given up: %+v", seed+1, made.Task, made.Decision)
 				}
-				traffic := &traffic{site: s, load: 0.5}
-				traffic.start(10 * time.Second)
-				s.run(14 * time.Second)
 				sum, kills = sum.plus(traffic.counts), kills+s.allCrashes
 			}
 			givenUp := float64(sum.givenUp) / float64(sum.submitted)
@@ -166,9 +163,26 @@
 }
 
 // minKillSeeds is the least number of seeds. The bounds are shares of all jobs, and one seed has 1,720 of them: a few more or less that are
-// given up, as the order of the agents in maps has it, would decide.
+// given up would decide.
 const minKillSeeds = 6
 
+// playKills lets traffic run for 10 s on a site whose workers are killed, and returns both when nearly all jobs have ended.
+func playKills(seed uint64, every time.Duration) (*site, *traffic) {
+	s := newSite(seed, 12, 48, 48)
+	s.killWorkers(every)
+	traffic := &traffic{site: s, load: 0.5}
+	traffic.start(10 * time.Second)
+	s.run(14 * time.Second)
+	return s, traffic
+}
+
+// killWorkers crashes each worker at random times.
+func (s *site) killWorkers(every time.Duration) {
+	for _, a := range s.agentsInOrder() {
+		s.killAgain(a.worker, every)
+	}
+}
+
 // killAgain crashes a worker at random times.
 func (s *site) killAgain(w *fakeWorker, every time.Duration) {
 	s.after(time.Duration(s.random.ExpFloat64()*float64(every)), func() {
--- /dev/null
+++ b/internal/overload/seed_test.go
@@ -0,0 +1,50 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// acceptedStart is a start that a worker has accepted.
+type acceptedStart struct {
+	at           time.Time
+	worker, task string
+}
+
+// playTroubles lets jobs that crash workers run beside others on a site whose workers are also killed and whose entries exchange crashes, and
+// returns all starts in their order.
+func playTroubles(seed uint64) []acceptedStart {
+	var starts []acceptedStart
+	s := newSite(seed, 12, 48, 32)
+	s.onStart = func(w *fakeWorker, task string) {
+		starts = append(starts, acceptedStart{at: s.now, worker: w.id, task: task})
+	}
+	for _, e := range s.entries {
+		s.every(450*time.Millisecond, e.exchange)
+	}
+	s.killWorkers(4 * time.Second)
+	traffic := &traffic{site: s, load: 0.9, crashing: 0.1, crashingKind: "lookup"}
+	traffic.start(5 * time.Second)
+	s.run(6 * time.Second)
+	return starts
+}
+
+// TestASeedRepeatsItself plays one seed twice: what it has shown, it shows again.
+func TestASeedRepeatsItself(t *testing.T) {
+	first, again := playTroubles(1), playTroubles(1)
+	if len(first) == 0 {
+		t.Fatal("nothing was started")
+	}
+	for i, start := range first[:min(len(first), len(again))] {
+		if start != again[i] {
+			t.Fatalf("start %d of %d differs: %v, then %v", i, len(first), start, again[i])
+		}
+	}
+	if !slices.Equal(first, again) {
+		t.Fatalf("%d starts, then %d", len(first), len(again))
+	}
+}
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -75,6 +75,8 @@
 	runTimes map[string]time.Duration
 	// onStart is called after each start that a worker has accepted, unless it is nil.
 	onStart func(w *fakeWorker, task string)
+	// givenUp are the decisions to give a job up, in their order.
+	givenUp []dispatch.DecisionMade
 	// lastSession is the ID of the session that was opened last.
 	lastSession runner.SessionID
 }
@@ -87,6 +89,13 @@
 	}
 }
 
+// noteDecision keeps a decision to give a job up.
+func (s *site) noteDecision(made dispatch.DecisionMade) {
+	if _, isGivenUp := made.Decision.(dispatch.DecisionGivenUp); isGivenUp {
+		s.givenUp = append(s.givenUp, made)
+	}
+}
+
 // crashed counts the crash of a worker under its runs.
 func (s *site) crashed(running map[string]fakeRun) {
 	s.allCrashes++
@@ -302,6 +311,8 @@
 		e.send(f.Agent, runner.ReservationRequested{Session: e.sessions[f.Agent], Reservation: f.Reservation})
 	case dispatch.AnswerOffer:
 		e.send(f.Agent, runner.OfferAnswered{Session: e.sessions[f.Agent], Offer: f.Offer})
+	case dispatch.DecisionMade:
+		e.site.noteDecision(f)
 	case dispatch.SpreadCrash:
 		e.crashes = append(e.crashes, dispatch.WorkerCrashed(f))
 	case dispatch.Reply:
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -188,7 +190,8 @@
 
 func (w *fakeWorker) list() worker.Listing {
 	listing := worker.Listing{Reply: w.reply(), Ended: append([]worker.End(nil), w.ends...)}
-	for name, r := range w.running {
+	for _, name := range slices.Sorted(maps.Keys(w.running)) {
+		r := w.running[name]
 		listing.Running = append(listing.Running, worker.Run{Name: name, Run: r.run, Percent: r.percent(w.site.now)})
 	}
 	return listing
