dispatch: two crashes at like ages may be chance while workers are killed

Ruled out: wrong evidence; the order of maps; a smaller tolerance, which only makes it rarer.

While many workers have crashed under tasks that crashed no other one, and few crashes have a known cause, the second crash is not conclusive and a third is needed (crashhistory.go). The tests of the rule failed without it.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -16,8 +16,8 @@
 // agent that comes back describes another incarnation of its worker than before its session was lost.
 //
 // Rule: a task under which a worker has crashed is a suspect until a run of it is done. It is given up with the second crash if its run was
-// the latest on that worker and had lasted about as long as the run at an earlier crash, with the third if it had lasted as long as at two
-// earlier ones, and with the fourth in any case. Crashes under runs that may have ended before, or never begun, do not count for that, but
+// the latest on that worker and had lasted about as long as the run at an earlier crash, unless that may be chance (crashhistory.go), with
+// the third if it had lasted as long as at two earlier ones, and with the fourth in any case. Crashes under runs that may have ended before, or never begun, do not count for that, but
 // the fifth crash of all gives the task up too. A task that is given up does not run again, at this entry or at another one: its job has
 // failed, and fails again when it is submitted.
 //
@@ -32,7 +32,8 @@
 
 const (
 	// maxIsolatedCrashes is how many workers may crash under runs of a task that had lasted about as long, if the last of them was the
-	// latest on its worker, and maxAlikeCrashes how many if it was not, as other runs began there after suspectTime of package runner.
+	// latest on its worker and may not be chance, and maxAlikeCrashes how many otherwise: other runs may have begun there after suspectTime
+	// of package runner.
 	// The users' rules allow to give a task up after two.
 	maxIsolatedCrashes = 2
 	maxAlikeCrashes    = 3
@@ -61,9 +62,12 @@
 // crash on to other entries if it was not known.
 func (d *Dispatcher) workerCrashed(now time.Time, agent AgentID, crash runner.Crash) {
 	isSpread := false
+	d.crashHistory.add(now, agent, crash)
+	mayBeChance := d.crashHistory.mayBeChance(now, d.knownAgents)
 	for _, run := range crash.Runs {
 		counted := Crash{
 			Agent: agent, Incarnation: crash.Incarnation, Run: run.Run, WasRunning: run.WasRunning, IsLatest: run.IsLatest, Age: run.Age,
+			MayBeChance: mayBeChance,
 		}
 		isNew := d.suspects.add(now, run.Task, counted)
 		if isNew && !isSpread {
@@ -73,6 +77,9 @@
 		if !isNew {
 			continue
 		}
+		if isEvidence(run) || d.suspects.hasOneCause(run.Task) {
+			d.crashHistory.noteCaused(agent, crash.Incarnation)
+		}
 		d.countForKind(now.Add(-crash.Age), run)
 		if j, t := d.find(run.Task); t != nil {
 			d.giveUpIfDue(now, j)
--- /dev/null
+++ b/internal/dispatch/crashhistory_test.go
@@ -0,0 +1,110 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// killWorkers lets workers crash under a number of tasks, each under one of its own.
+func killWorkers(d *Dispatcher, now time.Time, count int) {
+	for i := range count {
+		d.Handle(now, crashOf(AgentID(fmt.Sprintf("killed-%d", i)), "w1", fmt.Sprintf("other%d.0.0.0", i)))
+	}
+}
+
+// crashesUntilGivenUp lets workers crash under one task at like ages of its runs until its durable job is given up, and returns how many did.
+func crashesUntilGivenUp(t *testing.T, d *Dispatcher, now time.Time, job string) int {
+	t.Helper()
+	d.Handle(now, durableJob(job, 1))
+	for crashes := 1; crashes <= maxCrashes; crashes++ {
+		agent := AgentID(fmt.Sprintf("%s-%d", job, crashes))
+		if len(givenUp(d.Handle(now, crashOf(agent, "w1", job+".0.0.0")))) > 0 {
+			return crashes
+		}
+	}
+	t.Fatalf("%s is not given up", job)
+	return 0
+}
+
+// TestTwoCrashesMayBeChanceWhileWorkersAreKilled counts how many workers crash under a task before its job is given up, beside workers that
+// crash under tasks which crash no other.
+func TestTwoCrashesMayBeChanceWhileWorkersAreKilled(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		agents       int
+		killed       int
+		passed       time.Duration
+		wantedGiveUp int
+	}{
+		{"none is killed", 20, 0, 0, 2},
+		{"one is killed", 20, 1, 2 * time.Second, 2},
+		{"too many are killed", 20, 2, 2 * time.Second, 3},
+		{"too few of the agents' workers are killed", 21, 2, 2 * time.Second, 2},
+		{"the cause may show yet", 20, 2, settleTime / 2, 2},
+		{"it was long ago", 20, 2, historyTime + time.Second, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, now := newDispatcherWithAgents("a")
+			d.Handle(now, AgentsRegistered{Agents: make([]AgentID, test.agents)})
+			killWorkers(d, now, test.killed)
+			if crashes := crashesUntilGivenUp(t, d, now.Add(test.passed), "j1"); crashes != test.wantedGiveUp {
+				t.Errorf("given up after %d crashes, want %d", crashes, test.wantedGiveUp)
+			}
+		})
+	}
+}
+
+// TestTasksThatCrashWorkersAreNoOtherCause lets tasks crash two workers each, and after that another one.
+func TestTasksThatCrashWorkersAreNoOtherCause(t *testing.T) {
+	d, now := newDispatcherWithAgents("a")
+	for i := range 5 {
+		crashesUntilGivenUp(t, d, now, fmt.Sprintf("j%d", i))
+	}
+	if crashes := crashesUntilGivenUp(t, d, now.Add(2*time.Second), "last"); crashes != 2 {
+		t.Errorf("given up after %d crashes, want 2", crashes)
+	}
+}
+
+// TestAKnownCauseOutweighsKilledWorkers lets a task crash workers beside others that are killed: the next such task is given up as if none was.
+func TestAKnownCauseOutweighsKilledWorkers(t *testing.T) {
+	d, now := newDispatcherWithAgents("a")
+	killWorkers(d, now, unexplainedPerCaused-1)
+	now = now.Add(2 * time.Second)
+	for i, want := range []int{3, 2} {
+		if crashes := crashesUntilGivenUp(t, d, now, fmt.Sprintf("j%d", i)); crashes != want {
+			t.Errorf("job %d is given up after %d crashes, want %d", i, crashes, want)
+		}
+	}
+}
+
+// TestACrashUnderAContainedJobIsExplained lets workers crash under contained jobs that were started last.
+func TestACrashUnderAContainedJobIsExplained(t *testing.T) {
+	d, now := newDispatcherWithAgents("a")
+	for i := range 5 {
+		d.Handle(now, WorkerCrashed{Agent: AgentID(fmt.Sprintf("a%d", i)), Crash: runner.Crash{
+			Incarnation: worker.Incarnation{ID: "w1"},
+			Runs: []runner.CrashedRun{
+				{RunID: runner.RunID{Task: fmt.Sprintf("c%d.0.0.0", i), Run: 1}, WasRunning: true, IsLatest: true, IsIsolated: true},
+			},
+		}})
+	}
+	if crashes := crashesUntilGivenUp(t, d, now.Add(2*time.Second), "j1"); crashes != 2 {
+		t.Errorf("given up after %d crashes, want 2", crashes)
+	}
+}
+
+func TestCrashHistoryIsBounded(t *testing.T) {
+	d, now := newDispatcherWithAgents("a")
+	killWorkers(d, now, 2*maxHistory)
+	killWorkers(d, now, 2*maxHistory)
+	if count := len(d.crashHistory.crashes); count != maxHistory {
+		t.Errorf("%d crashes are remembered, want %d", count, maxHistory)
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -51,6 +51,8 @@
 	endingRuns map[string]endingRun
 	// suspects holds the tasks under which workers have crashed.
 	suspects suspects
+	// crashHistory tells whether workers crash for other causes than tasks at present.
+	crashHistory crashHistory
 	// containment holds the kinds of which jobs have crashed workers.
 	containment containment
 	// lostSessions holds, by agent, what ran at its worker when its session ended, until it describes its worker again.
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -43,7 +43,8 @@
 //	place.go      when the tasks of a job are placed
 //	plan.go       on which workers
 //	health.go     which workers are healthy
-//	crash.go      when a task is given up as workers crashed under it; suspects.go keeps the crashes, lostsession.go infers some
+//	crash.go      when a task is given up as workers crashed under it; suspects.go keeps the crashes, lostsession.go infers some,
+//	              crashhistory.go tells whether workers crash for other causes
 //	containment.go which kinds are confined to some workers, as their jobs crash workers
 //	attempts.go   how many failed runs end a job
 //	move.go       when a run is stopped to run elsewhere
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -20,6 +20,8 @@
 	IsLatest   bool
 	// Age is the time from when its start was sent until the worker crashed.
 	Age time.Duration
+	// MayBeChance is set if workers crashed for other causes than tasks at that time (crashhistory.go).
+	MayBeChance bool
 }
 
 // suspicion is what is known of a task under which workers have crashed.
@@ -33,6 +35,9 @@
 // suspects holds the tasks under which workers have crashed, by their names.
 type suspects map[string]suspicion
 
+// isConclusive reports whether the crash needs no third one if an earlier one was like it.
+func (c Crash) isConclusive() bool { return c.IsLatest && !c.MayBeChance }
+
 // learn adds what another report of the same crash tells, and returns false if that is nothing new.
 func (c *Crash) learn(again Crash) bool {
 	isNew := again.WasRunning && !c.WasRunning || again.IsLatest && !c.IsLatest
@@ -85,20 +90,30 @@
 
 // mustGiveUp reports whether so many workers have crashed under a task that it is not run again.
 func (s suspects) mustGiveUp(task string) bool {
-	crashes := s[task].crashes
-	certain := make([]Crash, 0, len(crashes))
-	for _, c := range crashes {
+	certain := s.certain(task)
+	return len(s[task].crashes) >= maxPossibleCrashes || len(certain) >= maxCrashes || haveOneCause(certain, Crash.isConclusive)
+}
+
+// hasOneCause reports whether the crashes under a task are as those that a task causes, whether or not they may be chance.
+func (s suspects) hasOneCause(task string) bool {
+	return haveOneCause(s.certain(task), func(c Crash) bool { return c.IsLatest })
+}
+
+// certain returns the crashes under a task at which its run was running for certain.
+func (s suspects) certain(task string) []Crash {
+	var certain []Crash
+	for _, c := range s[task].crashes {
 		if c.WasRunning {
 			certain = append(certain, c)
 		}
 	}
-	return len(crashes) >= maxPossibleCrashes || len(certain) >= maxCrashes || haveOneCause(certain)
+	return certain
 }
 
 // haveOneCause reports whether crashes under a task were most likely caused by it, as its runs had lasted about as long each time: two if
-// at the later one its run was the latest on the worker, or three. The first crash alone says nothing, whether its run was the latest
-// or not: the task was no suspect then, so it was not isolated.
-func haveOneCause(crashes []Crash) bool {
+// the later one is conclusive, or three. The first crash alone says nothing, whether its run was the latest or not: the task was no
+// suspect then, so it was not isolated.
+func haveOneCause(crashes []Crash, isConclusive func(Crash) bool) bool {
 	for i, later := range crashes {
 		alike := 1
 		for _, earlier := range crashes[:i] {
@@ -106,7 +121,7 @@
 				alike++
 			}
 		}
-		if alike >= maxAlikeCrashes || alike >= maxIsolatedCrashes && later.IsLatest {
+		if alike >= maxAlikeCrashes || alike >= maxIsolatedCrashes && isConclusive(later) {
 			return true
 		}
 	}
