--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -77,6 +77,8 @@
 	onStart func(w *fakeWorker, task string)
 	// limits are those of all entries.
 	limits dispatch.Limits
+	// givenUp are the decisions to give a job up, in their order.
+	givenUp []dispatch.DecisionMade
 	// lastSession is the ID of the session that was opened last.
 	lastSession runner.SessionID
 }
@@ -89,6 +91,13 @@
 	}
 }
 
+// noteDecision keeps a decision to give a job up.
+func (s *site) noteDecision(made dispatch.DecisionMade) {
+	if _, isGivenUp := made.Decision.(dispatch.DecisionGivenUp); isGivenUp {
+		s.givenUp = append(s.givenUp, made)
+	}
+}
+
 // crashed counts the crash of a worker under its runs.
 func (s *site) crashed(running map[string]fakeRun) {
 	s.allCrashes++
@@ -324,6 +333,8 @@
 	case dispatch.HandOver:
 		e.handOver(f.Job)
 	case dispatch.WithdrawHandOver:
+	case dispatch.DecisionMade:
+		e.site.noteDecision(f)
 	case dispatch.SpreadCrash:
 		e.crashes = append(e.crashes, dispatch.WorkerCrashed(f))
 	case dispatch.Reply:
