dispatch: distance from a job's data, and fast workers that are nearly free

Cause: a rack only broke ties among workers, so a job went to another rack at once, where it takes far_times as long and is late; and among workers of different speed chance decided, also while fast ones were free. Among workers that hold as many tasks the fastest one that is nearly free is taken. Ruled out: fastest first at any load (long jobs late), slowest that suffices.

--- a/internal/cli/platformentry.go
+++ b/internal/cli/platformentry.go
@@ -25,7 +25,7 @@
 	configurations := platform.NewConfigurations(logger, metrics)
 	e, closeEntry := entry.New(entry.Settings{
 		Name: s.Name, Zone: s.Zone, Peers: peers, Seeds: s.SeedAddresses(),
-		StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs, ContainKinds: s.ContainKinds == settings.Yes, HandOver: s.HandOver == settings.Yes, ShareLearned: s.ShareLearned == settings.Yes,
+		StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs, ContainKinds: s.ContainKinds == settings.Yes, FarTimes: s.FarTimes, HandOver: s.HandOver == settings.Yes, ShareLearned: s.ShareLearned == settings.Yes,
 		Durable: platform.NewDurableJobs(store), StoreWrites: s.StoreWrites,
 	}, configurations, platform.NewStoreWatcher(store, logger, metrics), logger, metrics)
 	closeReady := platform.NewReadiness(balancer, e)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -41,7 +41,7 @@
 
 // admit accepts a new job, hands it over or refuses it.
 func (d *Dispatcher) admit(now time.Time, e Submitted) {
-	j := newJob(now, e.Job, d.runTimes)
+	j := d.newJob(now, e.Job)
 	j.waiters = []Waiter{e.Waiter}
 	d.containment.arrived(now, j)
 	if reason := d.evacuatedReason(j); reason != "" {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,8 @@
 	Jobs int
 	// NoContainment is set if kinds of which jobs crash workers are not contained; see containment.go.
 	NoContainment bool
+	// FarTimes is by how many times a task takes longer on a worker of another rack than that of its data; 1 or less if that does not matter.
+	FarTimes float64
 	// HandOver is set if jobs may be handed over to other entries; see handover.go.
 	HandOver bool
 }
--- /dev/null
+++ b/internal/dispatch/distance_test.go
@@ -0,0 +1,69 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// TestAJobWaitsForItsRackWhileItWouldBeLateElsewhere submits jobs whose data is in a rack that is full, while another one is free.
+func TestAJobWaitsForItsRackWhileItWouldBeLateElsewhere(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		rack     string
+		far      float64
+		expected time.Duration
+		// waits is how long the job waits, in parts of its slack.
+		waits float64
+	}{
+		{"late elsewhere", "r1", 3, time.Second, maxSpeedWaitShare},
+		{"in time elsewhere", "r1", 1.2, time.Second, 0},
+		{"the distance does not matter", "r1", 1, time.Second, 0},
+		{"no rack", "", 3, time.Second, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			d := New(Limits{Jobs: 10, FarTimes: test.far}, rand.New(rand.NewPCG(1, 2)))
+			for _, rack := range []string{"r1", "r2"} {
+				id := AgentID("agent-" + rack)
+				record := worker.Record{ID: rack, Service: "svc", Capacity: worker.Resources{CPU: 4000}, Labels: []string{rack}}
+				load := runner.Load{Accepts: true, Slowness: 1}
+				if rack == "r1" {
+					load.Used = worker.Resources{CPU: 4000}
+				}
+				d.Handle(now, AgentUp{Agent: id}, WorkerDescribed{Agent: id, Record: record}, LoadReceived{Agent: id, Load: load})
+			}
+			kind := Kind{Name: "kind", Service: "svc", Stretch: 1.6, Target: 60 * time.Millisecond}
+			step := Step{Count: 1, Needs: worker.Resources{CPU: 1000}, Expected: test.expected, Rack: test.rack}
+			job := Job{ID: "j", Kind: kind, Steps: []Step{step}}
+			slack := time.Duration(0.6*float64(test.expected)) + kind.Target
+			begin := now.Add(time.Duration(test.waits * float64(slack)))
+			started := d.Handle(now, Submitted{Job: job, Waiter: 1})
+			if test.waits > 0 {
+				started = append(started, d.Handle(begin.Add(-time.Millisecond), Ticked{})...)
+				if hasStart(started) {
+					t.Fatal("the job has not waited for its rack")
+				}
+				started = d.Handle(begin.Add(time.Millisecond), Ticked{})
+			}
+			if !hasStart(started) {
+				t.Error("the job does not run in the other rack")
+			}
+		})
+	}
+}
+
+func hasStart(effects []Effect) bool {
+	for _, effect := range effects {
+		if _, ok := effect.(StartTask); ok {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/durable.go
+++ b/internal/dispatch/durable.go
@@ -18,7 +18,7 @@
 	if _, ok := d.jobs[e.Job.ID]; ok {
 		return
 	}
-	j := newJob(now, e.Job, d.runTimes)
+	j := d.newJob(now, e.Job)
 	j.isDurable = true
 	j.recoveredAt = e.NotBefore
 	for _, t := range j.tasks {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -36,7 +36,7 @@
 
 // isTooSlow reports whether a job that is placed on the worker now would be late for that reason.
 //
-// Inputs: the slowness and the time factor of the worker, the longest chain of the job, its objective or, if that can no longer be
+// Inputs: the slowness and the time factor of the worker, the longest chain of the job and its distance (distance.go), its objective or, if that can no longer be
 // reached, when its answer is useless, how long it has waited.
 //
 // Rule: a chain that takes as many times longer as the worker is slow ends after that. A worker that is slow for good, but healthy, is
@@ -49,7 +49,7 @@
 	if now.After(j.startBy) {
 		limit = j.arrived.Add(j.uselessAfter())
 	}
-	usual := a.usualTime(j.chain())
+	usual := j.chainAt(a)
 	if !a.isHealthy() {
 		return now.Add(time.Duration(a.load.Slowness * float64(usual))).After(limit)
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -79,6 +79,8 @@
 	number uint64
 	// times are the estimated times of the steps.
 	times []stepTime
+	// farTimes is by how many times a task takes longer on a worker of another rack than that of its data; see distance.go.
+	farTimes float64
 	// objective is the time after the arrival within which the job should be answered.
 	objective time.Duration
 	// startBy is the latest start with which the job can be done within its objective.
@@ -124,15 +126,27 @@
 	return j
 }
 
+// newJob returns a job that arrives at a time.
+func (d *Dispatcher) newJob(now time.Time, submitted Job) *job {
+	j := newJob(now, submitted, d.runTimes)
+	j.farTimes = d.limits.FarTimes
+	return j
+}
+
 // chain returns the expected time of the longest chain of steps.
 func (j *job) chain() time.Duration {
+	return j.longestChain(func(int) float64 { return 1 })
+}
+
+// longestChain returns the expected time of the longest chain of steps if each takes a number of times as long.
+func (j *job) longestChain(times func(step int) float64) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, step := range j.Steps {
 		for _, earlier := range step.After {
 			ends[i] = max(ends[i], ends[earlier])
 		}
-		ends[i] += j.times[i].longest
+		ends[i] += time.Duration(times(i) * float64(j.times[i].longest))
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -62,16 +62,16 @@
 		return false
 	}
 	expected := j.times[t.step].task
-	gain := a.timeLeft(expected, now.Sub(t.placed)) - timing.StopTime - expected
+	gain := a.timeLeft(j.timeAt(t.step, a), now.Sub(t.placed)) - timing.StopTime - expected
 	isInTime := j.isDurable || now.Add(expected).Before(j.expiresAt())
 	return float64(gain) > minGain*float64(expected) && isInTime
 }
 
 // timeLeft returns how much longer a run that was sent elapsed ago is expected to take on the worker: the rest of the
-// expected time, as often as the worker is slow. A run that has lasted longer than that is expected to take as long again
+// time that it usually takes there, as often as the worker is slow. A run that has lasted longer than that is expected to take as long again
 // as it is over it.
-func (a *agent) timeLeft(expected, elapsed time.Duration) time.Duration {
-	left := time.Duration(a.load.Slowness*float64(a.usualTime(expected))) - elapsed
+func (a *agent) timeLeft(usual, elapsed time.Duration) time.Duration {
+	left := time.Duration(a.load.Slowness*float64(usual)) - elapsed
 	return left.Abs()
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -112,9 +112,9 @@
 	t.start = p.agent.countStart(now, d.claimed(p))
 	d.emit(StartTask{Agent: t.agent, Number: t.start, Task: runner.Task{
 		Name: t.name, Run: t.run, Payload: j.Payload, Needs: step.Needs, Checkpoint: t.checkpoint,
-		Expected: j.times[t.step].forHealth(), Urgency: j.urgency(), Offer: p.offer, IsDurable: j.isDurable,
+		Expected: j.expectedAt(t.step, p.agent), Urgency: j.urgency(), Offer: p.offer, IsDurable: j.isDurable,
 		IsSuspect: d.isSuspect(t), Kind: j.Kind.Name, IsContained: d.isContained(j),
-		Estimate: j.times[t.step].task, Weight: j.Kind.Weight,
+		Estimate: j.estimateAt(t.step, p.agent), Weight: j.Kind.Weight,
 	}})
 	d.emit(j.decisionMade(now, DecisionPlaced{}).withRun(t.name, t.run, t.agent))
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"math"
 	"time"
 
 	"sailhead/internal/runner"
@@ -37,6 +39,17 @@
 	free worker.Resources
 }
 
+// spareShare is the part, 0 to 1, of its CPU that is free on a worker that is nearly free.
+const spareShare = 0.7
+
+// spareFactor returns the time factor of a worker that is nearly free, and a larger one than any for others.
+func (c *candidate) spareFactor() float64 {
+	if float64(c.free.CPU) < spareShare*float64(c.agent.record.Capacity.CPU) {
+		return math.Inf(1)
+	}
+	return c.agent.timeFactor
+}
+
 // planner chooses workers for the tasks of one job.
 type planner struct {
 	job        *job
@@ -52,10 +65,10 @@
 // workers that accept tasks of the service.
 //
 // Rule: of the workers with the label of the step, those with the highest rank; of these the one that can run the most
-// of the remaining tasks of the step. Ties are broken at random.
+// of the remaining tasks of the step; of these the fastest one that is nearly free (candidate.spareFactor). Ties are broken at random.
 //
-// Reason: a job suffers from each of its workers that fails, so it is placed on as few as possible. With the random
-// order, entries do not all choose the same worker.
+// Reason: a job suffers from each of its workers that fails, so it is placed on as few as possible. It is answered sooner by a fast one, but
+// once these are in use they are left to the long jobs that are late elsewhere. With the random order, entries do not all choose the same worker.
 //
 // hasLeftOut is set if a healthy worker was left out, which may have room for other jobs.
 func (d *Dispatcher) plan(now time.Time, j *job, tasks []*task) (placements []placement, hasLeftOut bool) {
@@ -149,13 +162,26 @@
 			continue
 		}
 		rank := rankOf(c.agent, step, group[0])
-		if best == nil || rank > bestRank || rank == bestRank && fits > count {
+		isBetter := best == nil || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(fits, count), compareSpeed(best, c)) > 0
+		if isBetter {
 			best, count, bestRank = c, fits, rank
 		}
 	}
 	return best, count
 }
 
+// minSpeedRatio is the ratio of the time factors of two workers from which one is faster, as they are averages.
+const minSpeedRatio = 1.1
+
+// compareSpeed returns a positive number if tasks are better placed on c than on other for its speed, and 0 if that does not matter.
+func compareSpeed(other, c *candidate) int {
+	own, others := c.spareFactor(), other.spareFactor()
+	if own*minSpeedRatio > others && others*minSpeedRatio > own || math.IsInf(own, 1) && math.IsInf(others, 1) {
+		return 0
+	}
+	return cmp.Compare(others, own)
+}
+
 // fits returns how many tasks of one step a worker can run.
 func (p *planner) fits(c *candidate, group []*task) int {
 	step := p.job.Steps[group[0].step]
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -70,7 +70,7 @@
 func (d *Dispatcher) completeTask(now time.Time, j *job, t *task) {
 	t.state = taskDone
 	t.ended = now
-	t.runTime = d.referenceTime(t.agent, now.Sub(t.placed))
+	t.runTime = d.referenceTime(j, t, now.Sub(t.placed))
 	delete(d.suspects, t.name)
 	d.returns.done(now, workOf(1, j.Steps[t.step].Needs.CPU, now.Sub(t.placed)))
 	t.showsRunTime = t.showsRunTime && d.isAgentHealthy(t.agent)
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -40,11 +40,11 @@
 	return time.Duration(a.timeFactor * float64(reference))
 }
 
-// referenceTime returns how long a run of a time at an agent takes on a worker of the factor 1.
-func (d *Dispatcher) referenceTime(id AgentID, took time.Duration) time.Duration {
-	a, ok := d.agents[id]
+// referenceTime returns how long the run of a task, which took a time, takes near its data on a worker of the factor 1.
+func (d *Dispatcher) referenceTime(j *job, t *task, took time.Duration) time.Duration {
+	a, ok := d.agents[t.agent]
 	if !ok {
 		return took
 	}
-	return time.Duration(float64(took) / a.timeFactor)
+	return time.Duration(float64(took) / a.timeFactor / j.farFactor(t.step, a))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	Jobs int
 	// ContainKinds is set if kinds of which jobs crash workers are confined to some workers.
 	ContainKinds bool
+	// FarTimes is by how many times a task takes longer on a worker of another rack than that of its data.
+	FarTimes float64
 	// HandOver is set if jobs are handed over to other entries when this one does not keep up or stops.
 	HandOver bool
 	// ShareLearned is set if what entries learn of kinds is shared.
@@ -179,6 +181,6 @@
 
 // newDispatcher returns the dispatcher of an entry.
 func newDispatcher(settings Settings) *dispatch.Dispatcher {
-	limits := dispatch.Limits{Jobs: settings.Jobs, NoContainment: !settings.ContainKinds, HandOver: settings.HandOver}
+	limits := dispatch.Limits{Jobs: settings.Jobs, NoContainment: !settings.ContainKinds, FarTimes: settings.FarTimes, HandOver: settings.HandOver}
 	return dispatch.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
--- a/internal/overload/scarcity_test.go
+++ b/internal/overload/scarcity_test.go
@@ -57,6 +57,9 @@
 	// load is the work that usually comes, as a part of what all workers do.
 	load   float64
 	bursts []burst
+	// hotRack is the rack of the data of a part of the lookups, hotShare.
+	hotRack  string
+	hotShare float64
 	// guessBias is by how many times callers' guesses are too long.
 	guessBias float64
 	began     time.Time
@@ -86,10 +89,15 @@
 
 // newScarcity returns a site of three availability zones. Every third worker has half as many cores again as the others.
 func newScarcity(seed uint64, entries, agents int, load float64, bursts ...burst) *scarcity {
-	const cpu, subsetSize = 32000, 48
-	s := &scarcity{site: newSite(seed, 0, 0, 0), load: load, bursts: bursts, guessBias: 1}
+	return newScarcityWith(seed, entries, agents, load, func(*site) {}, bursts...)
+}
+
+// newScarcityWith returns such a site that an option has changed before its entries and agents are added.
+func newScarcityWith(seed uint64, entries, agents int, load float64, option func(*site), bursts ...burst) *scarcity {
+	const cpu, subsetSize, rackSize = 32000, 48, 8
+	s := &scarcity{site: newSite(seed, 0, 0, 0, option), load: load, bursts: bursts, guessBias: 1}
 	s.build(entries, agents, subsetSize, func(number int, a *agent) {
-		a.cpu = cpu
+		a.cpu, a.rack = cpu, fmt.Sprintf("rack-%d", number/rackSize)
 		if number%3 == 2 {
 			a.cpu = cpu * 3 / 2
 		}
@@ -166,7 +174,14 @@
 	each := time.Duration(float64(k.each) * s.varied(sizeSpread, largestSize))
 	j := &variedJob{kind: k, zone: e.zone, arrived: s.now.Sub(s.began)}
 	var longest time.Duration
+	rack := ""
+	if k.Name == "lookup" && s.random.Float64() < s.hotShare {
+		rack = s.hotRack
+	}
 	for i := range width {
+		if rack != "" {
+			s.racks[dispatch.TaskName(id, 0, i)] = rack
+		}
 		runTime := time.Duration(float64(each) * s.varied(unevenness, largestSize))
 		s.runTimes[dispatch.TaskName(id, 0, i)] = runTime
 		longest = max(longest, runTime)
@@ -175,7 +190,7 @@
 	j.objective = time.Duration(k.Stretch*float64(longest)) + k.Target
 	s.jobs = append(s.jobs, j)
 	guess := time.Duration(s.guessBias * float64(each) * s.varied(guessSpread, largestSize))
-	step := dispatch.Step{Count: width, Needs: worker.Resources{CPU: cpu, Memory: 64}, Expected: guess}
+	step := dispatch.Step{Count: width, Needs: worker.Resources{CPU: cpu, Memory: 64}, Expected: guess, Rack: rack}
 	submitted := dispatch.Job{ID: id, Payload: each.String(), Kind: k.Kind, Steps: []dispatch.Step{step}}
 	began := s.now
 	e.submit(submitted, func(answer dispatch.Answer) { j.answer, j.took = answer, s.now.Sub(began) })
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -73,6 +73,9 @@
 	crashAfter time.Duration
 	// runTimes has the run times of some tasks, in place of that in their payload.
 	runTimes map[string]time.Duration
+	// racks has the rack of the data of some tasks. Elsewhere they take farTimes times as long.
+	racks    map[string]string
+	farTimes float64
 	// onStart is called after each start that a worker has accepted, unless it is nil.
 	onStart func(w *fakeWorker, task string)
 	// limits are those of all entries.
@@ -114,7 +117,7 @@
 func newSite(seed uint64, entries, agents, subsetSize int, options ...func(*site)) *site {
 	s := &site{
 		now: origin, random: rand.New(rand.NewPCG(seed, 1)), agents: make(map[dispatch.AgentID]*agent),
-		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration),
+		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration), racks: make(map[string]string),
 		starts: make(map[string]int), crashes: make(map[string]int), startsAtThird: make(map[string]int),
 		limits: dispatch.Limits{Jobs: 2000, NoContainment: *noContainment},
 	}
@@ -181,8 +184,9 @@
 	entries map[runner.SessionID]*entry
 	// delay is the time of a message between the agent and its worker.
 	delay time.Duration
-	// cpu is the capacity of its worker, in thousandths of a core.
-	cpu int
+	// cpu is the capacity of its worker, in thousandths of a core, and rack its label.
+	cpu  int
+	rack string
 }
 
 func (s *site) addAgent(id dispatch.AgentID) *agent {
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -73,7 +73,7 @@
 	w.running, w.ends, w.number, w.isDown = make(map[string]fakeRun), nil, 0, false
 	w.site.after(0, func() {
 		capacity := worker.Resources{CPU: w.agent.cpu, Memory: 128 << 10}
-		record := worker.Record{ID: w.id, Service: service, Capacity: capacity, Sequence: 1, Clock: time.Hour}
+		record := worker.Record{ID: w.id, Service: service, Capacity: capacity, Labels: []string{w.agent.rack}, Sequence: 1, Clock: time.Hour}
 		w.agent.handle(runner.HeartbeatReceived{Record: record})
 	})
 }
@@ -124,6 +124,9 @@
 	if own, ok := w.site.runTimes[request.Name]; ok {
 		length = own
 	}
+	if rack, ok := w.site.racks[request.Name]; ok && rack != w.agent.rack {
+		length = time.Duration(w.site.farTimes * float64(length))
+	}
 	if w.timeFactor > 0 {
 		length = time.Duration(w.timeFactor * float64(length))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,6 +103,7 @@
 	MetricsAddress   Address
 	Jobs             int
 	StoreWrites      int
+	FarTimes         float64
 	// ContainKinds, HandOver and ShareLearned are Yes or No.
 	ContainKinds string
 	HandOver     string
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -24,6 +24,8 @@
 		*place = o.Default.(string)
 	case *int:
 		*place = o.Default.(int)
+	case *float64:
+		*place = o.Default.(float64)
 	case *Size:
 		*place = o.Default.(Size)
 	case *time.Duration:
@@ -42,6 +44,8 @@
 		return o.setText(place, literal)
 	case *int:
 		return o.setCount(place, literal)
+	case *float64:
+		return o.setFactor(place, literal)
 	case *Size:
 		return o.setSize(place, literal)
 	case *time.Duration:
@@ -79,6 +83,18 @@
 	return nil
 }
 
+func (o Option) setFactor(place *float64, literal any) error {
+	number, ok := literal.(float64)
+	if !ok {
+		return errors.New("needs a number")
+	}
+	if number < o.Min.(float64) || number > o.Max.(float64) {
+		return errors.Errorf("%g is not within %g to %g", number, o.Min, o.Max)
+	}
+	*place = number
+	return nil
+}
+
 func (o Option) setSize(place *Size, literal any) error {
 	text, ok := literal.(string)
 	if !ok {
