--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -10,8 +10,8 @@
 // The times are comparable within one process only, and not with those of time.Now. Timers are late after a suspension; what is
 // handled first then has to read this clock before it acts. Times that only measure how long something took stay with package time.
 //
-// The clock is read through the C library, which asks the kernel without a system call: 90 ns, against 75 ns of time.Now and 206 ns
-// of a system call, measured in a loop.
+// The clock is read through the C library, which asks the kernel without a system call: a reading takes about as long as
+// one of time.Now.
 package clock
 
 // #include <time.h>
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -104,8 +104,8 @@
 // ExchangeWith compares the directory with that of the entry at an address and adds what that entry knows. If it does not know
 // all that this one does, a second call sends it the members, the configuration or both. An error names the address.
 //
-// Usually both know the same, and the call is a few bytes: with 295 members in each call and answer, 55 entries would
-// send 5.8 MB a second, by reckoning.
+// Usually both know the same, and the call is a few bytes. With the members in each call and answer, bytes
+// would grow as the square of the fleet.
 func (e *Exchanger) ExchangeWith(ctx context.Context, address string) error {
 	client := clusterpb.NewClusterProtobufClient("http://"+address, e.client)
 	request := e.directory.summary()
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// This file decides when a job that is not durable is refused or ended early. Three rules apply, each with its inputs,
-// reason and measurements below:
+// This file decides when a job that is not durable is refused or ended early. Three rules apply, each with its inputs and
+// reason below:
 //
 //	on arrival           containedReason   NotRun
 //	                     ownRefusalReason  handed over (handover.go) or NotRun
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -8,8 +8,7 @@
 	return max(k.Attempts, 1)
 }
 
-// extraAttempts is how many more runs may fail if the latest failed on an unhealthy worker; see maxAttempts. Not
-// measured.
+// extraAttempts is how many more runs may fail if the latest failed on an unhealthy worker; see maxAttempts.
 const extraAttempts = 3
 
 // maxAttempts returns how many runs of a task may fail, the latest of them at a given agent.
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -35,7 +35,7 @@
 //
 // # Decisions
 //
-// Each decision has a file, with its inputs, rule, reason and measurements next to the code:
+// Each decision has a file, with its inputs, rule and reason next to the code:
 //
 //	admission.go  when a job is refused or ended early, and when its caller may retry
 //	retry.go      which callers retry too late, and how their jobs are treated
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -11,7 +11,7 @@
 )
 
 // This file decides when a task runs again after the session with its agent ended, so that no task has two runs at a
-// time. Package timing derives the delays and names their measurements.
+// time. Package timing derives the delays.
 //
 // While a session lasts, agents report how each run ended, and the task runs again at once. After the session nothing
 // is reported, but the run has ended after timing.RerunDelay. Durable jobs wait longer, because the run may have been
@@ -24,7 +24,7 @@
 // Rule: timing.DurableRerunDelay for a durable job, or until the agent accepts tasks again (agentRecovered);
 // timing.RerunDelay for others.
 //
-// Reason and measurement: see package timing.
+// Reason: see package timing.
 func (j *job) rerunDelay() time.Duration {
 	if j.isDurable {
 		return timing.DurableRerunDelay
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -79,7 +79,7 @@
 //
 // Rule: at least lateRetryFreeShare of the CPU is free.
 //
-// Reason and measurement: see observe.
+// Reason: see observe.
 func (d *Dispatcher) hasSpareCapacity(service string) bool {
 	return d.freeShare(service) >= lateRetryFreeShare
 }
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -17,8 +17,7 @@
 )
 
 const (
-	// tickInterval is the time between two ticks of the state machines, which refuse, expire and renew by time. Not
-	// measured.
+	// tickInterval is the time between two ticks of the state machines, which refuse, expire and renew by time.
 	tickInterval = 10 * time.Millisecond
 	// batchSize is the largest number of events that are handled together. One by one, an entry plans over all workers for each load.
 	batchSize = 512
--- a/internal/native/admission/estimator.go
+++ b/internal/native/admission/estimator.go
@@ -9,7 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// The samples of a kind. None of these figures is measured.
+// The samples of a kind.
 const (
 	// histogramWindows and samplesPerWindow bound what counts as recent: the last 768 to 1,024 samples of a kind.
 	histogramWindows = 4
--- a/internal/native/daemon/follow.go
+++ b/internal/native/daemon/follow.go
@@ -17,8 +17,7 @@
 	"sailhead/internal/timeline"
 )
 
-// readInterval is the time between two readings of a platform that does not answer while the process starts. Not
-// measured.
+// readInterval is the time between two readings of a platform that does not answer while the process starts.
 const readInterval = 300 * time.Millisecond
 
 // readPlatform reads the platform until it answers, so that no process serves under an older configuration than the
--- a/internal/native/daemon/submit.go
+++ b/internal/native/daemon/submit.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	// stateTimeout is the longest time that a query of a submission's state takes, over all agents that are asked. Not
-	// measured.
+	// stateTimeout is the longest time that a query of a submission's state takes, over all agents that are asked.
 	stateTimeout = time.Second
 	// maxOtherCandidates is how many agents are asked besides the one to which the key is bound: the first choice and the next one, to
 	// which a leaving first choice hands its records.
--- a/internal/native/guard/admission.go
+++ b/internal/native/guard/admission.go
@@ -82,8 +82,7 @@
 }
 
 const (
-	// stuckFactor is the number of mean service times without an end after which a worker is stuck; see isStuck. Not
-	// measured alone.
+	// stuckFactor is the number of mean service times without an end after which a worker is stuck; see isStuck.
 	stuckFactor = 4
 	// minStuckTimeout is the shortest time without an end after which a worker is stuck. It covers kinds whose tasks are much longer than a
 	// small mean.
--- a/internal/native/keyvalue/document.go
+++ b/internal/native/keyvalue/document.go
@@ -29,8 +29,7 @@
 	maxSwaps = 50
 	// minBackoff is the backoff after the first attempt.
 	minBackoff = 50 * time.Millisecond
-	// maxBackoff is the largest backoff. docs/MEASUREMENTS.md has a run of 300 processes that joined at once; 3 s itself was not
-	// varied.
+	// maxBackoff is the largest backoff.
 	maxBackoff = 3 * time.Second
 )
 
--- a/internal/native/owner/place.go
+++ b/internal/native/owner/place.go
@@ -12,8 +12,7 @@
 	"sailhead/internal/native/ownership"
 )
 
-// reuseDelay is how long a worker gets no tasks after its agent was unreachable or unresponsive; see suspend. Not
-// measured alone: commits 6e93315 and 57e8035 measured it with other changes.
+// reuseDelay is how long a worker gets no tasks after its agent was unreachable or unresponsive; see suspend.
 const reuseDelay = time.Second
 
 // maxTries is the number of guards to which a task is sent; see place.
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -21,8 +21,6 @@
 // on which nothing ends. The worker's clock tells how long a run took also if the answer was heard late, over a slow link or by
 // an agent that was paused.
 
-// What is not said to be measured below was varied: with half and with twice each value, worth on four days with workers that hang, fail,
-// reject or are slow differs by +0.002 at most, 8 pairs each with errors of 0.001 to 0.002.
 const (
 	// healthWeight is the weight of one run in the moving averages.
 	healthWeight = 0.12
@@ -38,7 +36,6 @@
 	failureDecay  = 3 * time.Second
 	slownessDecay = time.Second
 	// minJobs is how many jobs need running tasks for a median: one job's expected time is often off by a factor of two.
-	// Two and five in place of three make no difference.
 	minJobs = 3
 	// minElapsed is how long a run must have lasted before its progress is used.
 	minElapsed = 30 * time.Millisecond
--- a/internal/timeline/logs.go
+++ b/internal/timeline/logs.go
@@ -84,8 +84,7 @@
 	return line, decoder.Err() == nil && !line.Time.IsZero() && line.Process != ""
 }
 
-// jobMargin is how long before and after the lines of a job FollowJob includes lines about the state of processes. Not
-// measured.
+// jobMargin is how long before and after the lines of a job FollowJob includes lines about the state of processes.
 const jobMargin = time.Second
 
 // FollowJob returns the lines about a job and its tasks, ordered by time. It adds lines about the state of processes, such
