runner, agent: a worker that fails, hangs or flaps is ejected and probed

The agent rejects starts on an ejected worker unless they use a probe or ignore the ejection, drops reservations and queue, offers probes to one session after the other, and stops runs there that are overdue.

--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -116,6 +117,32 @@
 	_ = level.Info(a.logger).Log("msg", "zone taken back", "zone", e.Zone, "runs", e.Runs)
 }
 
+// workerEjected logs and shows that the worker gets no tasks but probes.
+func (a *Agent) workerEjected(e runner.WorkerEjected) {
+	a.metrics.Set(metric.IsEjected, 1)
+	a.metrics.Add(metric.Ejections, 1)
+	_ = level.Warn(a.logger).Log("msg", "worker ejected", "reason", e.Reason, "failure_rate", math.Round(percent*e.FailureRate)/percent,
+		"kinds", strings.Join(e.Kinds, ","))
+}
+
+// percent is the number of parts to which rates are rounded in the log.
+const percent = 100
+
+// probeEnded logs and counts a probe of the ejected worker.
+func (a *Agent) probeEnded(e runner.ProbeEnded) {
+	a.metrics.Add(metric.Probes, 1)
+	if !e.IsDone {
+		a.metrics.Add(metric.ProbesFailed, 1)
+	}
+	_ = level.Info(a.logger).Log("msg", "probe", "task", e.Task, "run", e.Run, "kind", e.Kind, "done", e.IsDone)
+}
+
+// workerRestored logs and shows that the worker is in service again.
+func (a *Agent) workerRestored(e runner.WorkerRestored) {
+	a.metrics.Set(metric.IsEjected, 0)
+	_ = level.Info(a.logger).Log("msg", "worker back in service", "after", e.After.Round(time.Millisecond))
+}
+
 // describe returns the name of a result, followed by its reason if it has one. The names are values of log fields and
 // labels of the metric start_time, and keep their form.
 func describe(result worker.Result) string {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -76,6 +76,12 @@
 		a.logIncarnationEnded(e)
 	case runner.EvacuationChanged:
 		a.evacuationChanged(e)
+	case runner.WorkerEjected:
+		a.workerEjected(e)
+	case runner.ProbeEnded:
+		a.probeEnded(e)
+	case runner.WorkerRestored:
+		a.workerRestored(e)
 	case runner.SendPing, runner.SendWorker, runner.SendLoad, runner.SendOffer, runner.SendCrash:
 		a.sessions.Send(effect)
 	}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -49,6 +49,11 @@
 	HandOversRefused = "hand_overs_refused"
 	HandOversLost    = "hand_overs_lost"
 	KindsLearned     = "kinds_learned"
+	IsEjected        = "is_ejected"
+	Ejections        = "ejections"
+	Probes           = "probes"
+	ProbesFailed     = "probes_failed"
+	AgentsEjected    = "agents_ejected"
 	UnreadablePrefix = "unreadable_"
 	// SessionSent and SessionReceived show messages and bytes by the kind of message.
 	SessionSent     = "session_sent"
--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -13,7 +13,7 @@
 //
 // Inputs: the shutdown of the agent, the worker's record, the answers to renewals and starts, its listing of runs.
 // Rule: refusalReason returns the first condition that prevents new tasks. Load.Accepts is false while there is one, and
-// queued tasks wait. A worker that is only full accepts tasks into the queue.
+// queued tasks wait. A worker that is only full accepts tasks into the queue. One that is ejected (ejection.go) accepts some.
 // Reason: the entry places a rejected task elsewhere at once. A task that is sent to a worker which does not answer can
 // run elsewhere only after its lease has expired.
 
@@ -29,6 +29,7 @@
 	reasonUnhealthy          = "the worker is unhealthy"
 	reasonUnacknowledgedEnds = "too many ends are unacknowledged"
 	reasonOrphans            = "the worker still runs tasks of an earlier agent"
+	reasonEjected            = "the worker is ejected"
 	reasonSessionExpired     = "the session's lease has expired"
 	reasonQueueFull          = "the queue is full"
 )
@@ -69,11 +70,14 @@
 	}
 }
 
-// startRefusalReason returns why a start of a session is rejected, or "" if the task is queued.
-func (r *Runner) startRefusalReason(now time.Time, id SessionID) string {
+// startRefusalReason returns why the start of a task of a session is rejected, or "" if the task is queued.
+func (r *Runner) startRefusalReason(now time.Time, id SessionID, t Task) string {
 	if reason := r.refusalReason(now); reason != "" {
 		return reason
 	}
+	if reason := r.ejectedReason(id, t); reason != "" {
+		return reason
+	}
 	if !r.isSessionValid(now, id) {
 		return reasonSessionExpired
 	}
@@ -141,6 +145,8 @@
 	for _, t := range r.queue {
 		load.Used = load.Used.Plus(t.Needs)
 	}
-	load.Accepts = r.refusalReason(now) == ""
+	mayAccept := r.refusalReason(now) == ""
+	load.IsEjected = mayAccept && r.isEjected()
+	load.Accepts = mayAccept && !load.IsEjected
 	return load
 }
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -35,6 +35,7 @@
 //
 //	admission.go    when the worker accepts tasks
 //	health.go       slowness and failure rate
+//	ejection.go     when the worker is ejected, and who probes it
 //	queue.go        waiting for resources; a newer session replaces a task of an older one
 //	reservation.go  who gets the resources that become free
 //	urgency.go      which of several tasks starts first
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sailhead/internal/ejection"
 	"sailhead/internal/worker"
 )
 
@@ -108,6 +109,25 @@
 	Runs int
 }
 
+// WorkerEjected reports that the worker gets no tasks but probes. It is for the log and metrics.
+type WorkerEjected struct {
+	Reason ejection.Reason
+	// FailureRate is that of the load.
+	FailureRate float64
+	// Kinds are those of the runs that failed before.
+	Kinds []string
+}
+
+// ProbeEnded reports how a probe went. It is for the log and metrics.
+type ProbeEnded struct {
+	RunID
+	Kind   string
+	IsDone bool
+}
+
+// WorkerRestored reports that the worker is in service again, some time after it was ejected. It is for the log and metrics.
+type WorkerRestored struct{ After time.Duration }
+
 func (CallStart) isEffect()         {}
 func (CallStop) isEffect()          {}
 func (CallRenew) isEffect()         {}
@@ -121,6 +141,9 @@
 func (EndDropped) isEffect()        {}
 func (IncarnationEnded) isEffect()  {}
 func (EvacuationChanged) isEffect() {}
+func (WorkerEjected) isEffect()     {}
+func (ProbeEnded) isEffect()        {}
+func (WorkerRestored) isEffect()    {}
 
 // Load is the state of the worker that entries use for placement.
 type Load struct {
@@ -128,7 +151,7 @@
 	Used worker.Resources
 	// HasReservations is set while reservations wait for resources.
 	HasReservations bool
-	// Accepts is false while new tasks are rejected; see refusalReason.
+	// Accepts is false while new tasks are rejected; see refusalReason. It is false while IsEjected is set.
 	Accepts bool
 	// HasHeard is set while the agent has heard of all runs that have ended on the worker; see hasHeard.
 	HasHeard bool
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -54,6 +54,10 @@
 	orphans map[string]*stop
 	// isSurveyed is set once all runs that an earlier process may have left are known; see orphan.go.
 	isSurveyed bool
+	// tellsProgress is set once the worker has listed a run with some progress.
+	tellsProgress bool
+	// wasUnresponsive is whether the worker did not respond at the latest tick.
+	wasUnresponsive bool
 	// unhealthyUntil is when a worker that rejected a call as unhealthy accepts tasks again.
 	unhealthyUntil time.Time
 	// fullUntil is when a worker that rejected a start for lack of resources is tried again.
@@ -130,6 +134,7 @@
 	r.hadWorker = true
 	r.health = health{}
 	r.speed, r.toldTimeFactor = speed{}, speed{}.timeFactor()
+	r.ejection.detector.Restarted(now)
 	w.readClock(w.record.Clock, now)
 	for _, t := range r.active() {
 		r.carryOver(now, t)
@@ -236,6 +241,7 @@
 func (r *Runner) reportEnd(now time.Time, ended *incarnation, end incarnationEnd) {
 	id, isCrash := ended.record.Incarnation(), end.isCrash(ended.record)
 	evidence, active := ended.evidence(now, end), r.active()
+	r.observeIncarnationEnd(now, ended, isCrash)
 	if isCrash {
 		r.reportCrash(now, Crash{Incarnation: id, Runs: ended.crashedRuns(active, evidence)})
 	}
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -61,6 +61,7 @@
 		r.retainEnd(now, end)
 	}
 	r.health.recordEnd(t, end.Ending, listing.Clock, r.speed.timeFactor())
+	r.observeEnd(now, t, end.Ending)
 	if end.Ending == worker.EndingDone {
 		r.noteSpeed(t, listing.Clock)
 	}
@@ -93,6 +94,7 @@
 		return
 	}
 	t.progress = run.Percent
+	r.worker.tellsProgress = r.worker.tellsProgress || run.Percent > 0
 	t.listedAt = listing.Clock
 }
 
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -40,7 +40,9 @@
 	if exists && earlier.session == e.Session {
 		return
 	}
-	if reason := r.startRefusalReason(now, e.Session); reason != "" {
+	s.lastStart = now
+	r.noteKindRate(e.Task)
+	if reason := r.startRefusalReason(now, e.Session, e.Task); reason != "" {
 		r.sendUpdate(e.Session, Update{Name: e.Task.Name, Run: e.Task.Run, Outcome: OutcomeNotStarted, Reason: reason})
 		return
 	}
@@ -51,6 +53,7 @@
 		return
 	}
 	r.useOffer(t)
+	r.useProbe(t)
 	r.enqueue(t)
 }
 
--- a/internal/runner/renew.go
+++ b/internal/runner/renew.go
@@ -12,7 +12,7 @@
 
 // Renewals
 //
-// Inputs: whether runs are active, whether a run waits for a listing, whether ends are unacknowledged.
+// Inputs: whether runs are active, whether a run waits for a listing or is a probe, whether ends are unacknowledged.
 // Rule: nextRenewInterval after the previous one a renewal is sent whose answer does not wait. While runs are active, a
 // long poll beside it brings their ends as soon as they happen, unless unacknowledged ends are listed: then it would be
 // answered at once.
@@ -52,7 +52,7 @@
 		return timing.RenewInterval
 	case len(r.worker.unacknowledged) > 0:
 		return unacknowledgedRenewInterval
-	case !r.worker.isSurveyed, r.awaitsListing():
+	case !r.worker.isSurveyed, r.awaitsListing(), r.hasProbeRun():
 		return minRetryInterval
 	case r.hasActive(), !r.worker.askedAt.IsZero():
 		return timing.RenewInterval
--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -78,6 +78,8 @@
 	// unused are the offered resources that no start has used.
 	unused  worker.Resources
 	expires time.Time
+	// isProbe is set for a probe, which keeps no resources.
+	isProbe bool
 }
 
 // reserve adds, replaces or cancels a reservation.
@@ -135,7 +137,7 @@
 
 // offerFree offers the free resources to the reservations, the most urgent first.
 func (r *Runner) offerFree(now time.Time) {
-	if len(r.reservations) == 0 || r.refusalReason(now) != "" || now.Before(r.worker.fullUntil) {
+	if len(r.reservations) == 0 || r.isEjected() || r.refusalReason(now) != "" || now.Before(r.worker.fullUntil) {
 		return
 	}
 	for {
@@ -187,11 +189,12 @@
 }
 
 // answerOffer releases what the starts of a session have not used of an offer.
-func (r *Runner) answerOffer(e OfferAnswered) {
+func (r *Runner) answerOffer(now time.Time, e OfferAnswered) {
 	if s, ok := r.sessions[e.Session]; ok {
 		s.missedOffer = false
 	}
 	if o, ok := r.offers[e.Offer]; ok && o.session == e.Session {
+		r.noteUnusedProbe(now, o)
 		r.endOffer(e.Offer)
 	}
 }
@@ -206,7 +209,7 @@
 // expireOffers ends the offers that were not answered in time.
 func (r *Runner) expireOffers(now time.Time) {
 	for id, o := range r.offers {
-		if now.After(o.expires) {
+		if !o.isProbe && now.After(o.expires) {
 			r.sessions[o.session].missedOffer = true
 			r.endOffer(id)
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,8 @@
 	Stop time.Duration
 	// Queue is the largest number of queued tasks.
 	Queue int
+	// NoEjection is set if a worker on which too many runs fail is not ejected; see ejection.go.
+	NoEjection bool
 }
 
 // defaultQueue is the largest number of queued tasks: tasks wait in the queue for a repeated start only, so more of them than run on any
@@ -83,6 +85,7 @@
 	// evacuations is what the entries have told of the evacuated availability zones, and isEvacuated whether the worker's is one.
 	evacuations evacuation.State
 	isEvacuated bool
+	ejection    ejectionState
 	health      health
 	// toldHealth is what health was when the load was last due to its change.
 	toldHealth health
@@ -110,6 +113,7 @@
 	r.effects = nil
 	r.apply(now, event)
 	r.applyEvacuation()
+	r.applyEjection(now)
 	r.startQueued(now)
 	r.pollIfDue(now)
 	r.offerFree(now)
@@ -133,7 +137,7 @@
 	case ReservationRequested:
 		r.reserve(e)
 	case OfferAnswered:
-		r.answerOffer(e)
+		r.answerOffer(now, e)
 	case EndAcknowledged:
 		r.acknowledge(e.Name, e.Run)
 	case HeartbeatReceived:
@@ -164,6 +168,7 @@
 	r.tickSessions(now)
 	r.expireQueued(now)
 	r.expireOffers(now)
+	r.expireProbes(now)
 	r.resendEarlierEnds(now)
 	r.settle(now)
 	if r.worker == nil {
@@ -172,6 +177,7 @@
 	r.retryStops(now)
 	r.expireIsolation(now)
 	r.updateHealth(now)
+	r.updateEjection(now)
 	r.resendUnacknowledged(now)
 	r.renew(now)
 	r.expireLease(now)
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -41,6 +41,7 @@
 	t.startNumber = r.lastStart
 	t.progress = 0
 	t.acceptedAt, t.listedAt = 0, 0
+	t.epoch, t.isJudged = r.ejection.detector.Epoch(), false
 	t.fence = r.fence
 	r.occupy(now, t)
 	r.worker.lastRenewal = now
@@ -80,6 +81,7 @@
 		r.worker.fullUntil = now.Add(fullBackoff)
 		r.finish(t, OutcomeNotStarted, "the worker has insufficient resources")
 	case worker.Unhealthy:
+		r.observeRejected(now, t)
 		r.handleWorkerState(now, e.Incarnation, e.Result)
 		r.finish(t, OutcomeNotStarted, reasonUnhealthy)
 	case worker.Invalid:
@@ -116,6 +118,7 @@
 		r.markStarted(now, t, listing.Clock)
 		return
 	}
+	r.observeNotBegun(now, t)
 	r.rerun(t)
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -56,6 +56,7 @@
 		r.finish(t, OutcomeNotStarted, reasonStoppedBeforeStart)
 	case stateStopping:
 	default:
+		r.observeStop(now, t)
 		r.beginStop(now, t)
 	}
 }
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -73,6 +73,11 @@
 	// progress is the run's progress in percent when it was last listed, at listedAt of the worker's clock.
 	progress int
 	listedAt time.Duration
+	// isProbe is set for a task that shows whether an ejected worker is well again.
+	isProbe bool
+	// epoch is that of the ejection detector when the current run was started, and isJudged is set once the detector was told how the run went.
+	epoch    int
+	isJudged bool
 }
 
 // awaitsListing reports whether a listing decides if the task has a run on the worker.
