dispatch, entry: an ejected worker's room is no room, and probes go to tasks that may fail

Entries leave ejected workers out of placement, reservations and what is free, unless more than three in ten are ejected; they tell agents which share of the runs of a kind goes wrong elsewhere. Option eject_workers of both roles, decisions, log lines and metrics. Random schedules learn ejections and probes.

--- a/internal/cli/platformagent.go
+++ b/internal/cli/platformagent.go
@@ -22,9 +22,11 @@
 	heartbeats, sessions := listeners[0], listeners[1]
 	store, closeStore := platform.NewStore(string(s.PlatformAddress))
 	worker, closeWorker := platform.NewWorker(string(s.BackendAddress))
+	limits := runner.DefaultLimits(s.MaxWorkerLease, s.StopTime)
+	limits.NoEjection = s.EjectWorkers == settings.No
 	agent, closeAgent := agent.New(agent.Settings{
 		Name: s.Name, Zone: s.Zone, Sessions: sessions, Seeds: s.SeedAddresses(),
-		Limits: runner.DefaultLimits(s.MaxWorkerLease, s.StopTime), StopTimeout: s.StopTimeout, Ring: s.Ring,
+		Limits: limits, StopTimeout: s.StopTimeout, Ring: s.Ring,
 	}, worker, platform.NewStoreWatcher(store, logger, metrics), logger, metrics)
 	closeHeartbeats := platform.NewHeartbeats(heartbeats, agent)
 	return onPlatform{setSeeds: agent.SetSeeds, stop: func() error {
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -24,6 +24,8 @@
 	unwanted bool
 	// evacuated is set while the worker's availability zone is evacuated; see evacuation.go.
 	evacuated bool
+	// ignoresEjection is set while tasks are started on the worker although it is ejected; see ejection.go.
+	ignoresEjection bool
 	// lastStart is the number of the last start sent in this session.
 	lastStart uint64
 	// uncounted holds the starts that the load does not count yet.
@@ -98,7 +100,7 @@
 
 // accepts reports whether tasks of a service may be placed on the worker.
 func (a *agent) accepts(service string) bool {
-	return !a.unresponsive && a.mayGetTasks() && a.load.Accepts && !a.load.ShuttingDown && a.record.Service == service
+	return !a.unresponsive && a.mayGetTasks() && (a.load.Accepts || a.ignoresEjection) && !a.load.ShuttingDown && a.record.Service == service
 }
 
 // mayGetTasks reports whether the entry starts tasks at the agent at all, whatever the agent says.
@@ -124,6 +126,7 @@
 }
 
 func (d *Dispatcher) removeAgent(id AgentID) {
+	d.forgetProbesOf(id)
 	delete(d.agents, id)
 	if at, ok := d.searchAgent(id); ok {
 		d.ordered = slices.Delete(d.ordered, at, at+1)
@@ -158,6 +161,7 @@
 func (d *Dispatcher) agentsChanged() {
 	d.view++
 	d.isPlaceDue = true
+	d.updateEjections()
 }
 
 func (d *Dispatcher) workerDescribed(now time.Time, e WorkerDescribed) {
@@ -177,8 +181,8 @@
 	if !ok {
 		return
 	}
-	if a.load.Accepts != e.Load.Accepts {
-		d.agentsChanged()
+	hasNewAccepts, hasNewEjection := a.load.Accepts != e.Load.Accepts, a.load.IsEjected != e.Load.IsEjected
+	if hasNewAccepts {
 		d.emit(DecisionMade{Decision: DecisionAccepts{Accepts: e.Load.Accepts}, Agent: e.Agent})
 	}
 	hadHeard, wasHealthy, before := a.hasHeard(), a.isHealthy(), a.unreserved()
@@ -196,7 +200,10 @@
 	if hasMore := !a.unreserved().Fits(before); hasMore {
 		d.isPlaceDue = true
 	}
-	if a.isHealthy() != wasHealthy {
+	if hasNewAccepts || a.isHealthy() != wasHealthy {
 		d.agentsChanged()
 	}
+	if hasNewEjection {
+		d.ejectionChanged(a)
+	}
 }
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -143,6 +143,9 @@
 // DecisionAccepts reports that an agent began or ceased to accept tasks.
 type DecisionAccepts struct{ Accepts bool }
 
+// DecisionEjected reports that an agent's worker was ejected or is in service again.
+type DecisionEjected struct{ IsEjected bool }
+
 func (DecisionAccepted) isDecision()          {}
 func (DecisionHandedOver) isDecision()        {}
 func (DecisionHandOverEnded) isDecision()     {}
@@ -163,3 +166,4 @@
 func (DecisionAgentDown) isDecision()         {}
 func (DecisionWorker) isDecision()            {}
 func (DecisionAccepts) isDecision()           {}
+func (DecisionEjected) isDecision()           {}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"sailhead/internal/ejection"
 	"sailhead/internal/evacuation"
 )
 
@@ -22,6 +23,8 @@
 	FarTimes float64
 	// HandOver is set if jobs may be handed over to other entries; see handover.go.
 	HandOver bool
+	// NoEjection is set if the entry takes no part in the ejection of workers; see ejection.go.
+	NoEjection bool
 }
 
 // Dispatcher runs the jobs of one entry. It is not safe for concurrent use.
@@ -61,6 +64,12 @@
 	containment containment
 	// lostSessions holds, by agent, what ran at its worker when its session ended, until it describes its worker again.
 	lostSessions map[AgentID]lostSession
+	// ejectedAgents is the number of agents in session whose workers are ejected.
+	ejectedAgents int
+	// probes are those that agents offered and no task has used.
+	probes []heldProbe
+	// kindOutcomes tells kinds that fail everywhere from workers that fail, by the kind's name.
+	kindOutcomes map[string]ejection.Outcomes
 	// runTimes is used to estimate how long tasks run.
 	runTimes runTimes
 	// lastSteps has when the last step of each kind was seen that runTimes rests on, by the kind's name.
@@ -91,6 +100,7 @@
 		suspects:     make(suspects),
 		containment:  newContainment(),
 		lostSessions: make(map[AgentID]lostSession),
+		kindOutcomes: make(map[string]ejection.Outcomes),
 		runTimes:     make(runTimes),
 		lastSteps:    make(map[string]time.Time),
 		callerTimes:  make(callerTimes),
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -43,6 +43,8 @@
 //	place.go      when the tasks of a job are placed
 //	plan.go       on which workers
 //	health.go     which workers are healthy
+//	ejection.go   what an ejected worker means
+//	probe.go      which task shows whether it is well again
 //	crash.go      when a task is given up as workers crashed under it; suspects.go keeps the crashes, lostsession.go infers some,
 //	              crashhistory.go tells whether workers crash for other causes
 //	containment.go which kinds are confined to some workers, as their jobs crash workers
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -21,12 +21,12 @@
 // Inputs: the slowness (how many times its usual time a task takes) and the failure rate (0 to 1) that the agent
 // reports with the load; package runner averages them over the latest runs.
 //
-// Rule: the slowness is below maxSlowness and the failure rate below maxFailureRate.
+// Rule: the slowness is below maxSlowness, the failure rate below maxFailureRate, and the worker is not ejected.
 //
 // Reason: an unhealthy worker gets tasks only if no healthy one has resources (plan.go) and the job is in time there
 // (isTooSlow), its runs may be moved (move.go), and failed runs on it count less (attempts.go).
 func (a *agent) isHealthy() bool {
-	return a.load.Slowness < maxSlowness && !a.isFailing()
+	return a.load.Slowness < maxSlowness && !a.isFailing() && !a.load.IsEjected
 }
 
 // isFailing reports whether many of the latest runs on the worker failed.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -27,6 +27,9 @@
 	if len(d.agents) == 0 {
 		return
 	}
+	if len(d.probes) > 0 {
+		d.useProbes(now)
+	}
 	d.sortWaiting(now)
 	var full []string
 	for _, j := range slices.Clone(d.waiting) {
@@ -115,6 +118,7 @@
 		Expected: j.expectedAt(t.step, p.agent), Urgency: j.urgency(), Offer: p.offer, IsDurable: j.isDurable,
 		IsSuspect: d.isSuspect(t), Kind: j.Kind.Name, IsContained: d.isContained(j),
 		Estimate: j.estimateAt(t.step, p.agent), Weight: j.Kind.Weight,
+		IgnoresEjection: p.agent.ignoresEjection, KindFailureRate: d.kindFailures(j, t.agent),
 	}})
 	d.emit(j.decisionMade(now, DecisionPlaced{}).withRun(t.name, t.run, t.agent))
 }
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -75,3 +75,24 @@
 		})
 	}
 }
+
+// BenchmarkOffer is the cost of an offer for one task and of the report on it, with 100 waiting jobs and 48 agents.
+func BenchmarkOffer(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	d := busyDispatcher(now, 48, 100)
+	for _, j := range d.jobs {
+		for _, a := range d.ordered {
+			d.noteOutcome(j, a.id, false)
+		}
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		offer := runner.Offer{ID: runner.OfferID(i + 1), Resources: worker.Resources{CPU: 3100}, Left: 1}
+		for _, effect := range d.Handle(now, OfferReceived{Agent: "agent-1", Offer: offer}) {
+			if start, ok := effect.(StartTask); ok {
+				update := runner.Update{Name: start.Task.Name, Run: start.Task.Run, Outcome: runner.OutcomeStopped}
+				d.Handle(now, LoadReceived{Agent: "agent-1", Handled: start.Number, Load: busyLoad(0)}, RunUpdated{Agent: "agent-1", Update: update})
+			}
+		}
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -57,6 +57,8 @@
 	placements []placement
 	// isSuspect reports whether a worker has crashed under a task.
 	isSuspect func(*task) bool
+	// hasLeftOut is set if an ejected worker had room for a task that must not fail again.
+	hasLeftOut bool
 }
 
 // plan chooses workers for as many of the tasks as there are resources. The tasks are in the order of their steps.
@@ -70,7 +72,7 @@
 // Reason: a job suffers from each of its workers that fails, so it is placed on as few as possible. It is answered sooner by a fast one, but
 // once these are in use they are left to the long jobs that are late elsewhere. With the random order, entries do not all choose the same worker.
 //
-// hasLeftOut is set if a healthy worker was left out, which may have room for other jobs.
+// hasLeftOut is set if a worker was left out that may have room for other jobs.
 func (d *Dispatcher) plan(now time.Time, j *job, tasks []*task) (placements []placement, hasLeftOut bool) {
 	hasLeftOut = d.gatherCandidates(now, j)
 	p := planner{job: j, candidates: d.candidates, isSuspect: d.isSuspect}
@@ -79,7 +81,7 @@
 		p.placeGroup(group)
 		tasks = tasks[len(group):]
 	}
-	return p.placements, hasLeftOut
+	return p.placements, hasLeftOut || p.hasLeftOut
 }
 
 // gatherCandidates collects the agents that accept tasks of a job, in random order. Those whose worker is too slow for the
@@ -189,6 +191,10 @@
 		return 0
 	}
 	fits := step.Needs.Count(c.free, len(group))
+	if spare := p.job.countSpare(group); c.agent.load.IsEjected && spare < fits {
+		fits = spare
+		p.hasLeftOut = true
+	}
 	if step.PerWorker > 0 {
 		fits = min(fits, step.PerWorker-p.countAt(c.agent, group[0].step))
 	}
--- /dev/null
+++ b/internal/dispatch/probe.go
@@ -0,0 +1,132 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"sailhead/internal/ejection"
+	"sailhead/internal/runner"
+)
+
+// This file decides which task shows whether an ejected worker is well again.
+//
+// Inputs: the probes that agents offer, the waiting jobs, the attempts and times of their tasks, how often runs of their kinds fail elsewhere.
+//
+// Rule: a probe is kept for runner.ProbeOfferTime, for a task that may fail: its job has another attempt, and is still done within its
+// objective if the run fails half-way or hangs, and another one follows; and it takes ejection.ProbeTime at most. If none has come in half of
+// that time, one suffices whose caller is still answered then. Of several the shortest task is taken. Tasks under which a worker has crashed, of contained kinds, of kinds that fail
+// elsewhere and away from their data are left out: their failure would say little of the worker.
+//
+// Reason: a probe is likely to fail, and its job must not be lost by it. Short tasks show soonest how the worker is.
+
+// heldProbe is a probe that was not used yet.
+type heldProbe struct {
+	agent    AgentID
+	offer    runner.Offer
+	received time.Time
+}
+
+// isOver reports whether the probe is given back.
+func (p heldProbe) isOver(now time.Time) bool { return now.Sub(p.received) >= runner.ProbeOfferTime }
+
+// isUrgent reports whether a task suffices that makes its job late if it fails.
+func (p heldProbe) isUrgent(now time.Time) bool {
+	return now.Sub(p.received) >= runner.ProbeOfferTime/2
+}
+
+// probeReceived keeps a probe for a job, or gives it back if this entry does not use any.
+func (d *Dispatcher) probeReceived(now time.Time, a *agent, offer runner.Offer) {
+	d.probes = append(d.probes, heldProbe{agent: a.id, offer: offer, received: now})
+	if d.limits.NoEjection {
+		d.returnProbe(d.probes[len(d.probes)-1])
+		return
+	}
+	d.isPlaceDue = true
+}
+
+// returnProbe answers a probe, after the start that uses it if there is one.
+func (d *Dispatcher) returnProbe(p heldProbe) {
+	d.emit(AnswerOffer{Agent: p.agent, Offer: p.offer.ID})
+	d.probes = slices.DeleteFunc(d.probes, func(other heldProbe) bool { return other == p })
+}
+
+// forgetProbesOf drops the probes of an agent whose session has ended.
+func (d *Dispatcher) forgetProbesOf(id AgentID) {
+	d.probes = slices.DeleteFunc(d.probes, func(p heldProbe) bool { return p.agent == id })
+}
+
+// useProbes sends tasks of waiting jobs for the probes that this entry has, and gives back those that are over.
+func (d *Dispatcher) useProbes(now time.Time) {
+	for _, p := range slices.Clone(d.probes) {
+		a, ok := d.agents[p.agent]
+		if !ok || !a.mayGetTasks() || d.isShuttingDown() || p.isOver(now) {
+			d.returnProbe(p)
+			continue
+		}
+		if j, t := d.probeTask(now, a, p); t != nil {
+			d.send(now, placement{job: j, task: t, agent: a, offer: p.offer.ID})
+			d.returnProbe(p)
+		}
+	}
+}
+
+// probeTask returns the task that uses a probe, or nil if none suits.
+func (d *Dispatcher) probeTask(now time.Time, a *agent, p heldProbe) (*job, *task) {
+	var bestJob *job
+	var best *task
+	for _, j := range d.waiting {
+		if !d.maySuitProbe(now, j, a) {
+			continue
+		}
+		for _, t := range d.placeable(now, j) {
+			isShorter := best == nil || j.times[t.step].task < bestJob.times[best.step].task
+			if isShorter && d.suitsProbe(now, j, t, a, p) {
+				bestJob, best = j, t
+			}
+		}
+	}
+	return bestJob, best
+}
+
+// maySuitProbe reports whether tasks of a job may be probes at an agent.
+func (d *Dispatcher) maySuitProbe(now time.Time, j *job, a *agent) bool {
+	return j.Kind.Service == a.record.Service && d.containment.permits(j, a.id) && !d.isContained(j) && !j.lateRetry && d.mayPlace(now, j) &&
+		d.kindFailures(j, a.id) < ejection.MaxProbeRate
+}
+
+// suitsProbe reports whether a task may be a probe at an agent.
+func (d *Dispatcher) suitsProbe(now time.Time, j *job, t *task, a *agent, p heldProbe) bool {
+	step := j.Steps[t.step]
+	isNear := step.Rack == "" || a.record.HasLabel(step.Rack)
+	fits := step.canRunOn(a.record) && step.Needs.Fits(p.offer.Resources) && j.hasRoomAt(t, a)
+	isShort := j.times[t.step].task <= ejection.ProbeTime || p.isUrgent(now)
+	isTelling := isNear && isShort && !t.avoids(a.id) && !d.isSuspect(t)
+	return fits && isTelling && j.hasSpareAttempt(t) && j.survivesFailure(now, t, a, p.isUrgent(now))
+}
+
+// hasRoomAt reports whether the bound on the tasks of a step on one worker lets a task run there.
+func (j *job) hasRoomAt(t *task, a *agent) bool {
+	p := planner{job: j}
+	most := j.Steps[t.step].PerWorker
+	return most == 0 || p.countAt(a, t.step) < most
+}
+
+// stallTime is how long after its start a probe that hangs is stopped, as its progress shows it.
+const stallTime = 100 * time.Millisecond
+
+// survivesFailure reports whether a job is in time if a run of a task that begins now fails half-way, or hangs until it is stopped: within its
+// objective, or if mayBeLate is set before its caller leaves.
+func (j *job) survivesFailure(now time.Time, t *task, a *agent, mayBeLate bool) bool {
+	if j.isDurable {
+		return true
+	}
+	limit := j.arrived.Add(j.objective)
+	if mayBeLate {
+		limit = j.expiresAt()
+	}
+	lost := max(a.usualTime(j.times[t.step].task)/2, stallTime)
+	return now.Add(lost + j.chain()).Before(limit)
+}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -43,6 +43,12 @@
 	reservations map[string]runner.Reservation
 	offers       map[runner.OfferID]worker.Resources
 	lastOffer    runner.OfferID
+	// isEjected is set while the worker is ejected, and probe is the probe that was offered last, zero if it was answered; probedAt is when.
+	// endedProbe is one that the agent took back without an answer.
+	isEjected  bool
+	probe      runner.OfferID
+	endedProbe runner.OfferID
+	probedAt   time.Time
 	// downSince is when the session ended, zero if there was none. Its runs may continue for some time.
 	downSince time.Time
 	// unwanted is set while the entry does not need the session, and isClosing once it may be closed.
@@ -68,6 +74,9 @@
 	evacuating *rand.Rand
 	// other is the entry to which jobs are handed over, nil if none are.
 	other *otherEntry
+	// ejecting draws which workers are ejected; nil for none. probes counts the starts that used a probe, ignored those that ignored an ejection.
+	ejecting        *rand.Rand
+	probes, ignored int
 	// history are all changes in order, and told what the dispatcher has been told of.
 	history []evacuation.Change
 	told    evacuation.State
@@ -181,6 +190,14 @@
 // answerOffer fails if the offer was answered before.
 func (s *schedule) answerOffer(e AnswerOffer) {
 	a := s.agent(e.Agent)
+	switch e.Offer {
+	case a.probe:
+		a.probe = 0
+		return
+	case a.endedProbe:
+		a.endedProbe = 0
+		return
+	}
 	if _, ok := a.offers[e.Offer]; !ok {
 		s.t.Fatalf("offer %d of %s was answered twice", e.Offer, e.Agent)
 	}
@@ -243,12 +260,63 @@
 		s.t.Fatalf("start number %d follows %d", e.Number, a.handled)
 	}
 	a.handled = e.Number
-	if e.Task.Offer > 0 {
+	if a.isEjected {
+		s.checkEjected(a, e.Task)
+	}
+	if e.Task.Offer > 0 && e.Task.Offer != a.probe && e.Task.Offer != a.endedProbe {
 		s.useOffer(a, e.Task)
 	}
 	a.tasks[e.Task.Name] = &sentTask{run: e.Task.Run, due: s.now.Add(s.millis(1, 400)), needs: e.Task.Needs}
 }
 
+// eject ejects the worker of an agent now and then, or puts it in service again, and offers probes. A probe has to be answered in time.
+func (s *schedule) eject(a *fakeAgent) {
+	if s.ejecting == nil || !a.up {
+		return
+	}
+	if a.endedProbe == 0 && s.ejecting.Float64() < 0.01 {
+		a.isEjected, a.probe, a.endedProbe = !a.isEjected, 0, a.probe
+		clear(a.reservations)
+		clear(a.offers)
+		s.load(a)
+	}
+	if a.probe > 0 && s.now.Sub(a.probedAt) > runner.ProbeOfferTime+2*step {
+		s.t.Fatalf("probe %d of %s was not answered in time", a.probe, a.id)
+	}
+	if a.isEjected && a.probe == 0 && s.ejecting.Float64() < 0.1 {
+		a.lastOffer++
+		a.probe, a.probedAt = a.lastOffer, s.now
+		s.handle(OfferReceived{Agent: a.id, Offer: runner.Offer{ID: a.probe, Resources: a.free(), IsProbe: true}})
+	}
+}
+
+// checkEjected fails if a task is sent to an ejected worker that uses no probe and does not ignore the ejection, that ignores it although few
+// workers are ejected, or whose next failure is the last.
+func (s *schedule) checkEjected(a *fakeAgent, sent runner.Task) {
+	isProbe := sent.Offer > 0 && (sent.Offer == a.probe || sent.Offer == a.endedProbe)
+	known, ejected := 0.0, 0.0
+	for _, other := range s.dispatcher.ordered {
+		if other.load.Accepts || other.load.IsEjected {
+			known++
+		}
+		if other.load.IsEjected {
+			ejected++
+		}
+	}
+	switch j, t := s.dispatcher.find(sent.Name); {
+	case !isProbe && !sent.IgnoresEjection:
+		s.t.Fatalf("%s was sent to %s, whose worker is ejected", sent.Name, a.id)
+	case !isProbe && ejected <= maxEjectedShare*known:
+		s.t.Fatalf("%s was sent to %s, whose worker is one of %.0f of %.0f that are ejected", sent.Name, a.id, ejected, known)
+	case !j.hasSpareAttempt(t):
+		s.t.Fatalf("%s was sent to %s, whose worker is ejected, and must not fail again", sent.Name, a.id)
+	case isProbe:
+		s.probes++
+	default:
+		s.ignored++
+	}
+}
+
 // useOffer takes the needs of a task from the offer that it names. It fails if they are not left of it.
 func (s *schedule) useOffer(a *fakeAgent, task runner.Task) {
 	left, ok := a.offers[task.Offer]
@@ -382,7 +450,7 @@
 
 func (s *schedule) load(a *fakeAgent) {
 	s.handle(LoadReceived{Agent: a.id, Handled: a.handled, Load: runner.Load{
-		Used: a.used, Accepts: true, Slowness: 1, HasReservations: len(a.reservations) > 0,
+		Used: a.used, Accepts: !a.isEjected, IsEjected: a.isEjected, Slowness: 1, HasReservations: len(a.reservations) > 0,
 	}})
 }
 
@@ -399,6 +467,7 @@
 		}
 		for _, a := range s.agents {
 			s.act(a)
+			s.eject(a)
 		}
 		if s.evacuating != nil {
 			s.evacuate()
@@ -477,6 +546,32 @@
 	}
 }
 
+// TestRandomSchedulesWithEjection ejects workers and offers probes, while agents lose their sessions and runs fail. Ejected workers get
+// only tasks that may fail.
+func TestRandomSchedulesWithEjection(t *testing.T) {
+	probes, ignored := 0, 0
+	for seed := *first; seed < *first+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed)
+		s.ejecting = rand.New(rand.NewPCG(seed, 5))
+		s.run(6*time.Second, true)
+		s.ejecting = nil
+		for _, a := range s.agents {
+			a.isEjected = false
+		}
+		s.run(5*time.Second, false)
+		if len(s.waiting) > 0 {
+			t.Fatalf("seed %d: %d callers were not answered", seed, len(s.waiting))
+		}
+		if jobs, waiting, _ := s.dispatcher.Counts(); jobs > 0 || waiting > 0 || len(s.dispatcher.probes) > 0 {
+			t.Fatalf("seed %d: %d jobs and %d probes are left at the end", seed, jobs, len(s.dispatcher.probes))
+		}
+		probes, ignored = probes+s.probes, ignored+s.ignored
+	}
+	if probes < *schedules || ignored < *schedules {
+		t.Errorf("%d starts used a probe and %d ignored an ejection: the schedules hardly play any", probes, ignored)
+	}
+}
+
 func TestRandomScheduleCompletesAQuarterOfJobs(t *testing.T) {
 	s := newSchedule(t, 3)
 	s.run(20*time.Second, true)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -105,7 +105,7 @@
 	for _, c := range d.candidates {
 		a := c.agent
 		switch {
-		case !step.canRunOn(a.record):
+		case !step.canRunOn(a.record), a.load.IsEjected:
 		case !a.isFailing() && !t.avoids(a.id):
 			preferred = append(preferred, a)
 		default:
@@ -155,6 +155,10 @@
 	if !ok {
 		return
 	}
+	if e.Offer.IsProbe {
+		d.probeReceived(now, a, e.Offer)
+		return
+	}
 	if j, ok := d.jobs[e.Offer.Job]; ok && e.Offer.Left == 0 {
 		// The reservation is gone at the agent. It is made again if tasks are left.
 		delete(j.reservation.agents, a.id)
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -35,6 +35,7 @@
 	if e.Update.Outcome != runner.OutcomeNotStarted {
 		d.markBegun(j)
 	}
+	d.noteEnd(now, j, t, e.Update.Outcome)
 	switch e.Update.Outcome {
 	case runner.OutcomeDone:
 		d.recordEnd(j, e)
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -30,6 +30,8 @@
 	printsAnswers bool
 	// printsReservations is set once the command "reservations" came.
 	printsReservations bool
+	// printsKindFailures is set once the command "kind_failures" came.
+	printsKindFailures bool
 	// revision is that of the latest change of an availability zone.
 	revision evacuation.Revision
 }
@@ -70,6 +72,9 @@
 		return s.handle(WorkerCrashed{Agent: agent, Crash: s.crash(d)})
 	case "load":
 		return s.load(AgentID(d.CmdArgs[0].Key), d)
+	case "kind_failures":
+		s.printsKindFailures = true
+		return ""
 	case "reservations":
 		s.printsReservations = true
 		return ""
@@ -80,7 +85,7 @@
 	case "offer":
 		return s.handle(OfferReceived{Agent: AgentID(d.CmdArgs[0].Key), Offer: runner.Offer{
 			ID: runner.OfferID(number(d, "id", 1)), Job: text(d, "job"), Left: number(d, "left", 0),
-			Resources: worker.Resources{CPU: number(d, "cpu", 1000)},
+			Resources: worker.Resources{CPU: number(d, "cpu", 1000)}, IsProbe: d.HasArg("probe"),
 		}})
 	case "submit":
 		return s.submit(d)
@@ -135,7 +140,7 @@
 
 func (s *script) load(agent AgentID, d *datadriven.TestData) string {
 	return s.handle(LoadReceived{Agent: agent, Handled: s.numbers[agent], Load: runner.Load{
-		Used: worker.Resources{CPU: number(d, "used", 0)}, Accepts: !d.HasArg("refuses"), HasReservations: d.HasArg("reserved"),
+		Used: worker.Resources{CPU: number(d, "used", 0)}, Accepts: !d.HasArg("refuses") && !d.HasArg("ejected"), IsEjected: d.HasArg("ejected"), HasReservations: d.HasArg("reserved"),
 		Slowness: float64(number(d, "slowness", 1)), FailureRate: float64(number(d, "failures", 0)) / 100,
 	}})
 }
@@ -240,11 +245,17 @@
 		switch e := effect.(type) {
 		case StartTask:
 			s.numbers[e.Agent] = e.Number
-			contained := ""
+			about := ""
 			if e.Task.IsContained {
-				contained = " contained"
+				about = " contained"
+			}
+			if e.Task.IgnoresEjection {
+				about += " ignores_ejection"
+			}
+			if s.printsKindFailures {
+				about += fmt.Sprintf(" kind_failures=%.2f", e.Task.KindFailureRate)
 			}
-			fmt.Fprintf(&out, "start %s at %s run=%d%s%s\n", e.Task.Name, e.Agent, e.Task.Run, describeOffer(e.Task.Offer), contained)
+			fmt.Fprintf(&out, "start %s at %s run=%d%s%s\n", e.Task.Name, e.Agent, e.Task.Run, describeOffer(e.Task.Offer), about)
 		case StopTask:
 			fmt.Fprintf(&out, "stop %s at %s\n", e.Name, e.Agent)
 		case Reserve:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,8 @@
 	HandOver bool
 	// ShareLearned is set if what entries learn of kinds is shared.
 	ShareLearned bool
+	// EjectWorkers is set if ejected workers get no tasks but probes.
+	EjectWorkers bool
 	// Durable is the store of the durable jobs, StoreWrites the store's rate of writes a second for all entries together.
 	Durable     DurableStore
 	StoreWrites int
@@ -77,9 +79,11 @@
 	answerTimes *metric.Times
 	queueTimes  *metric.Times
 
-	// decider, accepted and learnedPublished are used by the event loop only. learnedPublished is when publishLearned did something last.
+	// decider, accepted, learnedPublished and ejectedAgents are used by the event loop only. learnedPublished is when publishLearned did something
+	// last, ejectedAgents the number of agents with ejected workers as last shown.
 	decider          *decider
 	learnedPublished time.Time
+	ejectedAgents    int
 	accepted         acceptedJobs
 	events           chan dispatch.Event
 	durableEvents    chan durable.Event
@@ -181,6 +185,9 @@
 
 // newDispatcher returns the dispatcher of an entry.
 func newDispatcher(settings Settings) *dispatch.Dispatcher {
-	limits := dispatch.Limits{Jobs: settings.Jobs, NoContainment: !settings.ContainKinds, FarTimes: settings.FarTimes, HandOver: settings.HandOver}
+	limits := dispatch.Limits{
+		Jobs: settings.Jobs, NoContainment: !settings.ContainKinds, NoEjection: !settings.EjectWorkers,
+		FarTimes: settings.FarTimes, HandOver: settings.HandOver,
+	}
 	return dispatch.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -145,6 +145,8 @@
 		return "worker"
 	case dispatch.DecisionAccepts:
 		return "accepts"
+	case dispatch.DecisionEjected:
+		return "ejected"
 	default:
 		return fmt.Sprintf("%T", decision)
 	}
@@ -176,6 +178,8 @@
 		return d.Incarnation.String()
 	case dispatch.DecisionAccepts:
 		return fmt.Sprint(d.Accepts)
+	case dispatch.DecisionEjected:
+		return fmt.Sprint(d.IsEjected)
 	default:
 		return ""
 	}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -97,6 +97,10 @@
 		e.metrics.Set(metric.JobsOpen, int64(jobs))
 		e.metrics.Set(metric.Agents, int64(agents))
 	}
+	if ejected := e.decider.dispatcher.EjectedAgents(); ejected != e.ejectedAgents {
+		e.ejectedAgents = ejected
+		e.metrics.Set(metric.AgentsEjected, int64(ejected))
+	}
 	shards, _ := e.decider.coordinator.Counts()
 	e.ownedShards.Store(int64(shards))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,10 +104,11 @@
 	Jobs             int
 	StoreWrites      int
 	FarTimes         float64
-	// ContainKinds, HandOver and ShareLearned are Yes or No.
+	// ContainKinds, HandOver, ShareLearned and EjectWorkers are Yes or No.
 	ContainKinds string
 	HandOver     string
 	ShareLearned string
+	EjectWorkers string
 	// MaxWorkerLease is the option hold_time.
 	MaxWorkerLease time.Duration
 	StopTime       time.Duration
