overload: failing, hanging, slow and flapping workers in a burst, kinds that fail everywhere

What goes wrong on workers is drawn from a source of its own, so that the same jobs come with and without it.

--- a/internal/overload/scarcity_test.go
+++ b/internal/overload/scarcity_test.go
@@ -62,8 +62,15 @@
 	hotShare float64
 	// guessBias is by how many times callers' guesses are too long.
 	guessBias float64
-	began     time.Time
-	next      int
+	// failingKind is a kind of which a share of the runs, 0 to 1, fails on any worker for a time; empty for none.
+	failingKind  string
+	failingShare float64
+	// failingTimes is by how many times the tasks of failingKind take longer than their callers guess.
+	failingTimes float64
+	// attempts is how many runs of a task may fail, zero for as many as the kind says.
+	attempts int
+	began    time.Time
+	next     int
 	// jobs are all that came, in the order of their arrival.
 	jobs []*variedJob
 }
@@ -95,7 +102,7 @@
 // newScarcityWith returns such a site that an option has changed before its entries and agents are added.
 func newScarcityWith(seed uint64, entries, agents int, load float64, option func(*site), bursts ...burst) *scarcity {
 	const cpu, subsetSize, rackSize = 32000, 48, 8
-	s := &scarcity{site: newSite(seed, 0, 0, 0, option), load: load, bursts: bursts, guessBias: 1}
+	s := &scarcity{site: newSite(seed, 0, 0, 0, option), load: load, bursts: bursts, guessBias: 1, failingTimes: 1}
 	s.build(entries, agents, subsetSize, func(number int, a *agent) {
 		a.cpu, a.rack = cpu, fmt.Sprintf("rack-%d", number/rackSize)
 		if number%3 == 2 {
@@ -184,6 +191,11 @@
 		}
 		runTime := time.Duration(float64(each) * s.varied(unevenness, largestSize))
 		s.runTimes[dispatch.TaskName(id, 0, i)] = runTime
+		if k.Name == s.failingKind {
+			s.failing[dispatch.TaskName(id, 0, i)] = s.failingShare
+			runTime = time.Duration(s.failingTimes * float64(runTime))
+			s.runTimes[dispatch.TaskName(id, 0, i)] = runTime
+		}
 		longest = max(longest, runTime)
 		j.work += float64(cpu) / 1000 * runTime.Seconds()
 	}
@@ -191,6 +203,9 @@
 	s.jobs = append(s.jobs, j)
 	guess := time.Duration(s.guessBias * float64(each) * s.varied(guessSpread, largestSize))
 	step := dispatch.Step{Count: width, Needs: worker.Resources{CPU: cpu, Memory: 64}, Expected: guess, Rack: rack}
+	if s.attempts > 0 {
+		k.Attempts = s.attempts
+	}
 	submitted := dispatch.Job{ID: id, Payload: each.String(), Kind: k.Kind, Steps: []dispatch.Step{step}}
 	began := s.now
 	e.submit(submitted, func(answer dispatch.Answer) { j.answer, j.took = answer, s.now.Sub(began) })
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -55,10 +55,12 @@
 
 // site is a number of entries and agents in virtual time.
 type site struct {
-	now     time.Time
-	queue   actions
-	serial  int
-	random  *rand.Rand
+	now    time.Time
+	queue  actions
+	serial int
+	random *rand.Rand
+	// faults draws what goes wrong on workers. It is a source of its own, so that the same jobs come with and without faults.
+	faults  *rand.Rand
 	entries []*entry
 	agents  map[dispatch.AgentID]*agent
 	// starts counts the starts of each task, crashes how many workers have crashed under it, and startsAtThird its starts
@@ -66,6 +68,10 @@
 	starts        map[string]int
 	crashes       map[string]int
 	startsAtThird map[string]int
+	// failedRuns counts the runs that failed.
+	failedRuns int
+	// failing are the shares of the runs, 0 to 1, of some tasks that fail on any worker.
+	failing map[string]float64
 	// allCrashes counts the crashes of workers, each of which is away for restartAfter.
 	allCrashes   int
 	restartAfter time.Duration
@@ -116,10 +122,10 @@
 // accept tasks. options may change it before that.
 func newSite(seed uint64, entries, agents, subsetSize int, options ...func(*site)) *site {
 	s := &site{
-		now: origin, random: rand.New(rand.NewPCG(seed, 1)), agents: make(map[dispatch.AgentID]*agent),
-		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration), racks: make(map[string]string),
+		now: origin, random: rand.New(rand.NewPCG(seed, 1)), faults: rand.New(rand.NewPCG(seed, 2)), agents: make(map[dispatch.AgentID]*agent),
+		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration), racks: make(map[string]string), failing: make(map[string]float64),
 		starts: make(map[string]int), crashes: make(map[string]int), startsAtThird: make(map[string]int),
-		limits: dispatch.Limits{Jobs: 2000, NoContainment: *noContainment},
+		limits: dispatch.Limits{Jobs: 2000, NoContainment: *noContainment, NoEjection: *noEjection},
 	}
 	for _, option := range options {
 		option(s)
@@ -187,17 +193,36 @@
 	// cpu is the capacity of its worker, in thousandths of a core, and rack its label.
 	cpu  int
 	rack string
+	// isEjected is set while its worker is ejected.
+	isEjected bool
 }
 
 func (s *site) addAgent(id dispatch.AgentID) *agent {
-	limits := runner.DefaultLimits(time.Second, 50*time.Millisecond)
-	a := &agent{site: s, id: id, runner: runner.New(limits, 1), entries: make(map[runner.SessionID]*entry), delay: workerDelay, cpu: workerCPU}
+	a := &agent{site: s, id: id, runner: runner.New(s.agentLimits(), 1), entries: make(map[runner.SessionID]*entry), delay: workerDelay, cpu: workerCPU}
 	a.worker = newFakeWorker(a)
 	s.agents[id] = a
 	s.every(agentTick, func() { a.handle(runner.Ticked{}) })
 	return a
 }
 
+// agentLimits returns the limits of the agents.
+func (s *site) agentLimits() runner.Limits {
+	limits := runner.DefaultLimits(time.Second, 50*time.Millisecond)
+	limits.NoEjection = s.limits.NoEjection
+	return limits
+}
+
+// restart replaces the process of the agent. Its entries open their sessions again.
+func (a *agent) restart() {
+	a.runner, a.isEjected = runner.New(a.site.agentLimits(), 2), false
+	for id, e := range a.entries {
+		if e.isOpen(a.id, id) {
+			e.lose(a, id)
+		}
+	}
+	a.worker.beat(false)
+}
+
 func (a *agent) handle(event runner.Event) {
 	for _, effect := range a.runner.Handle(a.site.now, event) {
 		a.apply(effect)
@@ -217,6 +242,10 @@
 		a.send(e.Session, dispatch.WorkerCrashed{Agent: a.id, Crash: e.Crash})
 	case runner.SendWorker:
 		a.send(e.Session, dispatch.WorkerDescribed{Agent: a.id, Record: e.Record})
+	case runner.WorkerEjected:
+		a.isEjected = true
+	case runner.WorkerRestored:
+		a.isEjected = false
 	case runner.SendPing:
 		a.ping(e)
 	case runner.CloseSession:
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -53,9 +53,13 @@
 	isDown       bool
 	// timeFactor is by how many times runs take longer than their payload says, zero for 1.
 	timeFactor float64
-	running    map[string]fakeRun
-	ends       []worker.End
-	number     uint64
+	// fault is what is wrong with it at present, the zero value nothing.
+	fault   fault
+	running map[string]fakeRun
+	ends    []worker.End
+	number  uint64
+	// beats counts the heartbeats.
+	beats uint64
 	// poll answers the long poll that waits for an end, nil if there is none.
 	poll func(worker.RenewResult)
 }
@@ -71,11 +75,15 @@
 	w.incarnations++
 	w.id = fmt.Sprintf("%s-%d", w.agent.id, w.incarnations)
 	w.running, w.ends, w.number, w.isDown = make(map[string]fakeRun), nil, 0, false
-	w.site.after(0, func() {
-		capacity := worker.Resources{CPU: w.agent.cpu, Memory: 128 << 10}
-		record := worker.Record{ID: w.id, Service: service, Capacity: capacity, Labels: []string{w.agent.rack}, Sequence: 1, Clock: time.Hour}
-		w.agent.handle(runner.HeartbeatReceived{Record: record})
-	})
+	w.site.after(0, func() { w.beat(false) })
+}
+
+// beat sends a heartbeat to the agent.
+func (w *fakeWorker) beat(isDraining bool) {
+	w.beats++
+	capacity := worker.Resources{CPU: w.agent.cpu, Memory: 128 << 10}
+	record := worker.Record{ID: w.id, Service: service, Capacity: capacity, Labels: []string{w.agent.rack}, Draining: isDraining, Sequence: w.beats, Clock: w.reply().Clock}
+	w.agent.handle(runner.HeartbeatReceived{Record: record})
 }
 
 // crash ends the incarnation with all its runs. The next one begins after site.restartAfter.
@@ -130,11 +138,18 @@
 	if w.timeFactor > 0 {
 		length = time.Duration(w.timeFactor * float64(length))
 	}
+	length, ending, isLost := w.fault.apply(w.site.faults, length)
+	if w.site.faults.Float64() < w.site.failing[request.Name] {
+		length, ending = failTime, worker.EndingFailed
+	}
+	if isLost {
+		return worker.Unanswered{Reason: "the connection was closed", IsClosed: true}
+	}
 	if crashes && strings.HasSuffix(request.Name, ".0.0.0") {
 		w.site.after(w.site.crashAfter, func() { w.crashUnder(incarnation, request.Name, request.Run) })
 	}
 	w.running[request.Name] = fakeRun{run: request.Run, began: w.site.now, length: length}
-	w.site.after(length, func() { w.end(incarnation, request.Name, request.Run, worker.EndingDone) })
+	w.site.after(length, func() { w.end(incarnation, request.Name, request.Run, ending) })
 	w.site.started(w, request.Name)
 	return worker.Accepted{Reply: w.reply()}
 }
@@ -161,6 +176,9 @@
 	}
 	delete(w.running, name)
 	w.number++
+	if ending == worker.EndingFailed {
+		w.site.failedRuns++
+	}
 	w.ends = append(w.ends, worker.End{Number: w.number, Name: name, Run: run, Ending: ending})
 	if w.poll != nil {
 		w.poll(w.list())
