--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -11,7 +11,7 @@
 const (
 	// waitShare is the part, 0 to 1, of the time for which a job may wait that its expected wait may take. Waits scatter about the forecast, as
 	// tasks that need more than others wait longer.
-	waitShare = 0.8
+	waitShare = 0.65
 	// minJobs is how many jobs of a kind may wait whatever the rate. Without any the rate would stay at zero once nothing was placed, and the
 	// rate of few is uncertain.
 	minJobs = 4
