--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -38,6 +38,7 @@
 // Each decision has a file, with its inputs, rule and reason next to the code:
 //
 //	admission.go  when a job is refused or ended early, and when its caller may retry
+//	forecast.go   when a job is refused because it would wait too long
 //	retry.go      which callers retry too late, and how their jobs are treated
 //	order.go      which job is placed first
 //	place.go      when the tasks of a job are placed
