--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,6 +25,8 @@
 	HandOver bool
 	// NoEjection is set if the entry takes no part in the ejection of workers; see ejection.go.
 	NoEjection bool
+	// NoForecast is set if no job is refused by the wait that is expected of it; see forecast.go.
+	NoForecast bool
 }
 
 // Dispatcher runs the jobs of one entry. It is not safe for concurrent use.
@@ -84,6 +86,8 @@
 	onTheWay congestion
 	// returns is used to spread the returns of refused callers.
 	returns returnPlan
+	// forecasts is used to refuse jobs that would wait for too long.
+	forecasts forecasts
 	// shutdownAt is when the process ends, zero while it is not shutting down.
 	shutdownAt time.Time
 	// effects collects the effects of the current call of Handle.
@@ -105,6 +109,7 @@
 		lastSteps:    make(map[string]time.Time),
 		callerTimes:  make(callerTimes),
 		handedOver:   make(map[string]*job),
+		forecasts:    newForecasts(),
 	}
 }
 
@@ -118,6 +123,8 @@
 	if d.isPlaceDue {
 		d.place(now)
 		d.isPlaceDue = false
+		d.noteWaiting(now)
+		d.checkRefused(now)
 	}
 	return d.effects
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,8 @@
 	ShareLearned bool
 	// EjectWorkers is set if ejected workers get no tasks but probes.
 	EjectWorkers bool
+	// ForecastAdmission is set if jobs are refused on arrival that would wait too long for a worker.
+	ForecastAdmission bool
 	// Durable is the store of the durable jobs, StoreWrites the store's rate of writes a second for all entries together.
 	Durable     DurableStore
 	StoreWrites int
@@ -78,6 +80,8 @@
 	metrics     *metric.Set
 	answerTimes *metric.Times
 	queueTimes  *metric.Times
+	// forecastErrors shows by how much the waits of jobs differ from their forecasts.
+	forecastErrors *metric.Times
 
 	// decider, accepted, learnedPublished and ejectedAgents are used by the event loop only. learnedPublished is when publishLearned did something
 	// last, ejectedAgents the number of agents with ejected workers as last shown.
@@ -136,12 +140,13 @@
 		directory:    cluster.NewDirectory(),
 		dependencies: newDependencies(logger),
 
-		logger:      logger,
-		successes:   logging.NewLimited(level.Info(logger), successLines),
-		others:      logging.NewLimited(level.Info(logger), otherLines),
-		metrics:     metrics,
-		answerTimes: metrics.Times("answer_time"),
-		queueTimes:  metrics.Times("queue_time"),
+		logger:         logger,
+		successes:      logging.NewLimited(level.Info(logger), successLines),
+		others:         logging.NewLimited(level.Info(logger), otherLines),
+		metrics:        metrics,
+		answerTimes:    metrics.Times("answer_time"),
+		queueTimes:     metrics.Times("queue_time"),
+		forecastErrors: metrics.Times("forecast_error"),
 
 		events:        make(chan dispatch.Event, settings.Ring),
 		durableEvents: make(chan durable.Event, settings.Ring),
@@ -188,6 +193,7 @@
 	limits := dispatch.Limits{
 		Jobs: settings.Jobs, NoContainment: !settings.ContainKinds, NoEjection: !settings.EjectWorkers,
 		FarTimes: settings.FarTimes, HandOver: settings.HandOver,
+		NoForecast: !settings.ForecastAdmission,
 	}
 	return dispatch.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -54,6 +54,9 @@
 	Probes           = "probes"
 	ProbesFailed     = "probes_failed"
 	AgentsEjected    = "agents_ejected"
+	RefusedOnArrival = "refused_on_arrival"
+	RefusedAfterWait = "refused_after_wait"
+	RefusedWithRoom  = "refused_with_room"
 	UnreadablePrefix = "unreadable_"
 	// SessionSent and SessionReceived show messages and bytes by the kind of message.
 	SessionSent     = "session_sent"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,11 +104,12 @@
 	Jobs             int
 	StoreWrites      int
 	FarTimes         float64
-	// ContainKinds, HandOver, ShareLearned and EjectWorkers are Yes or No.
-	ContainKinds string
-	HandOver     string
-	ShareLearned string
-	EjectWorkers string
+	// ContainKinds, HandOver, ShareLearned, EjectWorkers and ForecastAdmission are Yes or No.
+	ContainKinds      string
+	HandOver          string
+	ShareLearned      string
+	EjectWorkers      string
+	ForecastAdmission string
 	// MaxWorkerLease is the option hold_time.
 	MaxWorkerLease time.Duration
 	StopTime       time.Duration
