overload: jobs come until after the last check of a kind that takes longer

Cause: the check of ejected workers after four seconds ran when no more jobs came, so a worker without jobs for its probes counted. Change: jobs come for two seconds more.

--- a/internal/overload/ejection_test.go
+++ b/internal/overload/ejection_test.go
@@ -188,7 +188,8 @@
 			o.after4s = max(o.after4s, ejected)
 		}
 	})
-	s.play(failTo)
+	// Probes need jobs: these come until well after the last check.
+	s.play(failTo + 2*time.Second)
 	for _, kind := range []string{"", "lookup", "reminder", "confirmation"} {
 		o.served[kind], _ = s.served(during(failFrom, failTo, kind, ""))
 	}
