runner: shares of the worker, and room for shorter tasks

The agent is the only place that sees what all entries use of its worker.

Change: what is free is offered first to competitors that got less than their share, then by urgency; an offer names its kind. A task without an offer is rejected, and a reservation gets no offer, if that would not leave free what shorter kinds usually use. Loads tell of it. Limits.NoShares turns all of it off. The random schedules have kinds and zones.

Ruled out: preemption (docs/design/shares.md).

Package runner passes with -race.

--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -141,7 +141,8 @@
 		return load
 	}
 	load.Used = r.worker.unavailable().Plus(r.offered)
-	load.HasReservations = len(r.reservations) > 0
+	load.HasReservations = r.hasReservations(now)
+	load.Headroom = r.headroom(now)
 	for _, t := range r.queue {
 		load.Used = load.Used.Plus(t.Needs)
 	}
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -38,6 +38,8 @@
 //	ejection.go     when the worker is ejected, and who probes it
 //	queue.go        waiting for resources; a newer session replaces a task of an older one
 //	reservation.go  who gets the resources that become free
+//	shares.go       how the worker is divided while several kinds and zones wait for it
+//	headroom.go     what long tasks leave free for shorter ones
 //	urgency.go      which of several tasks starts first
 //	start.go        starts and their answers, starts without an answer
 //	stop.go         stops, their retry, and when a stopped run has ended
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sailhead/internal/ejection"
+	"sailhead/internal/shares"
 	"sailhead/internal/worker"
 )
 
@@ -128,6 +129,9 @@
 // WorkerRestored reports that the worker is in service again, some time after it was ejected. It is for the log and metrics.
 type WorkerRestored struct{ After time.Duration }
 
+// SharesDivided reports how the worker is divided while several competitors wait for it, once in a while. It is for the log and metrics.
+type SharesDivided struct{ Shares []shares.Share }
+
 func (CallStart) isEffect()         {}
 func (CallStop) isEffect()          {}
 func (CallRenew) isEffect()         {}
@@ -144,6 +148,7 @@
 func (WorkerEjected) isEffect()     {}
 func (ProbeEnded) isEffect()        {}
 func (WorkerRestored) isEffect()    {}
+func (SharesDivided) isEffect()     {}
 
 // Load is the state of the worker that entries use for placement.
 type Load struct {
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -23,6 +23,8 @@
 	firstSeen time.Time
 	// used is the sum of what the active tasks need.
 	used worker.Resources
+	// usedByKind is the CPU that the active tasks of each kind need, in thousandths of a core.
+	usedByKind map[string]int
 	// suspect is the task beside which nothing is started at present, or nil; see suspect.go.
 	suspect *task
 	// contained is the contained job that was started last; see containment.go.
@@ -70,6 +72,7 @@
 		isDescribed:    true,
 		firstSeen:      now,
 		lastAnswered:   now,
+		usedByKind:     make(map[string]int),
 		orphans:        make(map[string]*stop),
 		unacknowledged: make(map[uint64]*unacknowledgedEnd),
 	}
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -47,7 +47,8 @@
 		return
 	}
 	s.missedOffer = false
-	t := &task{Task: e.Task, session: e.Session, arrived: now}
+	t := &task{Task: e.Task, session: e.Session, arrived: now, competitor: s.competitor(e.Task.Kind)}
+	r.noteArrival(now, e.Task.Kind, e.Task.Needs, e.Task.Estimate, e.Task.Urgency)
 	if exists {
 		r.supersede(now, earlier, t)
 		return
@@ -108,13 +109,14 @@
 	if len(r.queue) > 0 && r.refusalReason(now) == "" && !now.Before(r.worker.fullUntil) {
 		r.startFitting(now)
 	}
+	r.rejectQueued(reasonHeadroom, func(t *task) bool { return t.isHeldBack && mustNotWait(t) })
 	r.rejectQueued("no resources", mustNotWait)
 }
 
 func (r *Runner) startFitting(now time.Time) {
 	slices.SortStableFunc(r.queue, func(a, b *task) int { return a.Urgency.Compare(b.Urgency, now) })
 	for _, t := range slices.Clone(r.queue) {
-		if !r.fits(t) || r.mustYield(now, t) {
+		if !r.fits(t) || r.mustYield(now, t) || !r.leavesHeadroom(now, t) {
 			continue
 		}
 		r.unqueue(t)
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -102,6 +102,21 @@
 
 const taskCPU = 1000
 
+// testSlack is how long tasks may wait.
+const testSlack = 100 * time.Millisecond
+
+// testKinds are the kinds of jobs with the estimated times of their tasks, zero for one of which entries tell nothing.
+var testKinds = []struct {
+	name     string
+	estimate time.Duration
+}{{"short", 30 * time.Millisecond}, {"long", 700 * time.Millisecond}, {"", 0}}
+
+// ofKind returns a task or a reservation's kind and estimate by the name of the job.
+func ofKind(job string) (kind string, estimate time.Duration) {
+	k := testKinds[len(job)%len(testKinds)]
+	return k.name, k.estimate
+}
+
 func newSchedule(t *testing.T, seed uint64, faults float64, isUnguarded bool) *schedule {
 	s := &schedule{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), faults: faults,
@@ -250,6 +265,11 @@
 	if s.runner.worker == nil {
 		return
 	}
+	for kind, used := range s.runner.worker.usedByKind {
+		if want := s.activeOf(kind) * taskCPU; used != want {
+			s.t.Fatalf("the runner counts %d as used by the kind %q, its active tasks use %d", used, kind, want)
+		}
+	}
 	if used := len(s.runner.active()) * taskCPU; used != s.runner.worker.used.CPU {
 		s.t.Fatalf("the runner counts %d as used, its active tasks use %d", s.runner.worker.used.CPU, used)
 	}
@@ -258,6 +278,17 @@
 	}
 }
 
+// activeOf returns how many active tasks are of a kind.
+func (s *schedule) activeOf(kind string) int {
+	count := 0
+	for _, t := range s.runner.active() {
+		if t.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *schedule) applyEffect(effect Effect) {
 	switch e := effect.(type) {
 	case CallStart:
@@ -370,6 +401,9 @@
 
 // answerOffer lets an entry use an offer, part of it or nothing of it, in time or late, or not answer it.
 func (s *schedule) answerOffer(e SendOffer) {
+	if kind, _ := ofKind(e.Offer.Job); kind != e.Offer.Kind {
+		s.t.Fatalf("the offer for %s of the kind %q is for the kind %q", e.Offer.Job, kind, e.Offer.Kind)
+	}
 	if s.chance(s.faults) {
 		return
 	}
@@ -396,14 +430,17 @@
 	entry := s.entries[id]
 	entry.number++
 	entry.open[t.Name] = true
+	t.Kind, t.Estimate = ofKind(t.Name)
+	t.Urgency.StartBy = s.now.Add(testSlack)
 	s.handle(StartRequested{Session: id, Number: entry.number, Task: t})
 }
 
 // reserve reserves for tasks of a job.
 func (s *schedule) reserve(id SessionID, job string, count int) {
 	urgency := Urgency{HasBegun: s.chance(0.2), Priority: s.random.IntN(3), StartBy: s.now.Add(s.between(-50*time.Millisecond, 200*time.Millisecond))}
+	kind, estimate := ofKind(job)
 	s.handle(ReservationRequested{Session: id, Reservation: Reservation{
-		Job: job, Needs: worker.Resources{CPU: taskCPU}, Count: count, Urgency: urgency,
+		Job: job, Needs: worker.Resources{CPU: taskCPU}, Count: count, Urgency: urgency, Kind: kind, Estimate: estimate,
 	}})
 }
 
@@ -462,7 +499,7 @@
 func (s *schedule) openSession(name string) SessionID {
 	s.sessions++
 	s.entries[s.sessions] = &fakeEntry{name: name, open: make(map[string]bool), outcomes: make(map[string]Outcome), reserved: make(map[string][]string)}
-	s.handle(SessionOpened{Session: s.sessions, Entry: name})
+	s.handle(SessionOpened{Session: s.sessions, Entry: name, Zone: name})
 	if s.evacuating != nil {
 		s.tell(s.anyNews())
 	}
--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"sailhead/internal/shares"
 	"sailhead/internal/worker"
 )
 
@@ -14,9 +15,9 @@
 //
 // Inputs: the reservations of all entries, the free resources of the worker, the answers of entries to offers.
 // Rule: an entry whose job finds no free resources reserves them at several agents. As resources become free, the agent
-// offers them to the most urgent reservation that fits (Urgency.Compare), whichever entry it is from. The entry answers
-// with starts that use the offer, of this job or of another, and what it does not use is free again. A task that was sent
-// without an offer is rejected while a more urgent reservation waits.
+// offers them to the reservation that comes first of those that fit (shares.go, Urgency.Compare), whichever entry it is from. The
+// entry answers with starts that use the offer, of this job or of another of the kind, and what it does not use is free again. A
+// task that was sent without an offer is rejected while a reservation waits that comes before it.
 // Reason: one order over all entries, in place of a race in which the entry that asks fastest is served. Tasks are bound to
 // a worker only when it has room, as nobody knows which one has it next. An offer costs a round trip to the entry, about
 // 1 ms in which the resources are not used.
@@ -69,15 +70,18 @@
 // reservation is a reservation of a session.
 type reservation struct {
 	Reservation
-	session SessionID
+	session    SessionID
+	competitor shares.Competitor
 }
 
 // offer is an offer that was not answered yet.
 type offer struct {
 	session SessionID
 	// unused are the offered resources that no start has used.
-	unused  worker.Resources
-	expires time.Time
+	unused worker.Resources
+	// reservation is the one that led to the offer, nil for a probe.
+	reservation *reservation
+	expires     time.Time
 	// isProbe is set for a probe, which keeps no resources.
 	isProbe bool
 }
@@ -100,7 +104,9 @@
 	case at >= 0:
 		r.reservations[at].Reservation = e.Reservation
 	case r.countReservations(e.Session) < maxReservations:
-		r.reservations = append(r.reservations, &reservation{Reservation: e.Reservation, session: e.Session})
+		r.noteArrival(r.now, e.Reservation.Kind, e.Reservation.Needs, e.Reservation.Estimate, e.Reservation.Urgency)
+		added := &reservation{Reservation: e.Reservation, session: e.Session, competitor: s.competitor(e.Reservation.Kind)}
+		r.reservations = append(r.reservations, added)
 		r.markLoadDue()
 	}
 }
@@ -135,13 +141,13 @@
 	r.markLoadDue()
 }
 
-// offerFree offers the free resources to the reservations, the most urgent first.
+// offerFree offers the free resources to the reservations in their order.
 func (r *Runner) offerFree(now time.Time) {
 	if len(r.reservations) == 0 || r.isEjected() || r.refusalReason(now) != "" || now.Before(r.worker.fullUntil) {
 		return
 	}
 	for {
-		best := r.mostUrgent(now, r.free())
+		best := r.nextReservation(now)
 		if best == nil {
 			return
 		}
@@ -149,15 +155,21 @@
 	}
 }
 
-// mostUrgent returns the most urgent reservation of which a task fits into the resources, or nil.
-func (r *Runner) mostUrgent(now time.Time, free worker.Resources) *reservation {
+// nextReservation returns the reservation that comes first of those of which a task fits into what is free for it, or nil.
+func (r *Runner) nextReservation(now time.Time) *reservation {
 	var best *reservation
+	var first claim
+	free := r.free()
 	for _, other := range r.reservations {
-		if !other.Needs.Fits(free) || !r.mayOffer(now, other.session) {
+		if !other.Needs.Fits(free) || !r.leavesRoom(now, free, other) || !r.mayOffer(now, other.session) {
+			continue
+		}
+		if best != nil && first.isBelowShare && other.Urgency.Compare(first.urgency, now) >= 0 {
+			// It does not come first whatever its share is.
 			continue
 		}
-		if best == nil || other.Urgency.Compare(best.Urgency, now) < 0 {
-			best = other
+		if c := r.claimOf(now, other.competitor, other.Urgency); best == nil || c.compare(first, now) < 0 {
+			best, first = other, c
 		}
 	}
 	return best
@@ -170,17 +182,27 @@
 
 // offer offers resources for as many tasks of a reservation as fit.
 func (r *Runner) offer(now time.Time, best *reservation) {
-	count := best.Needs.Count(r.free(), best.Count)
+	count := best.Needs.Count(r.freeFor(now, best.Estimate), best.Count)
 	best.Count -= count
 	if best.Count == 0 {
 		r.reservations = slices.DeleteFunc(r.reservations, func(other *reservation) bool { return other == best })
 	}
 	resources := best.Needs.Times(count)
 	r.lastOffer++
-	r.offers[r.lastOffer] = &offer{session: best.session, unused: resources, expires: now.Add(r.sessions[best.session].offerTimeout())}
+	r.offers[r.lastOffer] = &offer{session: best.session, unused: resources, reservation: best, expires: now.Add(r.sessions[best.session].offerTimeout())}
 	r.offered = r.offered.Plus(resources)
+	r.chargeOffer(now, best, resources, 1)
 	r.markLoadDue()
-	r.emit(SendOffer{Session: best.session, Offer: Offer{ID: r.lastOffer, Job: best.Job, Resources: resources, Left: best.Count}})
+	r.emit(SendOffer{Session: best.session, Offer: r.newOffer(best, resources)})
+}
+
+// newOffer returns the latest offer as its entry is told. It names the kind unless any job may use it.
+func (r *Runner) newOffer(best *reservation, resources worker.Resources) Offer {
+	o := Offer{ID: r.lastOffer, Job: best.Job, Resources: resources, Left: best.Count}
+	if !r.limits.NoShares {
+		o.Kind = best.Kind
+	}
+	return o
 }
 
 // offerTimeout returns how long resources are kept for the session's entry.
@@ -201,7 +223,9 @@
 
 // endOffer releases what is unused of an offer.
 func (r *Runner) endOffer(id OfferID) {
-	r.offered = r.offered.Minus(r.offers[id].unused)
+	o := r.offers[id]
+	r.offered = r.offered.Minus(o.unused)
+	r.chargeOffer(r.now, o.reservation, o.unused, -1)
 	delete(r.offers, id)
 	r.markLoadDue()
 }
@@ -225,16 +249,17 @@
 	}
 	o.unused = o.unused.Minus(t.Needs)
 	r.offered = r.offered.Minus(t.Needs)
+	r.chargeOffer(r.now, o.reservation, t.Needs, -1)
 	t.hasOffer = true
 }
 
-// mustYield reports whether a task without an offer has to leave the free resources to a more urgent reservation.
+// mustYield reports whether a task without an offer has to leave the free resources to a reservation that comes before it.
 func (r *Runner) mustYield(now time.Time, t *task) bool {
 	if t.hasOffer || t.isRequeued {
 		return false
 	}
-	best := r.mostUrgent(now, r.free())
-	return best != nil && best.Urgency.Compare(t.Urgency, now) < 0
+	best := r.nextReservation(now)
+	return best != nil && r.claimOf(now, best.competitor, best.Urgency).compare(r.claimOf(now, t.competitor, t.Urgency), now) < 0
 }
 
 // free returns the resources of the worker that are neither used nor offered. Parts of it are negative after the worker has
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,6 +26,8 @@
 	Queue int
 	// NoEjection is set if a worker on which too many runs fail is not ejected; see ejection.go.
 	NoEjection bool
+	// NoShares is set if what is free is offered by urgency alone; see shares.go.
+	NoShares bool
 }
 
 // defaultQueue is the largest number of queued tasks: tasks wait in the queue for a repeated start only, so more of them than run on any
@@ -92,6 +94,9 @@
 	speed      speed
 	// toldTimeFactor is what the time factor was when the load was last due to its change.
 	toldTimeFactor float64
+	// now is when the event that is being handled happened.
+	now     time.Time
+	sharing sharing
 	// effects collects the effects of the event that is being handled.
 	effects []Effect
 }
@@ -105,12 +110,14 @@
 		sessions: make(map[SessionID]*session),
 		tasks:    make(map[string]*task),
 		offers:   make(map[OfferID]*offer),
+		sharing:  newSharing(),
 	}
 }
 
 // Handle applies an event that happened at now and returns the effects to carry out, in order.
 func (r *Runner) Handle(now time.Time, event Event) []Effect {
 	r.effects = nil
+	r.now = now
 	r.apply(now, event)
 	r.applyEvacuation()
 	r.applyEjection(now)
@@ -178,6 +185,7 @@
 	r.expireIsolation(now)
 	r.updateHealth(now)
 	r.updateEjection(now)
+	r.divide(now)
 	r.resendUnacknowledged(now)
 	r.renew(now)
 	r.expireLease(now)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -14,6 +14,7 @@
 type session struct {
 	id       SessionID
 	entry    string
+	zone     string
 	lastPing time.Time
 	// validUntil is the end of the session's lease.
 	validUntil time.Time
@@ -41,7 +42,7 @@
 			r.endSession(now, other.id, "the entry has opened another session")
 		}
 	}
-	s := &session{id: e.Session, entry: e.Entry, validUntil: now.Add(r.limits.Session), loadDue: true}
+	s := &session{id: e.Session, entry: e.Entry, zone: e.Zone, validUntil: now.Add(r.limits.Session), loadDue: true}
 	r.sessions[e.Session] = s
 	r.sortSessions()
 	if r.worker != nil {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -44,6 +44,7 @@
 	t.epoch, t.isJudged = r.ejection.detector.Epoch(), false
 	t.fence = r.fence
 	r.occupy(now, t)
+	r.chargeStart(now, t)
 	r.worker.lastRenewal = now
 	r.markLoadDue()
 	r.emit(CallStart{
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"sailhead/internal/shares"
 	"sailhead/internal/worker"
 )
 
@@ -78,6 +79,11 @@
 	// epoch is that of the ejection detector when the current run was started, and isJudged is set once the detector was told how the run went.
 	epoch    int
 	isJudged bool
+	// competitor is who the task is of, and charged what its account was charged for the current run.
+	competitor shares.Competitor
+	charged    shares.Work
+	// isHeldBack is set if the task was not started because it has to leave room for shorter ones.
+	isHeldBack bool
 }
 
 // awaitsListing reports whether a listing decides if the task has a run on the worker.
