dispatch: offers are for their kind, and long tasks leave room

Cause: the most urgent job of any kind took an offer, which undid what the agent had decided, and a leaked start of a wide job took three more offers.

Change: only jobs of its kind use an offer. A placement leaves what the load tells; jobs with shorter tasks are still placed after one that was held back by it. A job reserves at ten agents at least while next to all room is kept, unless the entry's link is full.

Ruled out: returning what is left of an offer to jobs of other kinds, reservations first where most room is kept, ten reservations always (docs/design/shares.md).

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -185,7 +185,7 @@
 	if hasNewAccepts {
 		d.emit(DecisionMade{Decision: DecisionAccepts{Accepts: e.Load.Accepts}, Agent: e.Agent})
 	}
-	hadHeard, wasHealthy, before := a.hasHeard(), a.isHealthy(), a.unreserved()
+	hadHeard, wasHealthy, before, beforeLongest := a.hasHeard(), a.isHealthy(), a.unreserved(), a.freeForLongest()
 	hasNewFactor := a.load.TimeFactor != e.Load.TimeFactor
 	d.noteCounted(now, a, e.Handled)
 	a.applyLoad(e.Handled, e.Load)
@@ -197,7 +197,7 @@
 		d.agentRecovered(now, e.Agent)
 		d.workerHeard(a)
 	}
-	if hasMore := !a.unreserved().Fits(before); hasMore {
+	if hasMore := !a.unreserved().Fits(before) || !a.freeForLongest().Fits(beforeLongest); hasMore {
 		d.isPlaceDue = true
 	}
 	if hasNewAccepts || a.isHealthy() != wasHealthy {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,6 +25,10 @@
 	HandOver bool
 	// NoEjection is set if the entry takes no part in the ejection of workers; see ejection.go.
 	NoEjection bool
+	// NoShares is set if offers are used by urgency alone, and room for shorter tasks is not left free; see reserve.go and plan.go.
+	NoShares bool
+	// Weights are those of some kinds in the shares of workers.
+	Weights map[string]float64
 }
 
 // Dispatcher runs the jobs of one entry. It is not safe for concurrent use.
@@ -206,6 +210,7 @@
 func (d *Dispatcher) add(j *job) {
 	d.lastNumber++
 	j.number = d.lastNumber
+	j.Kind.Weight = d.limits.Weights[j.Kind.Name]
 	d.jobs[j.ID] = j
 	d.enqueue(j)
 }
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -42,6 +42,7 @@
 //	order.go      which job is placed first
 //	place.go      when the tasks of a job are placed
 //	plan.go       on which workers
+//	headroom.go   what long tasks leave free for shorter ones
 //	health.go     which workers are healthy
 //	ejection.go   what an ejected worker means
 //	probe.go      which task shows whether it is well again
--- /dev/null
+++ b/internal/dispatch/headroom.go
@@ -0,0 +1,98 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// This file applies what agents tell of the room that long tasks leave free for shorter ones. Package runner decides on it (headroom.go).
+
+// room is which jobs of a service may find free resources after a job has found none.
+type room int
+
+const (
+	roomForNone room = iota
+	// roomForShorter is that jobs with shorter tasks may: some of what is free is kept for them.
+	roomForShorter
+	// roomForOthers is that any job may.
+	roomForOthers
+)
+
+// fullServices holds the services whose workers have no room, with the time from which on tasks find none.
+type fullServices map[string]time.Duration
+
+// has reports whether the workers have no room for a job.
+func (f fullServices) has(j *job) bool {
+	from, ok := f[j.Kind.Service]
+	return ok && j.shortestTask() >= from
+}
+
+// note notes the room that is left after a job.
+func (f fullServices) note(j *job, left room) {
+	switch left {
+	case roomForNone:
+		f[j.Kind.Service] = 0
+	case roomForShorter:
+		f[j.Kind.Service] = j.shortestTask()
+	case roomForOthers:
+	}
+}
+
+// shortestTask returns the estimated time of the job's shortest tasks.
+func (j *job) shortestTask() time.Duration {
+	shortest := j.times[0].task
+	for _, step := range j.times {
+		shortest = min(shortest, step.task)
+	}
+	return shortest
+}
+
+// headroomAt returns what tasks have to leave free at an agent for shorter ones.
+func (d *Dispatcher) headroomAt(a *agent) []runner.Headroom {
+	if d.limits.NoShares {
+		return nil
+	}
+	return a.load.Headroom
+}
+
+// mostlyFull is the part of the agents without room for long tasks from which on room counts as kept.
+const mostlyFull = 0.9
+
+// isRoomKept reports whether next to no agent has room for the longest tasks while some keep room for shorter ones. An entry whose link is
+// full counts none: it has no messages to spare.
+func (d *Dispatcher) isRoomKept(agents []*agent, needs worker.Resources) bool {
+	full, keeping := 0, 0
+	for _, a := range agents {
+		if !needs.Fits(a.freeForLongest()) {
+			full++
+		}
+		if len(d.headroomAt(a)) > 0 {
+			keeping++
+		}
+	}
+	return keeping > 0 && float64(full) > mostlyFull*float64(len(agents)) && !d.congestion.isLimited()
+}
+
+// leftFree returns the CPU that a task of an estimated time leaves free, in thousandths of a core. The headroom is in the order of LongerThan.
+func leftFree(headroom []runner.Headroom, estimate time.Duration) int {
+	left := 0
+	for _, h := range headroom {
+		if estimate > h.LongerThan {
+			left = h.CPU
+		}
+	}
+	return left
+}
+
+// freeForLongest returns the free resources that the longest tasks may use without an offer.
+func (a *agent) freeForLongest() worker.Resources {
+	free := a.unreserved()
+	free.CPU -= leftFree(a.load.Headroom, math.MaxInt64)
+	return free
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -31,16 +31,12 @@
 		d.useProbes(now)
 	}
 	d.sortWaiting(now)
-	var full []string
+	full := make(fullServices)
 	for _, j := range slices.Clone(d.waiting) {
-		service := j.Kind.Service
-		isFull := slices.Contains(full, service)
 		if !d.mayPlace(now, j) {
 			continue
 		}
-		if !d.placeJob(now, j, isFull) && !isFull {
-			full = append(full, service)
-		}
+		full.note(j, d.placeJob(now, j, full.has(j)))
 	}
 }
 
@@ -60,12 +56,12 @@
 }
 
 // placeJob places the tasks of a job that may run now, unless its service is full, and reserves for those that found no
-// worker. It returns false if the workers had no room for one that needs no offer and may run on all of them.
-func (d *Dispatcher) placeJob(now time.Time, j *job, isFull bool) bool {
-	tasks, hasLeftOut := d.placeable(now, j), false
+// worker. It returns which later jobs of the service may find room.
+func (d *Dispatcher) placeJob(now time.Time, j *job, isFull bool) room {
+	tasks, left := d.placeable(now, j), roomForNone
 	if free := d.withoutOffer(j, tasks); !isFull && len(free) > 0 {
 		var placements []placement
-		placements, hasLeftOut = d.plan(now, j, free)
+		placements, left = d.plan(now, j, free)
 		for _, p := range placements {
 			d.send(now, p)
 		}
@@ -73,17 +69,20 @@
 	}
 	if len(tasks) > 0 && d.isContained(j) {
 		// It reserves nothing, as all agents of its kind are tried again soon, and holds up no later job.
-		return true
+		return roomForOthers
 	}
 	if len(tasks) > 0 {
 		d.reserve(now, j, tasks)
-		return hasLeftOut || len(d.withoutOffer(j, tasks)) == 0
+		if len(d.withoutOffer(j, tasks)) == 0 {
+			return roomForOthers
+		}
+		return left
 	}
 	d.cancelReservations(j)
 	if j.everSent {
 		d.dequeueUnlessPending(now, j)
 	}
-	return true
+	return roomForOthers
 }
 
 // placeable returns the tasks of a job that may be placed now, in the order of their steps.
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -96,3 +96,26 @@
 		}
 	}
 }
+
+// BenchmarkPlace is the cost of a placement while 100 jobs wait at 48 agents, which have room that they keep for shorter tasks or none.
+func BenchmarkPlace(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	for _, keepsRoom := range []bool{false, true} {
+		b.Run(fmt.Sprintf("keepsRoom=%t", keepsRoom), func(b *testing.B) {
+			d := busyDispatcher(now, 48, 100)
+			load := runner.Load{Accepts: true, Slowness: 1, Used: worker.Resources{CPU: 32000}}
+			if keepsRoom {
+				load.Used.CPU = 26000
+				load.Headroom = []runner.Headroom{{LongerThan: time.Millisecond, CPU: 6000}}
+			}
+			for _, a := range d.ordered {
+				d.Handle(now, LoadReceived{Agent: a.id, Load: load})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				d.place(now)
+			}
+		})
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -37,6 +37,8 @@
 	agent *agent
 	// free are the resources that the plan has left.
 	free worker.Resources
+	// headroom is what tasks have to leave of it for shorter ones.
+	headroom []runner.Headroom
 }
 
 // spareShare is the part, 0 to 1, of its CPU that is free on a worker that is nearly free.
@@ -59,6 +61,8 @@
 	isSuspect func(*task) bool
 	// hasLeftOut is set if an ejected worker had room for a task that must not fail again.
 	hasLeftOut bool
+	// isHeldBack is set if a worker has room that the tasks have to leave for shorter ones.
+	isHeldBack bool
 }
 
 // plan chooses workers for as many of the tasks as there are resources. The tasks are in the order of their steps.
@@ -72,16 +76,23 @@
 // Reason: a job suffers from each of its workers that fails, so it is placed on as few as possible. It is answered sooner by a fast one, but
 // once these are in use they are left to the long jobs that are late elsewhere. With the random order, entries do not all choose the same worker.
 //
-// hasLeftOut is set if a worker was left out that may have room for other jobs.
-func (d *Dispatcher) plan(now time.Time, j *job, tasks []*task) (placements []placement, hasLeftOut bool) {
-	hasLeftOut = d.gatherCandidates(now, j)
+// left is the room that other jobs may find although this one does not.
+func (d *Dispatcher) plan(now time.Time, j *job, tasks []*task) (placements []placement, left room) {
+	hasLeftOut := d.gatherCandidates(now, j)
 	p := planner{job: j, candidates: d.candidates, isSuspect: d.isSuspect}
 	for len(tasks) > 0 {
 		group := sameStep(tasks)
 		p.placeGroup(group)
 		tasks = tasks[len(group):]
 	}
-	return p.placements, hasLeftOut || p.hasLeftOut
+	switch {
+	case hasLeftOut || p.hasLeftOut:
+		return p.placements, roomForOthers
+	case p.isHeldBack:
+		return p.placements, roomForShorter
+	default:
+		return p.placements, roomForNone
+	}
 }
 
 // gatherCandidates collects the agents that accept tasks of a job, in random order. Those whose worker is too slow for the
@@ -93,7 +104,7 @@
 		if !d.mayRun(j, a) {
 			continue
 		}
-		c := candidate{agent: a, free: a.unreserved()}
+		c := candidate{agent: a, free: a.unreserved(), headroom: d.headroomAt(a)}
 		if a.isTooSlow(now, j) {
 			slow = append(slow, c)
 			hasLeftOut = hasLeftOut || a.isHealthy()
@@ -190,7 +201,7 @@
 	if !step.canRunOn(c.agent.record) {
 		return 0
 	}
-	fits := step.Needs.Count(c.free, len(group))
+	fits := step.Needs.Count(p.freeFor(c, group[0].step), len(group))
 	if spare := p.job.countSpare(group); c.agent.load.IsEjected && spare < fits {
 		fits = spare
 		p.hasLeftOut = true
@@ -201,6 +212,15 @@
 	return fits
 }
 
+// freeFor returns what tasks of a step may use of a worker's free resources, and notes whether they have to leave any.
+func (p *planner) freeFor(c *candidate, step int) worker.Resources {
+	free := c.free
+	left := leftFree(c.headroom, p.job.times[step].task)
+	free.CPU -= left
+	p.isHeldBack = p.isHeldBack || left > 0
+	return free
+}
+
 // countAt counts the tasks of a step that are at an agent or planned for it.
 func (p *planner) countAt(a *agent, step int) int {
 	count := 0
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -42,7 +42,9 @@
 	// reservations holds those that wait, by their jobs, and offers those that were not answered, by their IDs.
 	reservations map[string]runner.Reservation
 	offers       map[runner.OfferID]worker.Resources
-	lastOffer    runner.OfferID
+	// offeredTo are the kinds whose jobs may use the offers, without those that any job may use.
+	offeredTo map[runner.OfferID]string
+	lastOffer runner.OfferID
 	// isEjected is set while the worker is ejected, and probe is the probe that was offered last, zero if it was answered; probedAt is when.
 	// endedProbe is one that the agent took back without an answer.
 	isEjected  bool
@@ -109,6 +111,7 @@
 	return &fakeAgent{
 		id: id, up: isUp, tasks: make(map[string]*sentTask),
 		reservations: make(map[string]runner.Reservation), offers: make(map[runner.OfferID]worker.Resources),
+		offeredTo: make(map[runner.OfferID]string),
 	}
 }
 
@@ -219,7 +222,12 @@
 		}
 		a.lastOffer++
 		a.offers[a.lastOffer] = r.Needs.Times(count)
-		s.handle(OfferReceived{Agent: a.id, Offer: runner.Offer{ID: a.lastOffer, Job: job, Resources: r.Needs.Times(count), Left: r.Count}})
+		if s.chance(0.8) {
+			a.offeredTo[a.lastOffer] = r.Kind
+		}
+		s.handle(OfferReceived{Agent: a.id, Offer: runner.Offer{
+			ID: a.lastOffer, Job: job, Resources: r.Needs.Times(count), Left: r.Count, Kind: a.offeredTo[a.lastOffer],
+		}})
 	}
 }
 
@@ -266,6 +274,9 @@
 	if e.Task.Offer > 0 && e.Task.Offer != a.probe && e.Task.Offer != a.endedProbe {
 		s.useOffer(a, e.Task)
 	}
+	if kind := a.offeredTo[e.Task.Offer]; kind != "" && kind != e.Task.Kind {
+		s.t.Fatalf("%s of the kind %q uses an offer for the kind %q", e.Task.Name, e.Task.Kind, kind)
+	}
 	a.tasks[e.Task.Name] = &sentTask{run: e.Task.Run, due: s.now.Add(s.millis(1, 400)), needs: e.Task.Needs}
 }
 
@@ -364,7 +375,7 @@
 	}
 	job := Job{
 		ID: id, Payload: "p",
-		Kind: Kind{Name: "kind", Service: "service", Priority: s.random.IntN(3), Attempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond},
+		Kind: Kind{Name: fmt.Sprintf("kind-%d", s.random.IntN(2)), Service: "service", Priority: s.random.IntN(3), Attempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond},
 	}
 	for i := range 1 + s.random.IntN(2) {
 		one := Step{Count: 1 + s.random.IntN(6), Needs: worker.Resources{CPU: 1000}, Expected: 150 * time.Millisecond}
@@ -451,6 +462,7 @@
 func (s *schedule) load(a *fakeAgent) {
 	s.handle(LoadReceived{Agent: a.id, Handled: a.handled, Load: runner.Load{
 		Used: a.used, Accepts: !a.isEjected, IsEjected: a.isEjected, Slowness: 1, HasReservations: len(a.reservations) > 0,
+		Headroom: []runner.Headroom{{LongerThan: s.millis(10, 200), CPU: s.random.IntN(capacity)}},
 	}})
 }
 
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -19,19 +19,26 @@
 	maxReservations = 24
 	// reservationsPerTask is the number of agents at which a job reserves for each task that waits; see reservationLimit.
 	reservationsPerTask = 3
+	// minReservations is the least such number while what is left is kept for shorter tasks; see reservationLimit.
+	minReservations = 10
 )
 
 // reservationLimit returns the largest number of agents at which a job reserves.
 //
-// Inputs: the number of its tasks that wait.
+// Inputs: the number of its tasks that wait, whether what is left is kept for shorter tasks (isRoomKept).
 //
-// Rule: reservationsPerTask for each of them, and maxReservations at most. Reservations at agents that accept no tasks any
-// more, or do not respond, do not count.
+// Rule: reservationsPerTask for each of them, minReservations at least if room is kept, and maxReservations at most. Reservations at
+// agents that accept no tasks any more, or do not respond, do not count.
 //
 // Reason: with a few agents for each task, one of them has room soon. Each agent costs two messages, one to reserve and one to
-// cancel: with 24 for every job an entry sent 40,000 a second, which filled its link of 25 Mbit/s, so that it lost all agents.
-func reservationLimit(tasks int) int {
-	return min(reservationsPerTask*tasks, maxReservations)
+// cancel: with 24 for every job an entry sent 40,000 a second, which filled its link of 25 Mbit/s, so that it lost all agents. Room
+// that is kept for shorter tasks is at some of the agents only.
+func reservationLimit(tasks int, isRoomKept bool) int {
+	limit := min(reservationsPerTask*tasks, maxReservations)
+	if isRoomKept {
+		return max(limit, minReservations)
+	}
+	return limit
 }
 
 // reservation is what a job has reserved.
@@ -73,7 +80,7 @@
 	r.latest, r.view = wanted, d.view
 	wanted.Count = len(group)
 	agents := d.reservationAgents(now, j, step, group[0])
-	missing := reservationLimit(len(group)) - r.countAt(agents)
+	missing := reservationLimit(len(group), d.isRoomKept(agents, step.Needs)) - r.countAt(agents)
 	for _, a := range agents {
 		isNew := !r.agents[a.id]
 		if isNew && missing <= 0 || !isNew && !isChanged {
@@ -145,11 +152,12 @@
 //
 // Inputs: the offered resources, the waiting jobs in their order.
 //
-// Rule: the tasks of the most urgent waiting jobs that fit use the offer, whichever job it was made for. A task uses no offer
-// of a worker that it avoids, unless it avoids all. Offers of an agent whose session is to be closed, or whose availability zone
+// Rule: the tasks of the most urgent waiting jobs that fit use the offer, whichever job it was made for, if they are of its kind. A task
+// uses no offer of a worker that it avoids, unless it avoids all. Offers of an agent whose session is to be closed, or whose availability zone
 // is evacuated, are not used.
 //
-// Reason: the job that led to the offer may have been placed meanwhile.
+// Reason: the job that led to the offer may have been placed meanwhile. The agent chose the kind by its share, and offers what is left to
+// another one.
 func (d *Dispatcher) offerReceived(now time.Time, e OfferReceived) {
 	a, ok := d.agents[e.Agent]
 	if !ok {
@@ -167,7 +175,7 @@
 	d.sortWaiting(now)
 	left := e.Offer.Resources
 	for _, j := range d.waiting {
-		if a.mayGetTasks() && d.mayUseOffer(now, j, a) && j.canUse(left) && d.mayPlace(now, j) {
+		if a.mayGetTasks() && d.isOfferedTo(j, e.Offer) && d.mayUseOffer(now, j, a) && j.canUse(left) && d.mayPlace(now, j) {
 			left = d.placeInOffer(now, j, a, e.Offer.ID, left)
 		}
 	}
@@ -175,6 +183,11 @@
 	d.isPlaceDue = true
 }
 
+// isOfferedTo reports whether an offer is for jobs of the kind of a job. One that names no kind is for all.
+func (d *Dispatcher) isOfferedTo(j *job, offer runner.Offer) bool {
+	return d.limits.NoShares || offer.Kind == "" || offer.Kind == j.Kind.Name
+}
+
 // mayUseOffer reports whether a job may use an offer of an agent. One that is contained does not, as it reserves nothing: what it
 // used would be lost to the job that did. Nor does one for which the worker is too slow, while another suits it.
 func (d *Dispatcher) mayUseOffer(now time.Time, j *job, a *agent) bool {
