settings, agent, entry: the options shares and share_weights, log and metrics of shares

Change: shares (entries and agents, default yes) and share_weights (entries, none by default). An agent logs and shows how its worker is divided while several competitors wait.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,6 +73,7 @@
 	logger    log.Logger
 	metrics   *metric.Set
 	runs      runRecorder
+	shares    shareRecorder
 	// rejections is the limited log of heartbeats that were rejected.
 	rejections log.Logger
 	seeds      atomic.Pointer[[]string]
@@ -104,6 +105,7 @@
 		logger:       logging.Part(logger, "agent"),
 		metrics:      metrics,
 		runs:         newRunRecorder(metrics),
+		shares:       newShareRecorder(metrics),
 		runner:       runner.New(settings.Limits, newFence(now)),
 		events:       make(chan runner.Event, settings.Ring),
 		registration: newRegistration(),
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -82,6 +82,8 @@
 		a.probeEnded(e)
 	case runner.WorkerRestored:
 		a.workerRestored(e)
+	case runner.SharesDivided:
+		a.sharesDivided(e)
 	case runner.SendPing, runner.SendWorker, runner.SendLoad, runner.SendOffer, runner.SendCrash:
 		a.sessions.Send(effect)
 	}
--- a/internal/cli/platformagent.go
+++ b/internal/cli/platformagent.go
@@ -24,6 +24,7 @@
 	worker, closeWorker := platform.NewWorker(string(s.BackendAddress))
 	limits := runner.DefaultLimits(s.MaxWorkerLease, s.StopTime)
 	limits.NoEjection = s.EjectWorkers == settings.No
+	limits.NoShares = s.Shares == settings.No
 	agent, closeAgent := agent.New(agent.Settings{
 		Name: s.Name, Zone: s.Zone, Sessions: sessions, Seeds: s.SeedAddresses(),
 		Limits: limits, StopTimeout: s.StopTimeout, Ring: s.Ring,
--- a/internal/cli/platformentry.go
+++ b/internal/cli/platformentry.go
@@ -26,8 +26,8 @@
 	e, closeEntry := entry.New(entry.Settings{
 		Name: s.Name, Zone: s.Zone, Peers: peers, Seeds: s.SeedAddresses(),
 		StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs, ContainKinds: s.ContainKinds == settings.Yes, FarTimes: s.FarTimes, HandOver: s.HandOver == settings.Yes, ShareLearned: s.ShareLearned == settings.Yes,
-		EjectWorkers: s.EjectWorkers == settings.Yes,
-		Durable:      platform.NewDurableJobs(store), StoreWrites: s.StoreWrites,
+		EjectWorkers: s.EjectWorkers == settings.Yes, Shares: s.Shares == settings.Yes, Weights: s.WeightsByKind(),
+		Durable: platform.NewDurableJobs(store), StoreWrites: s.StoreWrites,
 	}, configurations, platform.NewStoreWatcher(store, logger, metrics), logger, metrics)
 	closeReady := platform.NewReadiness(balancer, e)
 	ingress := platform.NewIngress(callers, configurations, e, logger)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,9 @@
 	ShareLearned bool
 	// EjectWorkers is set if ejected workers get no tasks but probes.
 	EjectWorkers bool
+	// Shares is set if workers are divided between kinds of jobs and availability zones, and Weights are those of some kinds.
+	Shares  bool
+	Weights map[string]float64
 	// Durable is the store of the durable jobs, StoreWrites the store's rate of writes a second for all entries together.
 	Durable     DurableStore
 	StoreWrites int
@@ -188,6 +191,7 @@
 	limits := dispatch.Limits{
 		Jobs: settings.Jobs, NoContainment: !settings.ContainKinds, NoEjection: !settings.EjectWorkers,
 		FarTimes: settings.FarTimes, HandOver: settings.HandOver,
+		NoShares: !settings.Shares, Weights: settings.Weights,
 	}
 	return dispatch.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -58,6 +58,10 @@
 	// SessionSent and SessionReceived show messages and bytes by the kind of message.
 	SessionSent     = "session_sent"
 	SessionReceived = "session_received"
+	// SharesUsed, SharesUsual and SharesEntitled show cores by availability zone and kind.
+	SharesUsed     = "shares_used"
+	SharesUsual    = "shares_usual"
+	SharesEntitled = "shares_entitled"
 )
 
 // NewSet returns an empty set. Publish makes it visible.
--- a/internal/settings/dump.go
+++ b/internal/settings/dump.go
@@ -46,6 +46,11 @@
 			return []Address{}
 		}
 		return *place
+	case *[]Weight:
+		if *place == nil {
+			return []Weight{}
+		}
+		return *place
 	default:
 		return place
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,11 +104,13 @@
 	Jobs             int
 	StoreWrites      int
 	FarTimes         float64
-	// ContainKinds, HandOver, ShareLearned and EjectWorkers are Yes or No.
+	// ContainKinds, HandOver, ShareLearned, EjectWorkers and Shares are Yes or No.
 	ContainKinds string
 	HandOver     string
 	ShareLearned string
 	EjectWorkers string
+	Shares       string
+	ShareWeights []Weight
 	// MaxWorkerLease is the option hold_time.
 	MaxWorkerLease time.Duration
 	StopTime       time.Duration
@@ -119,6 +121,15 @@
 	ServiceTimeMax time.Duration
 }
 
+// WeightsByKind returns the option share_weights by kind.
+func (s Settings) WeightsByKind() map[string]float64 {
+	weights := make(map[string]float64, len(s.ShareWeights))
+	for _, weight := range s.ShareWeights {
+		weights[weight.Kind] = weight.Value
+	}
+	return weights
+}
+
 // SeedAddresses returns the addresses of the option seeds.
 func (s Settings) SeedAddresses() []string {
 	addresses := make([]string, 0, len(s.Seeds))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -19,6 +20,32 @@
   "backend_address": "127.0.0.1:7701",
 `
 
+const goodPlatformEntry = `{
+  // an entry on the users' platform
+  "role": "platform-entry",
+  "name": "entry-1",
+  "peer_address": "127.0.0.1:7601",
+  "ready_address": "127.0.0.1:7602",
+`
+
+func TestParseReadsWeights(t *testing.T) {
+	s, err := Parse("f.json", []byte(goodPlatformEntry+`"share_weights": ["refunds=2", "reports=0.5"]}`), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]float64{"refunds": 2, "reports": 0.5}
+	if got := s.WeightsByKind(); !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	var dumped bytes.Buffer
+	if err := s.Dump(&dumped); err != nil {
+		t.Fatal(err)
+	}
+	if line := `"share_weights": ["refunds=2","reports=0.5"],`; !strings.Contains(dumped.String(), line) {
+		t.Errorf("dumped %s, want a line %s", dumped.String(), line)
+	}
+}
+
 func TestParseNamesFileLineAndOption(t *testing.T) {
 	for _, test := range []struct{ name, text, want string }{
 		{"unknown option", goodAgent + `"slot": 8}`, `settings: f.json:7: option slot: is unknown`},
@@ -38,6 +65,8 @@
 		{"unknown role", `{"role": "king"}`, `settings: f.json:1: option role: king is none of [entry agent platform-entry platform-agent operator platform-standin backend-standin]`},
 		{"no object", `[]`, `settings: f.json:1: needs an object of options`},
 		{"size without unit", `{"role": "entry", "name": "e", "peer_address": "127.0.0.1:1", "max_body": 5}`, `settings: f.json:1: option max_body: needs a size with a unit, such as "8MiB"`},
+		{"weight without kind", goodPlatformEntry + `"share_weights": ["2"]}`, `settings: f.json:7: option share_weights: 2 is not a kind with its weight, such as "refunds=2"`},
+		{"weight out of range", goodPlatformEntry + `"share_weights": ["refunds=0"]}`, `settings: f.json:7: option share_weights: the weight of refunds is not within 0.01 to 100`},
 		{"bounds crossed", `{"role": "backend-standin", "name": "b", "listen_address": "127.0.0.1:1", "service_time_min": "1s"}`, `settings: f.json:1: option service_time_min: 1s is more than service_time_max 500ms`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -34,6 +34,8 @@
 		*place = o.Default.(Address)
 	case *[]Address:
 		*place = slices.Clone(o.Default.([]Address))
+	case *[]Weight:
+		*place = slices.Clone(o.Default.([]Weight))
 	}
 }
 
@@ -54,6 +56,8 @@
 		return setAddress(place, literal)
 	case *[]Address:
 		return setAddresses(place, literal)
+	case *[]Weight:
+		return setWeights(place, literal)
 	default:
 		return errors.Errorf("option of unknown type %T", place)
 	}
