--- a/internal/overload/scarcity_test.go
+++ b/internal/overload/scarcity_test.go
@@ -73,6 +73,8 @@
 	next     int
 	// jobs are all that came, in the order of their arrival.
 	jobs []*variedJob
+	// sharedWith are the entries that get half of the jobs of others.
+	sharedWith map[*entry]*entry
 }
 
 // variedJob is a job and what became of it.
@@ -102,7 +104,7 @@
 // newScarcityWith returns such a site that an option has changed before its entries and agents are added.
 func newScarcityWith(seed uint64, entries, agents int, load float64, option func(*site), bursts ...burst) *scarcity {
 	const cpu, subsetSize, rackSize = 32000, 48, 8
-	s := &scarcity{site: newSite(seed, 0, 0, 0, option), load: load, bursts: bursts, guessBias: 1, failingTimes: 1}
+	s := &scarcity{site: newSite(seed, 0, 0, 0, option), load: load, bursts: bursts, guessBias: 1, failingTimes: 1, sharedWith: make(map[*entry]*entry)}
 	s.build(entries, agents, subsetSize, func(number int, a *agent) {
 		a.cpu, a.rack = cpu, fmt.Sprintf("rack-%d", number/rackSize)
 		if number%3 == 2 {
@@ -179,6 +181,9 @@
 	width := max(1, int(math.Round(float64(k.width)*s.varied(sizeSpread, largestSize))))
 	cpu := int(float64(k.cpu) * s.varied(needSpread, largestNeed))
 	each := time.Duration(float64(k.each) * s.varied(sizeSpread, largestSize))
+	if other := s.sharedWith[e]; other != nil && s.random.IntN(2) == 0 {
+		e = other
+	}
 	j := &variedJob{kind: k, zone: e.zone, arrived: s.now.Sub(s.began)}
 	var longest time.Duration
 	rack := ""
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -6,7 +6,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sailhead/internal/dispatch"
@@ -125,7 +127,7 @@
 		now: origin, random: rand.New(rand.NewPCG(seed, 1)), faults: rand.New(rand.NewPCG(seed, 2)), agents: make(map[dispatch.AgentID]*agent),
 		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration), racks: make(map[string]string), failing: make(map[string]float64),
 		starts: make(map[string]int), crashes: make(map[string]int), startsAtThird: make(map[string]int),
-		limits: dispatch.Limits{Jobs: 2000, NoContainment: *noContainment, NoEjection: *noEjection},
+		limits: dispatch.Limits{Jobs: 2000, NoContainment: *noContainment, NoEjection: *noEjection, NoShares: *noShares},
 	}
 	for _, option := range options {
 		option(s)
@@ -208,15 +210,15 @@
 // agentLimits returns the limits of the agents.
 func (s *site) agentLimits() runner.Limits {
 	limits := runner.DefaultLimits(time.Second, 50*time.Millisecond)
-	limits.NoEjection = s.limits.NoEjection
+	limits.NoEjection, limits.NoShares = s.limits.NoEjection, s.limits.NoShares
 	return limits
 }
 
 // restart replaces the process of the agent. Its entries open their sessions again.
 func (a *agent) restart() {
 	a.runner, a.isEjected = runner.New(a.site.agentLimits(), 2), false
-	for id, e := range a.entries {
-		if e.isOpen(a.id, id) {
+	for _, id := range slices.Sorted(maps.Keys(a.entries)) {
+		if e := a.entries[id]; e.isOpen(a.id, id) {
 			e.lose(a, id)
 		}
 	}
@@ -289,6 +291,8 @@
 	in, out  *link
 	// payloads are those of the latest starts.
 	payloads map[dispatch.AgentID]string
+	// sent changes each event that is sent to an agent, unless it is nil.
+	sent func(runner.Event) runner.Event
 }
 
 func (s *site) addEntry(number int) *entry {
@@ -322,7 +326,7 @@
 	e.sessions[a.id] = id
 	e.handle(dispatch.AgentUp{Agent: a.id})
 	a.entries[id] = e
-	e.out.carry(s, messageSize, func() { a.handle(runner.SessionOpened{Session: id, Entry: e.name, Zone: e.zone}) })
+	e.sendTo(a, messageSize, runner.SessionOpened{Session: id, Entry: e.name, Zone: e.zone})
 }
 
 // isOpen reports whether a session with an agent is the present one.
@@ -383,7 +387,13 @@
 }
 
 func (e *entry) sendBytes(to dispatch.AgentID, size int, event runner.Event) {
-	a := e.site.agents[to]
+	e.sendTo(e.site.agents[to], size, event)
+}
+
+func (e *entry) sendTo(a *agent, size int, event runner.Event) {
+	if e.sent != nil {
+		event = e.sent(event)
+	}
 	e.out.carry(e.site, size, func() { a.handle(event) })
 }
 
