runner: room is kept for shorter tasks only after several competitors waited

Change: headroom holds for a second after reservations of two competitors waited at a tick, and counts eight tenths of a task as one.

--- a/internal/runner/headroom.go
+++ b/internal/runner/headroom.go
@@ -16,8 +16,9 @@
 // Inputs: what is free of the worker, the estimated time of a task, what the kinds of shorter tasks usually use here and use now (package
 // shares).
 // Rule: a task without an offer is started, and a reservation gets an offer, only if that leaves free what shorter tasks are due. Entries are
-// told with the load.
-// Reason: room that is taken by a long task is gone for longer than short ones can wait.
+// told with the load. It holds for scarceTime after several competitors waited for the worker.
+// Reason: room that is taken by a long task is gone for longer than short ones can wait. While nobody waits, it would only keep long tasks off
+// the workers that suit them.
 
 // reasonHeadroom is why a task without an offer is rejected that has to leave room for shorter ones.
 const reasonHeadroom = "the free resources are kept for shorter tasks"
@@ -26,7 +27,10 @@
 func (r *Runner) bounds(now time.Time) []shares.Bound {
 	if r.sharing.areBoundsDue && !r.limits.NoShares {
 		r.sharing.areBoundsDue = false
-		r.sharing.bounds = r.sharing.kinds.Headroom(now, r.worker.usedByKind)
+		r.sharing.bounds = nil
+		if now.Before(r.sharing.scarceUntil) {
+			r.sharing.bounds = r.sharing.kinds.Headroom(now, r.worker.usedByKind)
+		}
 	}
 	return r.sharing.bounds
 }
--- a/internal/runner/shares.go
+++ b/internal/runner/shares.go
@@ -28,6 +28,8 @@
 	// bounds is what tasks leave free for shorter ones, unless it is due to be computed again.
 	bounds       []shares.Bound
 	areBoundsDue bool
+	// scarceUntil is until when tasks leave room for shorter ones.
+	scarceUntil time.Time
 	// toldAt is when SharesDivided was emitted last.
 	toldAt time.Time
 }
@@ -36,6 +38,9 @@
 	return sharing{accounts: shares.NewAccounts(), kinds: shares.NewKinds()}
 }
 
+// scarceTime is how long after several competitors waited for the worker tasks leave room for shorter ones.
+const scarceTime = time.Second
+
 // sharesInterval is the shortest time between two SharesDivided.
 const sharesInterval = time.Second
 
@@ -103,6 +108,9 @@
 	}
 	r.sharing.areBoundsDue = true
 	waiting := r.waitingCompetitors()
+	if len(waiting) > 1 {
+		r.sharing.scarceUntil = now.Add(scarceTime)
+	}
 	divided := r.sharing.accounts.Divide(now, cores(r.worker.record.Capacity), waiting)
 	if len(waiting) > 1 && now.Sub(r.sharing.toldAt) >= sharesInterval {
 		r.sharing.toldAt = now
--- a/internal/runner/shares_test.go
+++ b/internal/runner/shares_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// makeScarce lets both entries wait for more than there is until the next tick.
+func (w *sharedWorker) makeScarce() {
+	for _, count := range []int{1, 0} {
+		for id := range SessionID(2) {
+			w.handle(ReservationRequested{Session: id + 1, Reservation: Reservation{Job: "large", Needs: worker.Resources{CPU: 9 * taskCPU}, Count: count}})
+		}
+		w.pass(20 * time.Millisecond)
+	}
+}
+
 // offeredTo returns the jobs that got offers, in order.
 func (w *sharedWorker) offeredTo() []string {
 	var jobs []string
@@ -135,6 +145,7 @@
 	}{{true, 6}, {false, 8}} {
 		w := newSharedWorker(t, test.isShared)
 		w.useUsually()
+		w.makeScarce()
 		w.effects = nil
 		for range 9 {
 			w.start(2, "long", longTask)
@@ -153,6 +164,7 @@
 func TestAReservationThatLeavesRoomHoldsUpNobody(t *testing.T) {
 	w := newSharedWorker(t, true)
 	w.useUsually()
+	w.makeScarce()
 	for range 6 {
 		w.start(2, "long", longTask)
 	}
--- a/internal/shares/headroom.go
+++ b/internal/shares/headroom.go
@@ -12,8 +12,8 @@
 const (
 	// shorterBy is by how many times a task must take longer than those of a kind to leave room for them.
 	shorterBy = 2
-	// wholeTask is the part of the mean need of a kind from which on room is kept for a task of it. The averages come near to it only.
-	wholeTask = 0.95
+	// wholeTask is the part of the mean need of a kind from which on room is kept for a task of it: many need less than the mean.
+	wholeTask = 0.8
 	// taskWeight is the weight of one task in the averages of its kind.
 	taskWeight = 0.05
 )
