clock: the list of files that read package time's clock names internal/stream

TestRightsEndByThisClock failed since the framed connection moved out of internal/session. The test now looks at the new packages on the path that runs on call too: ejection, forecast, handover, learned, shares, stream.

--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -45,7 +45,7 @@
 	"internal/agent/registration.go": "the time of a registration, for the log",
 	"internal/entry/dependencies.go": "the time of an outage, for the log",
 	"internal/entry/entry.go":        "the time of day as the process's incarnation",
-	"internal/session/connection.go": "the deadline of a write, which the network counts by the steady clock",
+	"internal/stream/connection.go":  "the deadline of a write, which the network counts by the steady clock",
 	"platform/http.go":               "the pace at which idle connections are closed",
 }
 
@@ -54,7 +54,7 @@
 func TestRightsEndByThisClock(t *testing.T) {
 	reading := regexp.MustCompile(`\btime\.(Now|Since|Until)\b`)
 	used := make(map[string]bool)
-	for _, dir := range []string{"agent", "cluster", "dispatch", "durable", "entry", "runner", "session", "subset", "worker", "../platform"} {
+	for _, dir := range []string{"agent", "cluster", "dispatch", "durable", "ejection", "entry", "forecast", "handover", "learned", "runner", "session", "shares", "stream", "subset", "worker", "../platform"} {
 		files, err := filepath.Glob(filepath.Join("..", dir, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatalf("no files in %s: %v", dir, err)
