overload: the ejection tests take a seed

Cause: the seed of the ejection tests was fixed in the code, so other seeds could only be played on a changed copy. Change: flag -ejection.seed, 1 by default; seed and bounds of the tests are as before.

--- a/internal/overload/ejection_test.go
+++ b/internal/overload/ejection_test.go
@@ -17,6 +17,9 @@
 // noEjection turns the ejection of workers off, to measure without it.
 var noEjection = flag.Bool("ejection.off", false, "do not eject workers")
 
+// ejectionSeed is the seed of the tests of ejection, to play others than that of which the figures are.
+var ejectionSeed = flag.Uint64("ejection.seed", 1, "seed of the tests of ejection")
+
 // The faults of the tests.
 var (
 	failsAtOnce  = fault{kind: faultFails, share: 0.44}
@@ -114,11 +117,11 @@
 		{0.15, map[string]fault{"hang": hangs, "are slow": slows, "lose starts": resets}},
 		{0.5, map[string]fault{"fail at once": failsAtOnce}},
 	} {
-		without := sync.OnceValue(func() outcome { return playFailing(1, group.share, drains) })
+		without := sync.OnceValue(func() outcome { return playFailing(*ejectionSeed, group.share, drains) })
 		for name, f := range group.faults {
 			t.Run(fmt.Sprintf("%.2f of the workers %s", group.share, name), func(t *testing.T) {
 				t.Parallel()
-				checkFailing(t, group.share, playFailing(1, group.share, f), without())
+				checkFailing(t, group.share, playFailing(*ejectionSeed, group.share, f), without())
 			})
 		}
 	}
@@ -174,7 +177,7 @@
 // play lets the reminders of a site be the failing kind from one moment on.
 func (f failingKind) play(withoutEjection bool) kindOutcome {
 	option := func(s *site) { s.limits.NoEjection = s.limits.NoEjection || withoutEjection }
-	s := newScarcityWith(1, failureEntries, failureAgents, f.load, option)
+	s := newScarcityWith(*ejectionSeed, failureEntries, failureAgents, f.load, option)
 	s.attempts = failureAttempts
 	s.after(failFrom, func() { s.failingKind, s.failingShare, s.failingTimes = "reminder", f.share, f.times })
 	o := kindOutcome{served: make(map[string]float64)}
@@ -264,7 +267,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			const share, again = 0.05, 500 * time.Millisecond
-			s := newScarcity(1, failureEntries, failureAgents, usualLoad)
+			s := newScarcity(*ejectionSeed, failureEntries, failureAgents, usualLoad)
 			s.attempts = failureAttempts
 			ill := s.agentsInOrder()[:3]
 			s.setFault(share, failsAll, 3*time.Second, 5*time.Second)
@@ -289,7 +292,7 @@
 //
 // Grounds for its figure: three failed jobs eject a worker, and some more run beside them.
 func TestARestartedAgentEjectsItsWorkerAgain(t *testing.T) {
-	s := newScarcity(1, failureEntries, failureAgents, usualLoad)
+	s := newScarcity(*ejectionSeed, failureEntries, failureAgents, usualLoad)
 	s.attempts = failureAttempts
 	ill := s.agentsInOrder()[0]
 	ill.worker.fault = failsAll
@@ -316,7 +319,7 @@
 // done, so a few run when it crashes again, where ten run without ejection.
 func TestFlappingWorkersGetFewTasks(t *testing.T) {
 	const downTime, upTime, flapping = 700 * time.Millisecond, 300 * time.Millisecond, 4
-	s := newScarcity(1, failureEntries, failureAgents, usualLoad, longKindBurst)
+	s := newScarcity(*ejectionSeed, failureEntries, failureAgents, usualLoad, longKindBurst)
 	s.restartAfter = downTime
 	lost, crashes := 0, 0
 	for _, a := range s.agentsInOrder()[:flapping] {
