ejection: a kind that takes longer everywhere does not eject workers

Cause: a run whose progress says that it will take five times as long counts against its worker. When a kind takes four times as long from one moment on, a third of its runs do so after 60 ms, on all workers; entries tell of the kind only once its runs have ended and each has seen those of many workers (the mean rate that came with starts was 0.05 after 1.1 s, 0.24 after 1.7 s, 0.5 after 2.3 s). Four such jobs on a worker, all of the one kind, ejected it, while runs of other kinds on it were done.

Change: while only runs of one kind are overdue and runs of others were done within a second, the overdue runs raise the sum of the test up to that of two jobs. Not so once the runs of other kinds speak against the worker too, and after three seconds, when entries have told whether the kind is so elsewhere.

Result: TestAKindThatIsOverdueAloneEjectsNoWorker fails on the rule before and passes. A worker on which runs of one kind alone hang is ejected after three seconds in place of four jobs.

--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -21,7 +21,8 @@
 // starts again at zero where it would fall below. A kind that fails on all workers thus says little of one of them. Of the runs of one job that
 // fail only the first counts, as the job itself may be the cause.
 //
-// A run that takes far longer than expected counts like a failed one before it ends, so that a worker is found on which nothing ends.
+// A run that takes far longer than expected counts like a failed one before it ends, so that a worker is found on which nothing ends. If only runs
+// of one kind do while others are done, the kind is the likelier cause (kinds.go).
 package ejection
 
 import (
@@ -193,6 +194,8 @@
 	phase phase
 	// score is the sum of the test while the worker is in service.
 	score float64
+	// kinds is what the runs of each kind show meanwhile.
+	kinds kinds
 	// epoch counts the ejections and the failed probes. Runs of an earlier epoch count no more.
 	epoch int
 	// ejectedAt is when the worker was ejected, reason why, and returnedAt when it was last put in service again.
@@ -242,7 +245,9 @@
 
 // test adds a run to the sum, and ejects the worker if that is too large.
 func (d *Detector) test(now time.Time, run Run) {
-	d.score = max(d.score+d.evidence(run), 0)
+	evidence := d.kinds.limit(now, run, d.evidence(run), d.score)
+	d.score = max(d.score+evidence, 0)
+	d.kinds.add(now, run, evidence)
 	if d.score >= maxScore {
 		d.eject(now, reasonOf(run.End))
 	}
@@ -296,6 +301,7 @@
 // restore puts the worker in service.
 func (d *Detector) restore(now time.Time) {
 	d.phase, d.score, d.failed = phaseInService, restoredScore, nil
+	d.kinds.restored()
 	d.returnedAt = now
 }
 
