--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -35,7 +35,9 @@
 //
 //	admission.go    when the worker accepts tasks
 //	health.go       slowness and failure rate
-//	ejection.go     when the worker is ejected, and who probes it
+//	ejection.go     when the worker is ejected, and what that means
+//	judge.go        how runs go, for the ejection
+//	probe.go        who probes an ejected worker
 //	queue.go        waiting for resources; a newer session replaces a task of an older one
 //	reservation.go  who gets the resources that become free
 //	shares.go       how the worker is divided while several kinds and zones wait for it
--- /dev/null
+++ b/internal/runner/probe.go
@@ -0,0 +1,159 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"cmp"
+	"time"
+
+	"sailhead/internal/ejection"
+)
+
+// Probes of an ejected worker
+//
+// Inputs: how many probes are due (package ejection), the sessions, and which of them have sent starts or left probes unused lately.
+// Rule: a probe is offered to one entry at a time, those first that have sent starts lately; one that leaves it unused has its next turn after
+// the others. The first start that uses it is the probe.
+// Reason: entries have the tasks, and know which of them may fail.
+
+const (
+	// ProbeOfferTime is for how long an entry may use a probe: a busy entry has a job for it in that time.
+	ProbeOfferTime = 100 * time.Millisecond
+	// probeMargin is how much longer an agent waits for the answer: two round trips over a busy link.
+	probeMargin = 50 * time.Millisecond
+	// unusedProbeTime is how long an entry that left a probe unused has its turn after those that did not.
+	unusedProbeTime = time.Second
+)
+
+// isProbeOf reports whether an offer is a probe that was offered to a session.
+func (r *Runner) isProbeOf(id SessionID, offer OfferID) bool {
+	o, ok := r.offers[offer]
+	return ok && o.isProbe && o.session == id
+}
+
+// useProbe makes a task a probe if it was sent for one. Another task cannot use it any more.
+func (r *Runner) useProbe(t *task) {
+	if r.isProbeOf(t.session, t.Offer) {
+		t.isProbe = r.isEjected()
+		r.endOffer(t.Offer)
+	}
+}
+
+// endProbes takes back the probes that no task has used, as one of them has failed.
+func (r *Runner) endProbes() {
+	for id, o := range r.offers {
+		if o.isProbe {
+			r.endOffer(id)
+		}
+	}
+}
+
+// countProbes returns how many probes are offered, wait for their start or have run for less than ejection.ProbeTime.
+func (r *Runner) countProbes(now time.Time) int {
+	count := 0
+	for _, o := range r.offers {
+		if o.isProbe {
+			count++
+		}
+	}
+	for _, t := range r.tasks {
+		isNew := t.state == stateQueued || now.Sub(t.began) < ejection.ProbeTime
+		if t.isOpenProbe() && isNew {
+			count++
+		}
+	}
+	return count
+}
+
+// isOpenProbe reports whether a task is a probe that has not shown how the worker is.
+func (t *task) isOpenProbe() bool { return t.isProbe && !t.isJudged }
+
+// hasProbeRun reports whether a probe runs: its progress is to show soon whether it hangs.
+func (r *Runner) hasProbeRun() bool {
+	if !r.isEjected() {
+		return false
+	}
+	for _, t := range r.tasks {
+		if t.isOpenProbe() {
+			return true
+		}
+	}
+	return false
+}
+
+// offerProbes offers the probes that are due.
+func (r *Runner) offerProbes(now time.Time) {
+	if r.refusalReason(now) != "" || now.Before(r.worker.fullUntil) || r.free().CPU <= 0 {
+		return
+	}
+	for range r.ejection.detector.MissingProbes(r.countProbes(now)) {
+		s := r.nextProbeSession(now)
+		if s == nil {
+			return
+		}
+		r.offerProbe(now, s)
+	}
+}
+
+// nextProbeSession returns the session whose turn it is to get a probe, or nil if none may.
+func (r *Runner) nextProbeSession(now time.Time) *session {
+	var best *session
+	for _, s := range r.sessionsInOrder() {
+		if r.mayOffer(now, s.id) && !r.hasProbe(s.id) && (best == nil || s.compareProbe(best, now) < 0) {
+			best = s
+		}
+	}
+	return best
+}
+
+// hasProbe reports whether a session has a probe that it has not answered.
+func (r *Runner) hasProbe(id SessionID) bool {
+	for _, o := range r.offers {
+		if o.isProbe && o.session == id {
+			return true
+		}
+	}
+	return false
+}
+
+// compareProbe returns the order in which two sessions get a probe: those first that have not left one unused lately, of these the one with the
+// latest start, of the others the one that left it first.
+func (s *session) compareProbe(other *session, now time.Time) int {
+	if order := trueFirst(!s.hasLeftProbe(now), !other.hasLeftProbe(now)); order != 0 {
+		return order
+	}
+	if s.hasLeftProbe(now) {
+		return s.probeUnusedAt.Compare(other.probeUnusedAt)
+	}
+	return cmp.Or(other.lastStart.Compare(s.lastStart), cmp.Compare(s.id, other.id))
+}
+
+// hasLeftProbe reports whether the entry has left a probe unused lately.
+func (s *session) hasLeftProbe(now time.Time) bool {
+	return !s.probeUnusedAt.IsZero() && now.Sub(s.probeUnusedAt) < unusedProbeTime
+}
+
+// offerProbe offers a probe to a session. It keeps no resources, as nothing else is started on an ejected worker.
+func (r *Runner) offerProbe(now time.Time, s *session) {
+	r.lastOffer++
+	r.offers[r.lastOffer] = &offer{session: s.id, isProbe: true, expires: now.Add(ProbeOfferTime + probeMargin)}
+	r.emit(SendOffer{Session: s.id, Offer: Offer{ID: r.lastOffer, Resources: r.free(), IsProbe: true}})
+}
+
+// noteUnusedProbe notes that a session has left a probe unused.
+func (r *Runner) noteUnusedProbe(now time.Time, o *offer) {
+	if s, ok := r.sessions[o.session]; ok && o.isProbe {
+		s.probeUnusedAt = now
+	}
+}
+
+// expireProbes ends the probes that were not answered in time.
+func (r *Runner) expireProbes(now time.Time) {
+	for id, o := range r.offers {
+		if o.isProbe && now.After(o.expires) {
+			r.noteUnusedProbe(now, o)
+			r.endOffer(id)
+		}
+	}
+}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -29,7 +29,7 @@
 	loadSent   time.Time
 	// missedOffer is set while the entry has not answered an offer in time and has sent nothing since.
 	missedOffer bool
-	// lastStart is when the entry last sent a start, and probeUnusedAt when it last left a probe unused; see ejection.go.
+	// lastStart is when the entry last sent a start, and probeUnusedAt when it last left a probe unused; see probe.go.
 	lastStart     time.Time
 	probeUnusedAt time.Time
 }
