dispatch: a run that its agent stopped is not sent back as a probe

Cause: agents stop runs that are overdue on an ejected worker. The entry did not note that the task avoids the worker, as it does for a run that failed or that it stopped itself, so the same task was the next probe of the same worker, or ran there again. Change: a task avoids the worker on which its agent stopped a run. Result: the script ejection_stopped fails before (the task is sent to the worker a second time) and passes.

--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -78,7 +78,7 @@
 // moveRun stops the run of a task to run it elsewhere.
 func (d *Dispatcher) moveRun(now time.Time, j *job, t *task) {
 	t.moves++
-	t.avoid = append(t.avoid, t.agent)
+	t.avoidAgent()
 	d.emit(StopTask{Agent: t.agent, Name: t.name})
 	d.emit(j.decisionMade(now, DecisionMoved{}).withRun(t.name, t.run, t.agent))
 }
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -48,6 +48,9 @@
 		d.forecasts.placed(now, j, -1)
 		d.rerunAfter(now, j, t, 0)
 	case runner.OutcomeStopped, runner.OutcomeLost:
+		if e.Update.Outcome == runner.OutcomeStopped {
+			t.avoidAgent()
+		}
 		t.checkpoint = e.Update.Checkpoint
 		d.rerunAfter(now, j, t, 0)
 	}
@@ -93,7 +96,7 @@
 // failTask counts a failed run. The task runs again, on another worker if possible, or its job has failed.
 func (d *Dispatcher) failTask(now time.Time, j *job, t *task) {
 	t.failures++
-	t.avoid = append(t.avoid, t.agent)
+	t.avoidAgent()
 	if t.failures >= d.maxAttempts(j, t.agent) {
 		d.endJob(now, j, Failed{Reason: fmt.Sprintf("%d runs of task %s failed", t.failures, t.name)})
 		return
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -63,6 +63,13 @@
 	return slices.Contains(t.avoid, id)
 }
 
+// avoidAgent notes that the latest run did not end well where it was.
+func (t *task) avoidAgent() {
+	if !t.avoids(t.agent) {
+		t.avoid = append(t.avoid, t.agent)
+	}
+}
+
 // isAt reports whether a run of the task is at an agent.
 func (t *task) isAt(id AgentID) bool {
 	return t.state == taskSent && t.agent == id
