dispatch: a service all of whose workers are ejected still runs tasks at their last attempt

Cause: if more than three in ten workers are ejected, only tasks with another attempt are placed on them. Where all are, as in a service of one worker, jobs of one attempt (the default) were placed nowhere, and none could be a probe, so nothing ran until the three seconds without a probe were over. Change: if no worker of the service is in service, the other tasks run there too. A probe still has to have another attempt.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -26,6 +26,8 @@
 	evacuated bool
 	// ignoresEjection is set while tasks are started on the worker although it is ejected; see ejection.go.
 	ignoresEjection bool
+	// isWithoutOther is set while all workers of the service are ejected, so that there is none for a task that must not fail again.
+	isWithoutOther bool
 	// lastStart is the number of the last start sent in this session.
 	lastStart uint64
 	// uncounted holds the starts that the load does not count yet.
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -17,11 +17,12 @@
 //
 // Rule: an ejected worker's room is no room: it gets no tasks and no reservations, and does not count for what is free. If more than
 // maxEjectedShare of the workers of a service are ejected, they get tasks again that have another attempt left, after all others (plan.go),
-// and their agents are told to ignore the ejection.
+// and their agents are told to ignore the ejection. If all are, they get the other tasks too.
 //
 // Reason: a worker that fails its tasks is free again at once, so it draws what waits as soon as the others are full, and jobs use up
 // their attempts there. But so many workers are rarely ill at once by themselves: what they have in common may be a kind that
-// fails everywhere or a rack that is far from its data, and a wrong verdict must not empty a site.
+// fails everywhere or a rack that is far from its data, and a wrong verdict must not empty a site. A task that must not fail again has no
+// other worker to wait for if all are ejected.
 
 // maxEjectedShare is the part of the workers of a service, 0 to 1, above which ejections are ignored. If more are ill, a third of the jobs are
 // refused for want of their room when all workers are busy. Used for tasks that may fail, they serve most of these if half of their runs fail, and
@@ -33,7 +34,7 @@
 
 // mayRunDespiteEjection reports whether the first run of a task of a job that arrives may be started on the ejected worker without a probe.
 func (a *agent) mayRunDespiteEjection(j *job) bool {
-	return a.ignoresEjection && j.Kind.MaxAttempts() > 1
+	return a.ignoresEjection && (a.isWithoutOther || j.Kind.MaxAttempts() > 1)
 }
 
 // countSpare returns how many of the tasks come before the first one whose next failed run ends the job: it does not run on an ejected worker.
@@ -63,6 +64,9 @@
 	return float64(e.ejected) > maxEjectedShare*float64(e.all)
 }
 
+// areAll reports whether no worker is in service.
+func (e ejections) areAll() bool { return e.ejected == e.all }
+
 // updateEjections decides anew at which agents the ejection is ignored.
 func (d *Dispatcher) updateEjections() {
 	d.ejectedAgents = 0
@@ -79,7 +83,9 @@
 		counts[a.record.Service] = count
 	}
 	for _, a := range d.ordered {
-		a.ignoresEjection = a.load.IsEjected && !d.limits.NoEjection && counts[a.record.Service].areTooMany()
+		count := counts[a.record.Service]
+		a.ignoresEjection = a.load.IsEjected && !d.limits.NoEjection && count.areTooMany()
+		a.isWithoutOther = a.ignoresEjection && count.areAll()
 	}
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -202,7 +202,7 @@
 		return 0
 	}
 	fits := step.Needs.Count(p.freeFor(c, group[0].step), len(group))
-	if spare := p.job.countSpare(group); c.agent.load.IsEjected && spare < fits {
+	if spare := p.job.countSpare(group); c.agent.load.IsEjected && !c.agent.isWithoutOther && spare < fits {
 		fits = spare
 		p.hasLeftOut = true
 	}
--- a/internal/overload/ejection_test.go
+++ b/internal/overload/ejection_test.go
@@ -337,3 +337,26 @@
 		t.Errorf("%.1f runs are lost with each crash from the third on, want 4 at most", mean)
 	}
 }
+
+// TestAServiceOfOneWorkerIsServedAgain plays the pattern of a service with one worker, which fails for a moment. Its jobs have no other attempt, so
+// none may be a probe.
+//
+// Grounds for its figure: there is no other worker for which jobs could wait, so they are served as without ejection once runs end well.
+func TestAServiceOfOneWorkerIsServedAgain(t *testing.T) {
+	const entries, agents, cost = 3, 1, 0.05
+	const wellAgain, from, to = 3300 * time.Millisecond, 3500 * time.Millisecond, 5500 * time.Millisecond
+	play := func(withoutEjection bool) (served float64, jobs int) {
+		option := func(s *site) { s.limits.NoEjection = s.limits.NoEjection || withoutEjection }
+		s := newScarcityWith(*ejectionSeed, entries, agents, usualLoad, option)
+		s.attempts = 1
+		s.setFault(1, failsAll, 3*time.Second, wellAgain)
+		s.play(to)
+		return s.served(during(from, to, "", ""))
+	}
+	got, jobs := play(false)
+	want, _ := play(true)
+	t.Logf("%.3f of the work of %d jobs is on time; without ejection %.3f", got, jobs, want)
+	if got < want-cost {
+		t.Errorf("%.3f of the work is on time, want %.3f", got, want-cost)
+	}
+}
