runner: a probe that outlives the ejection is judged like other runs

Cause: a task stayed a probe when the worker was put in service by others, so it was judged by twice its time and by the caller's guess alone, and counted against a worker that one job less ejects again. Change: probes that have not ended are runs like others once the worker is in service.

--- a/internal/runner/ejection.go
+++ b/internal/runner/ejection.go
@@ -95,6 +95,7 @@
 	}
 	at, reason, kinds := r.ejection.detector.Ejection()
 	if !isEjected {
+		r.forgetProbeRuns()
 		r.emit(WorkerRestored{After: now.Sub(at)})
 		return
 	}
--- a/internal/runner/probe.go
+++ b/internal/runner/probe.go
@@ -69,6 +69,13 @@
 // isOpenProbe reports whether a task is a probe that has not shown how the worker is.
 func (t *task) isOpenProbe() bool { return t.isProbe && !t.isJudged }
 
+// forgetProbeRuns makes probes that have not ended runs like others, as the worker is in service again.
+func (r *Runner) forgetProbeRuns() {
+	for _, t := range r.tasks {
+		t.isProbe = false
+	}
+}
+
 // hasProbeRun reports whether a probe runs: its progress is to show soon whether it hangs.
 func (r *Runner) hasProbeRun() bool {
 	if !r.isEjected() {
