runner: an entry that gives probes back at once gets one in 100 ms

Cause: an entry with the option off, of an older version, evacuated or stopping gives a probe back as soon as it comes, and got the next one with the next event, so an ejected worker cost an offer and an answer for each round trip for up to three seconds. Change: after a probe that was left unused the next one comes 100 ms after its offer at the earliest, as if it had been kept.

--- a/internal/runner/probe.go
+++ b/internal/runner/probe.go
@@ -14,8 +14,8 @@
 //
 // Inputs: how many probes are due (package ejection), the sessions, and which of them have sent starts or left probes unused lately.
 // Rule: a probe is offered to one entry at a time, those first that have sent starts lately; one that leaves it unused has its next turn after
-// the others. The first start that uses it is the probe.
-// Reason: entries have the tasks, and know which of them may fail.
+// the others, and ProbeOfferTime after the offer at the earliest. The first start that uses it is the probe.
+// Reason: entries have the tasks, and know which of them may fail. Entries that give probes back at once would get one after the other.
 
 const (
 	// ProbeOfferTime is for how long an entry may use a probe: a busy entry has a job for it in that time.
@@ -107,7 +107,7 @@
 func (r *Runner) nextProbeSession(now time.Time) *session {
 	var best *session
 	for _, s := range r.sessionsInOrder() {
-		if r.mayOffer(now, s.id) && !r.hasProbe(s.id) && (best == nil || s.compareProbe(best, now) < 0) {
+		if r.mayOffer(now, s.id) && !r.hasProbe(s.id) && !s.hasJustLeftProbe(now) && (best == nil || s.compareProbe(best, now) < 0) {
 			best = s
 		}
 	}
@@ -141,8 +141,16 @@
 	return !s.probeUnusedAt.IsZero() && now.Sub(s.probeUnusedAt) < unusedProbeTime
 }
 
+// hasJustLeftProbe reports whether the entry has left its latest probe unused and could still keep it: it has no use for any at present, or is
+// of an older version.
+func (s *session) hasJustLeftProbe(now time.Time) bool {
+	isLatest := !s.probeUnusedAt.Before(s.probeOfferedAt)
+	return s.hasLeftProbe(now) && isLatest && now.Sub(s.probeOfferedAt) < ProbeOfferTime
+}
+
 // offerProbe offers a probe to a session. It keeps no resources, as nothing else is started on an ejected worker.
 func (r *Runner) offerProbe(now time.Time, s *session) {
+	s.probeOfferedAt = now
 	r.lastOffer++
 	r.offers[r.lastOffer] = &offer{session: s.id, isProbe: true, expires: now.Add(ProbeOfferTime + probeMargin)}
 	r.emit(SendOffer{Session: s.id, Offer: Offer{ID: r.lastOffer, Resources: r.free(), IsProbe: true}})
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -32,6 +32,8 @@
 	// lastStart is when the entry last sent a start, and probeUnusedAt when it last left a probe unused; see probe.go.
 	lastStart     time.Time
 	probeUnusedAt time.Time
+	// probeOfferedAt is when it was last offered a probe.
+	probeOfferedAt time.Time
 }
 
 // openSession adds a session. It ends an earlier session of the same entry, whose tasks are stopped: the entry has lost
