runner: offers that are dropped are not charged

Cause: when a worker is ejected or its incarnation ends, its offers are dropped, but what was charged to the competitors for them stayed in their accounts, so a zone that had got nothing came after the others. Change: dropping offers takes the charges back, and offers end in the order in which they were made. Result: TestOffersThatAreDroppedAreNotCharged fails before and passes; go test ./internal/runner passes.

--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -124,8 +125,8 @@
 // dropReservations removes the reservations and offers of a session that has ended.
 func (r *Runner) dropReservations(id SessionID) {
 	r.reservations = slices.DeleteFunc(r.reservations, func(other *reservation) bool { return other.session == id })
-	for offerID, o := range r.offers {
-		if o.session == id {
+	for _, offerID := range r.offersInOrder() {
+		if r.offers[offerID].session == id {
 			r.endOffer(offerID)
 		}
 	}
@@ -136,11 +137,16 @@
 // Entries reserve again when they learn of the next incarnation.
 func (r *Runner) dropAllReservations() {
 	r.reservations = nil
-	clear(r.offers)
-	r.offered = worker.Resources{}
+	for _, id := range r.offersInOrder() {
+		r.endOffer(id)
+	}
 	r.markLoadDue()
 }
 
+// offersInOrder returns the offers in the order in which they were made. What is charged for them is a sum of fractions, which is the same each
+// time only in one order.
+func (r *Runner) offersInOrder() []OfferID { return slices.Sorted(maps.Keys(r.offers)) }
+
 // offerFree offers the free resources to the reservations in their order.
 func (r *Runner) offerFree(now time.Time) {
 	if len(r.reservations) == 0 || r.isEjected() || r.refusalReason(now) != "" || now.Before(r.worker.fullUntil) {
@@ -232,8 +238,8 @@
 
 // expireOffers ends the offers that were not answered in time.
 func (r *Runner) expireOffers(now time.Time) {
-	for id, o := range r.offers {
-		if !o.isProbe && now.After(o.expires) {
+	for _, id := range r.offersInOrder() {
+		if o := r.offers[id]; !o.isProbe && now.After(o.expires) {
 			r.sessions[o.session].missedOffer = true
 			r.endOffer(id)
 		}
--- a/internal/runner/shares_test.go
+++ b/internal/runner/shares_test.go
@@ -203,6 +203,25 @@
 	}
 }
 
+// TestOffersThatAreDroppedAreNotCharged lets one availability zone wait for offers, which are dropped as the worker is ejected or starts again
+// before they are used. Both zones have used nothing then, so the one that asks first is offered first.
+func TestOffersThatAreDroppedAreNotCharged(t *testing.T) {
+	for _, hasOffers := range []bool{false, true} {
+		w := newSharedWorker(t, true)
+		w.reserve(2, "other", "kind", shortTask)
+		w.handle(OfferAnswered{Session: 2, Offer: w.runner.lastOffer})
+		for i := 0; hasOffers && i < 8; i++ {
+			w.reserve(1, fmt.Sprint("dropped-", i), "kind", longTask)
+		}
+		w.runner.dropAllReservations()
+		w.pass(20 * time.Millisecond)
+		w.makeScarce()
+		if !w.runner.sharing.accounts.IsBelow(w.now, w.runner.sessions[1].competitor("kind")) {
+			t.Errorf("offers were dropped %t: the zone has used more than its share", hasOffers)
+		}
+	}
+}
+
 // BenchmarkOffer is the cost of an offer and its answer while 100 jobs of three kinds in three availability zones wait.
 func BenchmarkOffer(b *testing.B) {
 	for _, isShared := range []bool{false, true} {
