dispatch: ejected workers that get no tasks anyway do not count for the limit

Cause: whether too many workers are ejected was counted over all agents in session, also those that do not respond, are in an evacuated zone or are to be closed. While a zone did not respond, the ejected ones of the others were fewer than three in ten of all, and one in a zone that operators empty made the ejections of the others ignored. Change: only workers count that get tasks, or would if they were not ejected, as the rule says. The check of the random schedules counts the same workers; it had counted those others too.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -59,6 +59,18 @@
 // ejections counts the workers of a service that get tasks or would if they were not ejected, and those of them that are.
 type ejections struct{ all, ejected int }
 
+// with returns the counts with the worker of another agent.
+func (e ejections) with(a *agent) ejections {
+	if a.unresponsive || !a.mayGetTasks() || !a.load.Accepts && !a.load.IsEjected {
+		return e
+	}
+	e.all++
+	if a.load.IsEjected {
+		e.ejected++
+	}
+	return e
+}
+
 // areTooMany reports whether so many are ejected that this is ignored.
 func (e ejections) areTooMany() bool {
 	return float64(e.ejected) > maxEjectedShare*float64(e.all)
@@ -72,15 +84,10 @@
 	d.ejectedAgents = 0
 	counts := make(map[string]ejections)
 	for _, a := range d.ordered {
-		count := counts[a.record.Service]
-		if a.load.Accepts || a.load.IsEjected {
-			count.all++
-		}
 		if a.load.IsEjected {
-			count.ejected++
 			d.ejectedAgents++
 		}
-		counts[a.record.Service] = count
+		counts[a.record.Service] = counts[a.record.Service].with(a)
 	}
 	for _, a := range d.ordered {
 		count := counts[a.record.Service]
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -327,6 +327,9 @@
 	isProbe := sent.Offer > 0 && (sent.Offer == a.probe || sent.Offer == a.endedProbe)
 	known, ejected := 0.0, 0.0
 	for _, other := range s.dispatcher.ordered {
+		if other.unresponsive || !other.mayGetTasks() {
+			continue
+		}
 		if other.load.Accepts || other.load.IsEjected {
 			known++
 		}
