--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -17,11 +17,12 @@
 //
 // Rule: an ejected worker's room is no room: it gets no tasks and no reservations, and does not count for what is free. If more than
 // maxEjectedShare of the workers of a service are ejected, they get tasks again that have another attempt left, after all others (plan.go),
-// and their agents are told to ignore the ejection.
+// and their agents are told to ignore the ejection. If all are, they get the other tasks too.
 //
 // Reason: a worker that fails its tasks is free again at once, so it draws what waits as soon as the others are full, and jobs use up
 // their attempts there. But so many workers are rarely ill at once by themselves: what they have in common may be a kind that
-// fails everywhere or a rack that is far from its data, and a wrong verdict must not empty a site.
+// fails everywhere or a rack that is far from its data, and a wrong verdict must not empty a site. A task that must not fail again has no
+// other worker to wait for if all are ejected.
 
 // maxEjectedShare is the part of the workers of a service, 0 to 1, above which ejections are ignored. If more are ill, a third of the jobs are
 // refused for want of their room when all workers are busy. Used for tasks that may fail, they serve most of these if half of their runs fail, and
@@ -31,6 +32,11 @@
 // hasSpareAttempt reports whether the next run of a task may fail without ending the job.
 func (j *job) hasSpareAttempt(t *task) bool { return t.failures+1 < j.Kind.MaxAttempts() }
 
+// mayRunDespiteEjection reports whether the first run of a task of a job that arrives may be started on the ejected worker without a probe.
+func (a *agent) mayRunDespiteEjection(j *job) bool {
+	return a.ignoresEjection && (a.isWithoutOther || j.Kind.MaxAttempts() > 1)
+}
+
 // countSpare returns how many of the tasks come before the first one whose next failed run ends the job: it does not run on an ejected worker.
 func (j *job) countSpare(tasks []*task) int {
 	for i, t := range tasks {
@@ -53,28 +59,40 @@
 // ejections counts the workers of a service that get tasks or would if they were not ejected, and those of them that are.
 type ejections struct{ all, ejected int }
 
+// with returns the counts with the worker of another agent.
+func (e ejections) with(a *agent) ejections {
+	if a.unresponsive || !a.mayGetTasks() || !a.load.Accepts && !a.load.IsEjected {
+		return e
+	}
+	e.all++
+	if a.load.IsEjected {
+		e.ejected++
+	}
+	return e
+}
+
 // areTooMany reports whether so many are ejected that this is ignored.
 func (e ejections) areTooMany() bool {
 	return float64(e.ejected) > maxEjectedShare*float64(e.all)
 }
 
+// areAll reports whether no worker is in service.
+func (e ejections) areAll() bool { return e.ejected == e.all }
+
 // updateEjections decides anew at which agents the ejection is ignored.
 func (d *Dispatcher) updateEjections() {
 	d.ejectedAgents = 0
 	counts := make(map[string]ejections)
 	for _, a := range d.ordered {
-		count := counts[a.record.Service]
-		if a.load.Accepts || a.load.IsEjected {
-			count.all++
-		}
 		if a.load.IsEjected {
-			count.ejected++
 			d.ejectedAgents++
 		}
-		counts[a.record.Service] = count
+		counts[a.record.Service] = counts[a.record.Service].with(a)
 	}
 	for _, a := range d.ordered {
-		a.ignoresEjection = a.load.IsEjected && !d.limits.NoEjection && counts[a.record.Service].areTooMany()
+		count := counts[a.record.Service]
+		a.ignoresEjection = a.load.IsEjected && !d.limits.NoEjection && count.areTooMany()
+		a.isWithoutOther = a.ignoresEjection && count.areAll()
 	}
 }
 
