dispatch, handover: hand-overs of one job are numbered

Cause: results of hand-overs were told apart by the ID of their job only. A job that was withdrawn while its result was on its way, and was handed over again, ended with the result of the first hand-over: its second run went on unwatched, or it ran here as well.

Change: the dispatcher counts its hand-overs, and the number goes with the effects, the events and on the wire, in place of the sender's own.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,6 +86,8 @@
 	congestion congestion
 	// handedOver holds the jobs that other entries have, by their IDs.
 	handedOver map[string]*job
+	// lastHandOver is the number of the latest hand-over.
+	lastHandOver uint64
 	// onTheWay limits those that were handed over and not taken yet.
 	onTheWay congestion
 	// returns is used to spread the returns of refused callers.
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -59,11 +59,18 @@
 // CloseAgent closes the session with an agent, as nothing of this entry is there.
 type CloseAgent struct{ Agent AgentID }
 
-// HandOver hands a job over to another entry. The result comes as HandOverEnded.
-type HandOver struct{ Job Job }
+// HandOver hands a job over to another entry. The result comes as HandOverEnded with the same number.
+type HandOver struct {
+	Job Job
+	// Number counts the hand-overs of this entry, from 1.
+	Number uint64
+}
 
-// WithdrawHandOver ends a job that was handed over. Its result is not needed any more.
-type WithdrawHandOver struct{ Job string }
+// WithdrawHandOver ends a hand-over. Its result is not needed any more.
+type WithdrawHandOver struct {
+	Job    string
+	Number uint64
+}
 
 // RecordEnd passes the end of a run of a durable job to package durable, which records it before the worker may forget
 // it.
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -123,13 +123,17 @@
 // HandOverTaken reports that another entry has taken a job that was handed over.
 type HandOverTaken struct {
 	Job string
+	// Number is that of the hand-over.
+	Number uint64
 	// Entry is the name of that entry.
 	Entry string
 }
 
 // HandOverEnded reports how a job ended that was handed over.
 type HandOverEnded struct {
-	Job    string
+	Job string
+	// Number is that of the hand-over.
+	Number uint64
 	Result HandOverResult
 }
 
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -108,9 +108,16 @@
 	return count
 }
 
+// findHandedOver returns the job of a hand-over that has not ended. What is reported of an earlier hand-over of the job must not be taken for
+// the result of a later one.
+func (d *Dispatcher) findHandedOver(id string, number uint64) (j *job, ok bool) {
+	j, ok = d.handedOver[id]
+	return j, ok && j.handOver == number
+}
+
 // handOverTaken records that another entry has taken a job.
 func (d *Dispatcher) handOverTaken(now time.Time, e HandOverTaken) {
-	if j, ok := d.handedOver[e.Job]; ok && !j.isTaken {
+	if j, ok := d.findHandedOver(e.Job, e.Number); ok && !j.isTaken {
 		j.isTaken, j.takenBy = true, e.Entry
 		d.onTheWay.startCounted(now, j.handedOverAt)
 	}
@@ -118,15 +125,16 @@
 
 // handOver hands a job over.
 func (d *Dispatcher) handOver(now time.Time, j *job) {
-	j.handedOverAt = now
+	d.lastHandOver++
+	j.handOver, j.handedOverAt = d.lastHandOver, now
 	d.handedOver[j.ID] = j
 	d.emit(j.decisionMade(now, DecisionHandedOver{}))
-	d.emit(HandOver{Job: j.Job})
+	d.emit(HandOver{Job: j.Job, Number: j.handOver})
 }
 
 // handOverEnded applies the result of a job that was handed over. One that no other entry has taken is accepted or refused here.
 func (d *Dispatcher) handOverEnded(now time.Time, e HandOverEnded) {
-	j, ok := d.handedOver[e.Job]
+	j, ok := d.findHandedOver(e.Job, e.Number)
 	if !ok {
 		return
 	}
@@ -150,7 +158,7 @@
 // withdraw ends a job that was handed over, because its callers have left or its time is over.
 func (d *Dispatcher) withdraw(j *job) {
 	delete(d.handedOver, j.ID)
-	d.emit(WithdrawHandOver{Job: j.ID})
+	d.emit(WithdrawHandOver{Job: j.ID, Number: j.handOver})
 }
 
 // expireHandedOver ends the jobs that were handed over and are not answered before their callers' time is over or the entry stops.
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -57,7 +57,7 @@
 func (c *handOverCase) handOver(waiter Waiter) {
 	c.t.Helper()
 	c.handle(Submitted{Job: handOverJob("second"), Waiter: waiter})
-	c.expect(HandOver{Job: handOverJob("second")})
+	c.expect(HandOver{Job: handOverJob("second"), Number: c.dispatcher.lastHandOver})
 }
 
 func TestAJobOverTheLimitIsHandedOverAndAnswered(t *testing.T) {
@@ -65,23 +65,46 @@
 	c.handOver(2)
 	c.handle(Submitted{Job: handOverJob("second"), Waiter: 3})
 	c.expect()
-	c.handle(HandOverTaken{Job: "second", Entry: "entry-2"}, HandOverEnded{Job: "second", Result: HandOverAnswered{Answer: Completed{}}})
+	c.handle(HandOverTaken{Job: "second", Number: 1, Entry: "entry-2"}, HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: Completed{}}})
 	c.expect(Reply{Waiters: []Waiter{2, 3}, Answer: Completed{}})
-	c.handle(HandOverEnded{Job: "second", Result: HandOverAnswered{Answer: Failed{}}})
+	c.handle(HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: Failed{}}})
 	c.expect()
 }
 
+// TestWhatComesOfAnEarlierHandOverIsIgnored withdraws a job whose result is on its way, and hands it over again.
+func TestWhatComesOfAnEarlierHandOverIsIgnored(t *testing.T) {
+	for _, late := range []Event{
+		HandOverTaken{Job: "second", Number: 1, Entry: "entry-2"},
+		HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: NotRun{Reason: "no room"}}},
+		HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: Completed{}}},
+		HandOverEnded{Job: "second", Number: 1, Result: HandOverRefused{Reason: "late"}},
+		HandOverEnded{Job: "second", Number: 1, Result: HandOverLost{Reason: "lost"}},
+	} {
+		c := newHandOverCase(t)
+		c.handOver(2)
+		c.handle(CallerLeft{Job: "second", Waiter: 2})
+		c.handOver(3)
+		c.handle(late)
+		c.expect()
+		if on := c.dispatcher.handOversOnTheWay(); on != 1 {
+			t.Errorf("%+v: %d hand-overs are on their way, want 1", late, on)
+		}
+		c.handle(HandOverEnded{Job: "second", Number: 2, Result: HandOverAnswered{Answer: Completed{}}})
+		c.expect(Reply{Waiters: []Waiter{3}, Answer: Completed{}})
+	}
+}
+
 func TestAJobOfALostEntryIsInterrupted(t *testing.T) {
 	c := newHandOverCase(t)
 	c.handOver(2)
-	c.handle(HandOverEnded{Job: "second", Result: HandOverLost{Reason: "lost"}})
+	c.handle(HandOverEnded{Job: "second", Number: 1, Result: HandOverLost{Reason: "lost"}})
 	c.expect(Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "lost"}})
 }
 
 func TestAJobThatNoEntryTakesIsRefusedWhileThereIsNoRoomHere(t *testing.T) {
 	c := newHandOverCase(t)
 	c.handOver(2)
-	c.handle(HandOverEnded{Job: "second", Result: HandOverRefused{Reason: "full"}})
+	c.handle(HandOverEnded{Job: "second", Number: 1, Result: HandOverRefused{Reason: "full"}})
 	reply, ok := c.effects[0].(Reply)
 	answer, isNotRun := reply.Answer.(NotRun)
 	if !ok || !isNotRun || answer.RetryAfter < RetryAfter || len(c.effects) != 1 {
@@ -93,7 +116,7 @@
 	c := newHandOverCase(t)
 	c.handOver(2)
 	c.handle(CallerLeft{Job: "first", Waiter: 1})
-	c.handle(HandOverEnded{Job: "second", Result: HandOverRefused{Reason: "full"}})
+	c.handle(HandOverEnded{Job: "second", Number: 1, Result: HandOverRefused{Reason: "full"}})
 	c.expect()
 	c.handle(StateRequested{Job: "second", Waiter: 4})
 	c.expect(StateReply{Waiter: 4, State: JobWaiting})
@@ -118,7 +141,7 @@
 	c.handle(CallerLeft{Job: "second", Waiter: 2})
 	c.expect()
 	c.handle(CallerLeft{Job: "second", Waiter: 3})
-	c.expect(WithdrawHandOver{Job: "second"})
+	c.expect(WithdrawHandOver{Job: "second", Number: 1})
 }
 
 func TestAJobThatWasHandedOverCanBeCancelled(t *testing.T) {
@@ -126,7 +149,7 @@
 	c.handOver(2)
 	c.handle(CancelRequested{Job: "second", Waiter: 5})
 	c.expect(
-		Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job was cancelled"}}, WithdrawHandOver{Job: "second"},
+		Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job was cancelled"}}, WithdrawHandOver{Job: "second", Number: 1},
 		CancelReply{Waiter: 5, Known: true},
 	)
 }
@@ -137,26 +160,30 @@
 	c.handle(CallerLeft{Job: "first", Waiter: 1})
 	c.now = c.now.Add(2100 * time.Millisecond)
 	c.handle(Ticked{})
-	c.expect(Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job's time is over"}}, WithdrawHandOver{Job: "second"})
+	c.expect(Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job's time is over"}}, WithdrawHandOver{Job: "second", Number: 1})
 }
 
 // otherEntry is the entry to which a random schedule hands jobs over.
 type otherEntry struct {
 	schedule *schedule
-	// due has when it reports on each job again, and taken is set once it has taken the job.
-	due   map[string]time.Time
-	taken map[string]bool
+	// due has when it reports on each job again, numbers those of the hand-overs, and taken is set once it has taken the job.
+	due     map[string]time.Time
+	numbers map[string]uint64
+	taken   map[string]bool
+	// ended are the results of earlier hand-overs, which may be reported again.
+	ended []HandOverEnded
 }
 
 func newOtherEntry(s *schedule) *otherEntry {
-	return &otherEntry{schedule: s, due: make(map[string]time.Time), taken: make(map[string]bool)}
+	return &otherEntry{schedule: s, due: make(map[string]time.Time), numbers: make(map[string]uint64), taken: make(map[string]bool)}
 }
 
 // take takes a job. It fails if the job is there already, or was handed over before.
-func (o *otherEntry) take(job Job) {
+func (o *otherEntry) take(job Job, number uint64) {
 	if o.has(job.ID) || job.IsHandedOver {
 		o.schedule.t.Fatalf("job %s was handed over twice", job.ID)
 	}
+	o.numbers[job.ID] = number
 	o.due[job.ID] = o.schedule.now.Add(o.schedule.millis(1, 300))
 }
 
@@ -166,15 +193,22 @@
 	return ok
 }
 
-// withdraw forgets a job.
+// withdraw forgets a job. Its answer may be on its way already.
 func (o *otherEntry) withdraw(job string) {
+	if number, ok := o.numbers[job]; ok {
+		o.ended = append(o.ended, HandOverEnded{Job: job, Number: number, Result: HandOverAnswered{Answer: NotRun{Reason: "late"}}})
+	}
 	delete(o.due, job)
+	delete(o.numbers, job)
 	delete(o.taken, job)
 }
 
-// act reports on the jobs that are due.
+// act reports on the jobs that are due, and on earlier ones again.
 func (o *otherEntry) act() {
 	s := o.schedule
+	if len(o.ended) > 0 && s.chance(0.1) {
+		s.handle(o.ended[s.random.IntN(len(o.ended))])
+	}
 	for _, id := range slices.Sorted(maps.Keys(o.due)) {
 		switch {
 		case s.now.Before(o.due[id]):
@@ -183,7 +217,7 @@
 		case !o.taken[id]:
 			o.taken[id] = true
 			o.due[id] = s.now.Add(s.millis(1, 400))
-			s.handle(HandOverTaken{Job: id, Entry: "other"})
+			s.handle(HandOverTaken{Job: id, Number: o.numbers[id], Entry: "other"})
 		case s.chance(0.1):
 			o.end(id, HandOverLost{Reason: "lost"})
 		case s.chance(0.1):
@@ -195,8 +229,10 @@
 }
 
 func (o *otherEntry) end(id string, result HandOverResult) {
+	ended := HandOverEnded{Job: id, Number: o.numbers[id], Result: result}
 	o.withdraw(id)
-	o.schedule.handle(HandOverEnded{Job: id, Result: result})
+	o.schedule.handle(ended)
+	o.ended = append(o.ended, ended)
 }
 
 func TestRandomSchedulesWithHandOversRunAJobAtOneEntry(t *testing.T) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -103,7 +103,8 @@
 	expected forecast.Forecast
 	// begun is set once a task may have run.
 	begun bool
-	// handedOverAt is when the job was handed over to another entry. isTaken is set once that has taken it, and takenBy is its name.
+	// handOver is the number of the hand-over to another entry, and handedOverAt its time. isTaken is set once that has taken it, and takenBy is its name.
+	handOver     uint64
 	handedOverAt time.Time
 	isTaken      bool
 	takenBy      string
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -152,7 +152,7 @@
 		case CloseAgent:
 			s.closeAgent(e)
 		case HandOver:
-			s.other.take(e.Job)
+			s.other.take(e.Job, e.Number)
 		case WithdrawHandOver:
 			s.other.withdraw(e.Job)
 		case Reply:
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -11,22 +11,22 @@
 )
 
 // handOver hands a job over to another entry.
-func (e *Entry) handOver(job dispatch.Job) {
-	if e.handOvers.HandOver(job) {
+func (e *Entry) handOver(handOver dispatch.HandOver) {
+	if e.handOvers.HandOver(handOver.Number, handOver.Job) {
 		e.metrics.Add(metric.JobsHandedOver, 1)
 		return
 	}
 	// The event loop calls this, so it must not wait for its own ring.
-	go e.HandOverEnded(job.ID, dispatch.HandOverRefused{Reason: "no other entry takes jobs"})
+	go e.HandOverEnded(handOver.Job.ID, handOver.Number, dispatch.HandOverRefused{Reason: "no other entry takes jobs"})
 }
 
 // HandOverTaken reports that another entry has taken a job.
-func (e *Entry) HandOverTaken(job, entry string) {
-	e.post(dispatch.HandOverTaken{Job: job, Entry: entry})
+func (e *Entry) HandOverTaken(job string, number uint64, entry string) {
+	e.post(dispatch.HandOverTaken{Job: job, Number: number, Entry: entry})
 }
 
 // HandOverEnded reports the result of a job that was handed over.
-func (e *Entry) HandOverEnded(job string, result dispatch.HandOverResult) {
+func (e *Entry) HandOverEnded(job string, number uint64, result dispatch.HandOverResult) {
 	switch result.(type) {
 	case dispatch.HandOverRefused:
 		e.metrics.Add(metric.HandOversRefused, 1)
@@ -34,7 +34,7 @@
 		e.metrics.Add(metric.HandOversLost, 1)
 	case dispatch.HandOverAnswered:
 	}
-	e.post(dispatch.HandOverEnded{Job: job, Result: result})
+	e.post(dispatch.HandOverEnded{Job: job, Number: number, Result: result})
 }
 
 // handOverPeers returns the other entries.
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -161,9 +161,9 @@
 	case dispatch.CloseAgent:
 		e.agentIdle(effect.Agent)
 	case dispatch.HandOver:
-		e.handOver(effect.Job)
+		e.handOver(effect)
 	case dispatch.WithdrawHandOver:
-		e.handOvers.Withdraw(effect.Job)
+		e.handOvers.Withdraw(effect.Number)
 	case dispatch.SpreadCrash:
 		e.directory.AddCrash(clock.Now(), cluster.Crash{Agent: string(effect.Agent), Crash: effect.Crash})
 	case dispatch.DecisionMade:
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -45,16 +45,19 @@
 // outcome is what a sender reports of a job. The result is nil for the report that the job was taken.
 type outcome struct {
 	job, entry string
+	number     uint64
 	result     dispatch.HandOverResult
 }
 
 // recorder keeps the reports of a sender.
 type recorder struct{ outcomes chan outcome }
 
-func (r *recorder) HandOverTaken(job, entry string) { r.outcomes <- outcome{job: job, entry: entry} }
+func (r *recorder) HandOverTaken(job string, number uint64, entry string) {
+	r.outcomes <- outcome{job: job, number: number, entry: entry}
+}
 
-func (r *recorder) HandOverEnded(job string, result dispatch.HandOverResult) {
-	r.outcomes <- outcome{job: job, result: result}
+func (r *recorder) HandOverEnded(job string, number uint64, result dispatch.HandOverResult) {
+	r.outcomes <- outcome{job: job, number: number, result: result}
 }
 
 // rig is a sender and one or more other entries.
@@ -62,6 +65,8 @@
 	t       *testing.T
 	sender  *Sender
 	reports *recorder
+	// last is the number of the latest hand-over.
+	last uint64
 }
 
 // newRig returns a sender whose peers are at the addresses, with a connection to one of them.
@@ -121,11 +126,17 @@
 // longest is how long the tests wait for what must happen.
 const longest = 10 * time.Second
 
+// tryHandOver hands a job over if an entry may get it now.
+func (r *rig) tryHandOver(j dispatch.Job) bool {
+	r.last++
+	return r.sender.HandOver(r.last, j)
+}
+
 // handOver hands a job over as soon as a connection is open.
 func (r *rig) handOver(j dispatch.Job) {
 	r.t.Helper()
 	for end := time.Now().Add(longest); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if r.sender.HandOver(j) {
+		if r.tryHandOver(j) {
 			return
 		}
 	}
@@ -158,14 +169,14 @@
 	if !reflect.DeepEqual(s.job, want) {
 		t.Errorf("got %+v, want %+v", s.job, want)
 	}
-	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", entry: "entry-0"}); got != want {
+	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", number: r.last, entry: "entry-0"}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	for _, answer := range []dispatch.Answer{
 		dispatch.Completed{}, dispatch.Failed{Reason: "f"}, dispatch.NotRun{Reason: "n", RetryAfter: 3 * time.Second}, dispatch.Interrupted{Reason: "i"},
 	} {
 		s.answer <- answer
-		got, want := next(t, r.reports.outcomes), outcome{job: s.job.ID, result: dispatch.HandOverAnswered{Answer: answer}}
+		got, want := next(t, r.reports.outcomes), outcome{job: s.job.ID, number: r.last, result: dispatch.HandOverAnswered{Answer: answer}}
 		if got != want {
 			t.Errorf("got %+v, want %+v", got, want)
 		}
@@ -182,10 +193,10 @@
 	r.handOver(job("a"))
 	next(t, r.reports.outcomes)
 	next(t, local.submitted).answer <- dispatch.NotRun{Reason: "late", RetryAfter: time.Second, IsElsewhere: true}
-	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", result: dispatch.HandOverRefused{Reason: "late"}}); got != want {
+	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", number: r.last, result: dispatch.HandOverRefused{Reason: "late"}}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	if r.sender.HandOver(job("b")) {
+	if r.tryHandOver(job("b")) {
 		t.Error("a job was handed over to an entry that has just refused one")
 	}
 	r.handOver(job("c"))
@@ -197,9 +208,9 @@
 	r := newRig(t, address)
 	r.handOver(job("a"))
 	s := next(t, local.submitted)
-	r.sender.Withdraw("a")
+	r.sender.Withdraw(r.last)
 	next(t, s.ctx.Done())
-	if !r.sender.HandOver(job("a")) {
+	if !r.tryHandOver(job("a")) {
 		t.Error("the job cannot be handed over again")
 	}
 }
@@ -218,7 +229,7 @@
 		t.Errorf("got %+v, want a lost job", got)
 	}
 	next(t, s.ctx.Done())
-	if r.sender.HandOver(job("b")) {
+	if r.tryHandOver(job("b")) {
 		t.Error("a job was handed over to an entry that is gone")
 	}
 }
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -40,9 +41,9 @@
 // Handler is told what becomes of the jobs that were handed over. Its methods are called from goroutines of the sender.
 type Handler interface {
 	// HandOverTaken is called when another entry, of the name given, has taken a job.
-	HandOverTaken(job, entry string)
-	// HandOverEnded is called with the result of a job.
-	HandOverEnded(job string, result dispatch.HandOverResult)
+	HandOverTaken(job string, number uint64, entry string)
+	// HandOverEnded is called with the result of a job. No call with its number comes after it.
+	HandOverEnded(job string, number uint64, result dispatch.HandOverResult)
 }
 
 // Peer is another entry.
@@ -62,9 +63,8 @@
 
 	mu    sync.Mutex
 	links []*link
-	jobs  map[string]handedOver
-	// lastNumber is that of the job which was handed over last.
-	lastNumber uint64
+	// jobs has where each job is, by the numbers of the hand-overs.
+	jobs map[uint64]*link
 }
 
 // link is the connection to one entry, or the attempt to open it.
@@ -73,23 +73,17 @@
 	// conn is nil until the connection is open.
 	conn  *stream.Connection
 	alive liveness
-	// jobs are those under way, by their numbers.
+	// jobs are the IDs of those under way, by the numbers of the hand-overs.
 	jobs map[uint64]string
 	// refused is when the entry refused a job last, and used when one was handed over last.
 	refused, used time.Time
 }
 
-// handedOver is where a job is.
-type handedOver struct {
-	link   *link
-	number uint64
-}
-
 // NewSender returns a sender of an entry in an availability zone. peers returns the entries that may get jobs. The clean-up closes all
 // connections; jobs under way are lost then.
 func NewSender(zone string, peers func() []Peer, handler Handler) (*Sender, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Sender{zone: zone, peers: peers, handler: handler, ctx: ctx, jobs: make(map[string]handedOver)}
+	s := &Sender{zone: zone, peers: peers, handler: handler, ctx: ctx, jobs: make(map[uint64]*link)}
 	s.duties.Go(s.keepStandby)
 	return s, func() {
 		cancel()
@@ -98,9 +92,9 @@
 	}
 }
 
-// HandOver sends a job to another entry. It does not block. It returns false if no entry may get it now. It opens further connections for
+// HandOver sends a job to another entry. Each hand-over has a number of its own. It does not block. It returns false if no entry may get it now. It opens further connections for
 // later jobs.
-func (s *Sender) HandOver(job dispatch.Job) bool {
+func (s *Sender) HandOver(number uint64, job dispatch.Job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
@@ -109,26 +103,25 @@
 	if l == nil {
 		return false
 	}
-	s.lastNumber++
-	l.jobs[s.lastNumber] = job.ID
+	l.jobs[number] = job.ID
 	l.used = now
 	l.alive.began(now)
-	s.jobs[job.ID] = handedOver{link: l, number: s.lastNumber}
-	l.conn.Send(packJob(now, s.lastNumber, s.zone, job))
+	s.jobs[number] = l
+	l.conn.Send(packJob(now, number, s.zone, job))
 	return true
 }
 
-// Withdraw ends a job whose result is not needed any more.
-func (s *Sender) Withdraw(job string) {
+// Withdraw ends a hand-over whose result is not needed any more.
+func (s *Sender) Withdraw(number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, ok := s.jobs[job]
+	l, ok := s.jobs[number]
 	if !ok {
 		return
 	}
-	s.forget(at.link, at.number)
-	withdrawal := &handoverpb.Withdrawal{Number: at.number}
-	at.link.conn.Send(&handoverpb.FromSender{Message: &handoverpb.FromSender_Withdrawal{Withdrawal: withdrawal}})
+	s.forget(l, number)
+	withdrawal := &handoverpb.Withdrawal{Number: number}
+	l.conn.Send(&handoverpb.FromSender{Message: &handoverpb.FromSender_Withdrawal{Withdrawal: withdrawal}})
 }
 
 // choose returns the link on which the next job goes, or nil if there is none.
@@ -202,7 +195,7 @@
 	switch message := m.Message.(type) {
 	case *handoverpb.FromReceiver_Taken:
 		if job, ok := s.find(l, message.Taken.Number); ok {
-			s.handler.HandOverTaken(job, l.peer.Name)
+			s.handler.HandOverTaken(job, message.Taken.Number, l.peer.Name)
 		}
 	case *handoverpb.FromReceiver_Answer:
 		s.answered(l, message.Answer)
@@ -222,7 +215,7 @@
 	}
 	s.mu.Unlock()
 	if ok {
-		s.handler.HandOverEnded(job, result)
+		s.handler.HandOverEnded(job, answer.Number, result)
 	}
 }
 
@@ -236,7 +229,7 @@
 
 // forget removes a job that is not under way any more.
 func (s *Sender) forget(l *link, number uint64) {
-	delete(s.jobs, l.jobs[number])
+	delete(s.jobs, number)
 	delete(l.jobs, number)
 	l.alive.ended()
 }
@@ -244,15 +237,14 @@
 // lose reports the jobs as lost that were under way on a link whose connection has ended.
 func (s *Sender) lose(l *link, cause error) {
 	s.mu.Lock()
-	var lost []string
-	for number, job := range l.jobs {
-		lost = append(lost, job)
+	lost := maps.Clone(l.jobs)
+	for number := range lost {
 		s.forget(l, number)
 	}
 	l.conn = nil
 	s.mu.Unlock()
-	for _, job := range lost {
-		s.handler.HandOverEnded(job, dispatch.HandOverLost{Reason: fmt.Sprintf("the entry %s was lost: %s", l.peer.Name, cause)})
+	for number, job := range lost {
+		s.handler.HandOverEnded(job, number, dispatch.HandOverLost{Reason: fmt.Sprintf("the entry %s was lost: %s", l.peer.Name, cause)})
 	}
 }
 
--- a/internal/overload/handover_test.go
+++ b/internal/overload/handover_test.go
@@ -11,7 +11,7 @@
 )
 
 // handOver carries a job to another entry, at random, and its answer back.
-func (e *entry) handOver(job dispatch.Job) {
+func (e *entry) handOver(job dispatch.Job, number uint64) {
 	s := e.site
 	other := s.entries[s.random.IntN(len(s.entries))]
 	for other == e {
@@ -20,10 +20,12 @@
 	send := func(event dispatch.Event) {
 		other.out.carry(s, messageSize, func() { e.in.carry(s, messageSize, func() { e.handle(event) }) })
 	}
-	end := func(result dispatch.HandOverResult) { send(dispatch.HandOverEnded{Job: job.ID, Result: result}) }
+	end := func(result dispatch.HandOverResult) {
+		send(dispatch.HandOverEnded{Job: job.ID, Number: number, Result: result})
+	}
 	job.IsHandedOver = true
 	e.out.carry(s, messageSize+startSize+payloadSize, func() {
-		send(dispatch.HandOverTaken{Job: job.ID})
+		send(dispatch.HandOverTaken{Job: job.ID, Number: number})
 		other.submit(job, func(answer dispatch.Answer) {
 			if refused, ok := answer.(dispatch.NotRun); ok && refused.IsElsewhere {
 				end(dispatch.HandOverRefused{Reason: refused.Reason})
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -373,7 +373,7 @@
 	case dispatch.AnswerOffer:
 		e.send(f.Agent, runner.OfferAnswered{Session: e.sessions[f.Agent], Offer: f.Offer})
 	case dispatch.HandOver:
-		e.handOver(f.Job)
+		e.handOver(f.Job, f.Number)
 	case dispatch.WithdrawHandOver:
 	case dispatch.DecisionMade:
 		e.site.noteDecision(f)
