handover: the opening of a connection has one deadline, that of its context

Cause: TestRightsEndByThisClock failed on: sender.go read package time's clock for the deadline of the change of protocol. That reading ends no right: no job is under way before the connection is open, and a deadline of the network is counted by the steady clock, so internal/clock, whose times are not comparable with it, would be wrong there. It also let an opening take twice dialTimeout, which is said to bound all of it.

Change: the deadline of the dial's context bounds the change of protocol too. It is counted by the steady clock as before, so this is no move to internal/clock; the file does not read a clock for it any more, and no exception is added.

Measured: go test ./internal/clock fails before and passes after.

--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -308,16 +308,17 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "handover: unable to reach the entry %s", address)
 	}
-	if err := changeProtocol(conn, address); err != nil {
+	if err := changeProtocol(ctx, conn, address); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "handover: unable to open a connection with the entry %s", address)
 	}
 	return conn, nil
 }
 
-// changeProtocol asks the server to change the protocol of a connection. The server sends nothing after its answer before it has got a job.
-func changeProtocol(conn net.Conn, address string) error {
-	if err := conn.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
+// changeProtocol asks the server to change the protocol of a connection, before the deadline of the context. The server sends nothing after its answer before it has got a job.
+func changeProtocol(ctx context.Context, conn net.Conn, address string) error {
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
 		return err
 	}
 	request := "GET " + Path + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"
