handover: an invalid job ends the connection, in place of the process

Cause: a job that another process sent was used unchecked. One without its inner job was a nil dereference in a goroutine of the entry, a step that waits for a later one an index out of range, and a large count took memory without bound.

Change: checkJob (check.go) checks what the dispatcher relies on; an invalid job, or a second one with a number that is in use, ends the connection with an error that the receiver logs, and nothing after it is taken.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -31,7 +31,7 @@
 func servePeers(listener net.Listener, exchanger *cluster.Exchanger, local *Entry) func() {
 	mux := http.NewServeMux()
 	mux.Handle(durable.PathPrefix, durable.NewServer(local))
-	mux.Handle(handover.Path, handover.NewServer(local))
+	mux.Handle(handover.Path, handover.NewServer(local, local.others))
 	mux.Handle("/", exchanger.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	// Serve only returns when the listener is closed, which the clean-up does.
--- /dev/null
+++ b/internal/handover/check_test.go
@@ -0,0 +1,74 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package handover
+
+import (
+	"math"
+	"testing"
+
+	"sailhead/internal/clock"
+	"sailhead/internal/durable/durablepb"
+	"sailhead/internal/handover/handoverpb"
+	"sailhead/internal/stream"
+)
+
+func TestAJobThatNoEntryHandsOverIsInvalid(t *testing.T) {
+	good := func() *handoverpb.Job {
+		steps := []*durablepb.Step{{Count: 2, Cpu: 1000}, {Count: 1, After: []uint32{0}}}
+		return &handoverpb.Job{Number: 1, Job: &durablepb.Job{Id: "a", Stretch: 1.6, Steps: steps}}
+	}
+	if err := checkJob(good()); err != nil {
+		t.Errorf("a good job: %s", err)
+	}
+	for name, change := range map[string]func(*handoverpb.Job){
+		"no job":                       func(p *handoverpb.Job) { p.Job = nil },
+		"no ID":                        func(p *handoverpb.Job) { p.Job.Id = "" },
+		"no steps":                     func(p *handoverpb.Job) { p.Job.Steps = nil },
+		"no tasks":                     func(p *handoverpb.Job) { p.Job.Steps[0].Count = 0 },
+		"too many tasks":               func(p *handoverpb.Job) { p.Job.Steps[0].Count = maxTasks },
+		"a step that waits for itself": func(p *handoverpb.Job) { p.Job.Steps[1].After = []uint32{1} },
+		"CPU":                          func(p *handoverpb.Job) { p.Job.Steps[0].Cpu = math.MaxUint32 },
+		"negative stretch":             func(p *handoverpb.Job) { p.Job.Stretch = -1 },
+		"stretch is not a number":      func(p *handoverpb.Job) { p.Job.Stretch = math.NaN() },
+		"infinite stretch":             func(p *handoverpb.Job) { p.Job.Stretch = math.Inf(1) },
+	} {
+		job := good()
+		change(job)
+		if err := checkJob(job); err == nil {
+			t.Errorf("%s: no error", name)
+		} else {
+			t.Log(err)
+		}
+	}
+}
+
+// TestAnInvalidJobEndsTheConnection sends a job without steps to an entry. The job before it is dropped with the connection.
+func TestAnInvalidJobEndsTheConnection(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	address, _ := serve(t, local)
+	conn, err := dial(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := stream.New(conn, uncounted{})
+	good := packJob(clock.Now(), 1, "zone-a", job("a"))
+	invalid := packJob(clock.Now(), 2, "zone-a", job("b"))
+	invalid.GetJob().Job.Steps = nil
+	c.Send(good)
+	c.Send(invalid)
+	c.Send(packJob(clock.Now(), 3, "zone-a", job("c")))
+	ended := make(chan error, 1)
+	go func() { ended <- stream.Read(c, func(*handoverpb.FromReceiver) {}) }()
+	if err := next(t, ended); err == nil {
+		t.Error("the connection ended without an error")
+	}
+	s := next(t, local.submitted)
+	if s.job.ID != "a" {
+		t.Errorf("got the job %s first", s.job.ID)
+	}
+	next(t, s.ctx.Done())
+	if len(local.submitted) > 0 {
+		t.Error("a job was taken after the invalid one")
+	}
+}
--- a/internal/handover/convert.go
+++ b/internal/handover/convert.go
@@ -36,7 +36,7 @@
 	return &handoverpb.FromSender{Message: &handoverpb.FromSender_Job{Job: packed}}
 }
 
-// unpackJob returns a job that arrived at a time.
+// unpackJob returns a job that arrived at a time and has passed checkJob.
 func unpackJob(now time.Time, packed *handoverpb.Job) dispatch.Job {
 	job := durable.UnpackJob(packed.Job)
 	job.IsHandedOver = true
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -16,6 +16,7 @@
 
 	"sailhead/internal/clock"
 	"sailhead/internal/dispatch"
+	"sailhead/internal/logging"
 	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
@@ -91,7 +92,7 @@
 	var mu sync.Mutex
 	var open []net.Conn
 	server := &http.Server{
-		Handler: NewServer(local),
+		Handler: NewServer(local, logging.Discard()),
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateNew {
 				mu.Lock()
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -10,6 +10,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
 	"sailhead/internal/clock"
@@ -32,11 +35,12 @@
 
 // Server takes jobs from other entries.
 type Server struct {
-	local Local
+	local  Local
+	logger log.Logger
 }
 
 // NewServer returns a server that submits jobs to the local entry. It serves Path.
-func NewServer(local Local) *Server { return &Server{local: local} }
+func NewServer(local Local, logger log.Logger) *Server { return &Server{local: local, logger: logger} }
 
 // ServeHTTP changes the protocol of a connection and serves it in another goroutine until it ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -79,6 +83,8 @@
 	ctx    context.Context
 	mu     sync.Mutex
 	cancel map[uint64]context.CancelFunc
+	// isBroken is set once a message was invalid. Only the goroutine that reads uses it.
+	isBroken bool
 }
 
 // serve takes jobs until the connection ends, and drops those that are under way then.
@@ -87,21 +93,45 @@
 	defer cancel()
 	r := &receiving{local: s.local, conn: stream.New(conn, uncounted{}), ctx: ctx, cancel: make(map[uint64]context.CancelFunc)}
 	go watch(r.conn, &r.alive, &handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Ping{Ping: &handoverpb.Ping{}}})
-	// Why the connection has ended is known to the sender, which logs it.
-	_ = stream.Read(r.conn, r.handle)
+	// Other reasons for the end are known to the sender, which logs them.
+	if err := stream.Read(r.conn, r.handle); errors.Is(err, errInvalid) {
+		_ = level.Error(s.logger).Log("msg", "unable to take jobs of another entry", "address", conn.RemoteAddr(), "err", err)
+	}
 }
 
-// handle applies a message of the sender. Messages that this version does not know are ignored.
+// errInvalid ends a connection whose sender sent what no entry sends.
+var errInvalid = errors.New("handover: invalid message")
+
+// handle applies a message of the sender. Messages that this version does not know are ignored; an invalid one ends the connection.
 func (r *receiving) handle(m *handoverpb.FromSender) {
+	if r.isBroken {
+		return
+	}
 	r.alive.received(clock.Now())
 	switch message := m.Message.(type) {
 	case *handoverpb.FromSender_Job:
+		if err := r.check(message.Job); err != nil {
+			r.isBroken = true
+			r.conn.Close(errors.Wrap(errInvalid, err.Error()))
+			return
+		}
 		r.take(message.Job)
 	case *handoverpb.FromSender_Withdrawal:
 		r.end(message.Withdrawal.Number)
 	}
 }
 
+// check returns an error for a job that cannot be taken.
+func (r *receiving) check(packed *handoverpb.Job) error {
+	r.mu.Lock()
+	_, isKnown := r.cancel[packed.Number]
+	r.mu.Unlock()
+	if isKnown {
+		return errors.Errorf("two jobs have the number %d", packed.Number)
+	}
+	return checkJob(packed)
+}
+
 // take submits a job and sends its answer when there is one.
 func (r *receiving) take(packed *handoverpb.Job) {
 	ctx, cancel := context.WithCancel(r.ctx)
