stream: Finish writes what is queued before the connection ends; tests of the package

Cause: a connection could only be closed, which drops what waits to be written: the last answers of a process that stops. The package was tested through others only.

Change: Finish writes the queue, ends its direction, and closes once the peer has closed, after 100 ms at the latest: a close with unread messages is a reset, which takes from the peer what it has not read. Tests: frames broken at any byte, oversize and broken frames, the deadline of writes, a full ring, Finish with a peer that sends, is silent or gone.

--- a/internal/stream/connection.go
+++ b/internal/stream/connection.go
@@ -4,7 +4,7 @@
 // Package stream carries protobuf messages over a TCP connection, length-delimited and in order, in both directions.
 //
 // The package owns the connection and the queue of messages to be written. If the queue is full the connection is closed: a peer that does not
-// read is treated as lost. Nothing is resent, and what was not written when a connection ends is dropped.
+// read is treated as lost. Nothing is resent, and what was not written when a connection ends is dropped; Finish writes it before.
 package stream
 
 import (
@@ -25,6 +25,8 @@
 	// writeTimeout bounds the writing of the messages that wait. It is longer than timing.CloseAfter, so pings end the connection of a
 	// peer that does not read first.
 	writeTimeout = time.Second
+	// finishTimeout bounds Finish: some round trips between availability zones, and less than a stopping process has for its clean-ups.
+	finishTimeout = 100 * time.Millisecond
 	// bufferSize is the size of each buffer of a connection, in bytes: about ten payloads. Two buffers and 100 connections take 0.8 of the 32
 	// MB that a process may have.
 	bufferSize = 4 << 10
@@ -52,13 +54,20 @@
 	ring    chan proto.Message
 	closed  chan struct{}
 	once    sync.Once
+	// finishing is closed once nothing more is to be sent, and written once what was queued then is written.
+	finishing  chan struct{}
+	finishOnce sync.Once
+	written    chan struct{}
 	// cause is why the connection was closed. It is set once, before closed is.
 	cause error
 }
 
-// New takes over a connection. It ends with Close, or when Read returns.
+// New takes over a connection. It ends with Close or Finish, or when Read returns.
 func New(conn net.Conn, counter Counter) *Connection {
-	c := &Connection{conn: conn, counter: counter, ring: make(chan proto.Message, RingSize), closed: make(chan struct{})}
+	c := &Connection{
+		conn: conn, counter: counter, ring: make(chan proto.Message, RingSize), closed: make(chan struct{}),
+		finishing: make(chan struct{}), written: make(chan struct{}),
+	}
 	go c.write()
 	return c
 }
@@ -73,6 +82,20 @@
 	})
 }
 
+// Finish writes the messages that wait and closes the connection once the peer has closed it too, or after finishTimeout. What is sent
+// after it is dropped. Another goroutine has to read meanwhile: a close with unread messages would take from the peer what it has not read.
+func (c *Connection) Finish() {
+	c.finishOnce.Do(func() { close(c.finishing) })
+	timeout := time.NewTimer(finishTimeout)
+	defer timeout.Stop()
+	select {
+	case <-c.closed:
+	case <-timeout.C:
+		c.Close(ErrClosed)
+	}
+	<-c.written
+}
+
 // Send queues a message. It does not block.
 func (c *Connection) Send(message proto.Message) {
 	select {
@@ -87,20 +110,51 @@
 
 // write writes the queued messages until the connection is closed.
 func (c *Connection) write() {
+	defer close(c.written)
 	buffer := bufio.NewWriterSize(c.conn, bufferSize)
 	for {
 		select {
 		case <-c.closed:
 			return
+		case <-c.finishing:
+			c.writeLast(buffer)
+			return
 		case message := <-c.ring:
-			if err := c.writeQueued(buffer, message); err != nil {
-				c.Close(errors.Wrapf(err, "stream: unable to write to %s", c.conn.RemoteAddr()))
+			if !c.writeOrClose(buffer, message) {
 				return
 			}
 		}
 	}
 }
 
+// writeLast writes what is queued and ends this direction of the connection.
+func (c *Connection) writeLast(buffer *bufio.Writer) {
+	select {
+	case message := <-c.ring:
+		if !c.writeOrClose(buffer, message) {
+			return
+		}
+	default:
+	}
+	half, ok := c.conn.(interface{ CloseWrite() error })
+	if !ok {
+		c.Close(ErrClosed)
+		return
+	}
+	if err := half.CloseWrite(); err != nil {
+		c.Close(errors.Wrapf(err, "stream: unable to end the connection to %s", c.conn.RemoteAddr()))
+	}
+}
+
+// writeOrClose writes a message and all that are queued behind it. It closes the connection and returns false if that fails.
+func (c *Connection) writeOrClose(buffer *bufio.Writer, message proto.Message) bool {
+	err := c.writeQueued(buffer, message)
+	if err != nil {
+		c.Close(errors.Wrapf(err, "stream: unable to write to %s", c.conn.RemoteAddr()))
+	}
+	return err == nil
+}
+
 // writeQueued writes a message and all that are queued behind it, and flushes them together.
 func (c *Connection) writeQueued(buffer *bufio.Writer, message proto.Message) error {
 	// An error of setting the deadline is that of a closed connection, which the write reports too.
--- /dev/null
+++ b/internal/stream/connection_test.go
@@ -0,0 +1,250 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package stream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+)
+
+// longest is how long the tests wait for what must happen.
+const longest = 10 * time.Second
+
+// uncounted is a counter that does not count.
+type uncounted struct{}
+
+func (uncounted) Sent(proto.Message, int)     {}
+func (uncounted) Received(proto.Message, int) {}
+
+// tally counts messages and bytes in one goroutine.
+type tally struct{ messages, bytes int }
+
+func (*tally) Sent(proto.Message, int) {}
+func (c *tally) Received(_ proto.Message, bytes int) {
+	c.messages++
+	c.bytes += bytes
+}
+
+// pair returns the two ends of a TCP connection.
+func pair(t *testing.T) (one, other net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	one, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = one.Close()
+		_ = other.Close()
+	})
+	return one, other
+}
+
+func text(s string) *wrapperspb.StringValue { return wrapperspb.String(s) }
+
+// framed returns messages as they are on the wire.
+func framed(t *testing.T, messages ...proto.Message) []byte {
+	t.Helper()
+	var buffer bytes.Buffer
+	for _, m := range messages {
+		if _, err := protodelim.MarshalTo(&buffer, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return buffer.Bytes()
+}
+
+// readAll reads in the background and returns what was read, and then why reading ended.
+func readAll(c *Connection) (messages <-chan string, ended <-chan error) {
+	read, end := make(chan string, 2*RingSize), make(chan error, 1)
+	go func() {
+		end <- Read(c, func(m *wrapperspb.StringValue) { read <- m.Value })
+	}()
+	return read, end
+}
+
+func next[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case item := <-from:
+		return item
+	case <-time.After(longest):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+// TestMessagesAreReadFromAnyPieces writes frames in pieces of every size up to some bytes, so that lengths and messages are broken anywhere.
+func TestMessagesAreReadFromAnyPieces(t *testing.T) {
+	long := strings.Repeat("x", 3*bufferSize)
+	data := framed(t, text("a"), text(""), text(strings.Repeat("b", 200)), text(long), text("c"))
+	for size := 1; size <= 7; size++ {
+		ours, theirs := net.Pipe()
+		counter := &tally{}
+		c := New(ours, counter)
+		messages, ended := readAll(c)
+		for rest := data; len(rest) > 0; {
+			n := min(size, len(rest))
+			if _, err := theirs.Write(rest[:n]); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+		}
+		for _, want := range []string{"a", "", strings.Repeat("b", 200), long, "c"} {
+			if got := next(t, messages); got != want {
+				t.Fatalf("pieces of %d bytes: got %.20q, want %.20q", size, got, want)
+			}
+		}
+		_ = theirs.Close()
+		if err := next(t, ended); !errors.Is(err, io.EOF) {
+			t.Errorf("pieces of %d bytes: ended with %v, want the end of the stream", size, err)
+		}
+		if counter.messages != 5 || counter.bytes != len(data) {
+			t.Errorf("pieces of %d bytes: counted %+v, want 5 messages of %d bytes", size, counter, len(data))
+		}
+	}
+}
+
+// TestABrokenFrameEndsTheConnection sends frames that no peer writes, and one that the connection's end cuts.
+func TestABrokenFrameEndsTheConnection(t *testing.T) {
+	whole := framed(t, text("whole"))
+	tooLarge := framed(t, text(strings.Repeat("x", maxMessage)))
+	for name, data := range map[string][]byte{
+		"too large":          tooLarge[:16],
+		"no length":          bytes.Repeat([]byte{0xff}, 11),
+		"no message":         {2, 0xff, 0xff},
+		"cut in the length":  {0x80},
+		"cut in the message": whole[:len(whole)-1],
+	} {
+		ours, theirs := pair(t)
+		c := New(ours, uncounted{})
+		messages, ended := readAll(c)
+		if _, err := theirs.Write(append(bytes.Clone(whole), data...)); err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(name, "cut") {
+			_ = theirs.Close()
+		}
+		if got := next(t, messages); got != "whole" {
+			t.Errorf("%s: got %q before", name, got)
+		}
+		err := next(t, ended)
+		if err == nil || errors.Is(err, io.EOF) || !strings.Contains(err.Error(), "unable to read from") {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+		next(t, c.Closed())
+		if len(messages) > 0 {
+			t.Errorf("%s: got %q", name, <-messages)
+		}
+	}
+}
+
+func TestTheLargestMessageIsRead(t *testing.T) {
+	ours, theirs := pair(t)
+	messages, _ := readAll(New(ours, uncounted{}))
+	// The message's own length and field take some bytes.
+	largest := strings.Repeat("x", maxMessage-16)
+	New(theirs, uncounted{}).Send(text(largest))
+	if got := next(t, messages); got != largest {
+		t.Errorf("got %d bytes, want %d", len(got), len(largest))
+	}
+}
+
+// TestAPeerThatDoesNotReadEndsTheConnectionInTime fills the network's buffers with fewer messages than the ring holds.
+func TestAPeerThatDoesNotReadEndsTheConnectionInTime(t *testing.T) {
+	ours, _ := pair(t)
+	c := New(ours, uncounted{})
+	began := time.Now()
+	message := text(strings.Repeat("x", maxMessage/2))
+	for range 64 {
+		c.Send(message)
+	}
+	next(t, c.Closed())
+	if took := time.Since(began); took < writeTimeout || !errors.Is(c.cause, os.ErrDeadlineExceeded) {
+		t.Errorf("ended after %s with %v, want the deadline of writes after %s", took, c.cause, writeTimeout)
+	}
+}
+
+func TestMoreMessagesThanTheRingHoldsEndTheConnection(t *testing.T) {
+	// Nothing is written to a pipe that nobody reads.
+	ours, _ := net.Pipe()
+	c := New(ours, uncounted{})
+	large := text(strings.Repeat("x", bufferSize))
+	for range RingSize + 2 {
+		c.Send(large)
+	}
+	next(t, c.Closed())
+	if !errors.Is(c.cause, errSlowPeer) {
+		t.Errorf("ended with %v, want %v", c.cause, errSlowPeer)
+	}
+}
+
+// TestFinishWritesWhatIsQueued finishes a connection to which the peer goes on sending.
+func TestFinishWritesWhatIsQueued(t *testing.T) {
+	for range 20 {
+		ours, theirs := pair(t)
+		c, peer := New(ours, uncounted{}), New(theirs, uncounted{})
+		_, ended := readAll(c)
+		messages, peerEnded := readAll(peer)
+		const count = RingSize / 2
+		for range count {
+			peer.Send(text("unread"))
+			c.Send(text("x"))
+		}
+		c.Finish()
+		if err := next(t, peerEnded); !errors.Is(err, io.EOF) {
+			t.Fatalf("the peer's end is %v, want the end of the stream", err)
+		}
+		if len(messages) != count {
+			t.Fatalf("%d messages arrived, want %d", len(messages), count)
+		}
+		next(t, ended)
+		next(t, c.Closed())
+	}
+}
+
+// TestFinishEndsWithASilentPeer finishes connections to a peer that neither reads nor closes its end.
+func TestFinishEndsWithASilentPeer(t *testing.T) {
+	for _, waiting := range []int{0, RingSize / 2} {
+		ours, _ := pair(t)
+		c := New(ours, uncounted{})
+		_, ended := readAll(c)
+		for range waiting {
+			c.Send(text(strings.Repeat("x", bufferSize*4)))
+		}
+		began := time.Now()
+		c.Finish()
+		c.Finish()
+		if took := time.Since(began); took > 10*finishTimeout {
+			t.Errorf("%d messages waiting: took %s, want %s", waiting, took, finishTimeout)
+		}
+		next(t, ended)
+	}
+}
+
+func TestFinishAfterTheEndReturns(t *testing.T) {
+	ours, _ := pair(t)
+	c := New(ours, uncounted{})
+	c.Close(ErrClosed)
+	c.Finish()
+	c.Send(text("dropped"))
+}
