dispatch: an entry that stops hands back the jobs of others that have not begun

Cause: a stopping entry kept jobs of other entries that waited there, and took further ones that would end before it did. Those that had not begun at the end of the stop were interrupted or refused late, while their own entry could have run them.

Change: with the beginning of a stop each job of another entry of which nothing can have begun is refused for the entry's own sake, so that its entry runs it, and further ones are refused at once.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -186,6 +186,7 @@
 		d.evacuationsChanged(now, e.State)
 	case ShutdownRequested:
 		d.shutdownAt = e.Until
+		d.handBack(now)
 	case Ticked:
 		d.tick(now)
 	}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -29,6 +29,9 @@
 	maxHandOverShare = 0.95
 )
 
+// reasonStops is why a job is refused that would not end before the entry does, or that another entry can run in its place.
+const reasonStops = "the entry stops before the job would end"
+
 // reasonNotKeepingUp is why a job is refused that the entry can neither run in time nor hand over.
 const reasonNotKeepingUp = "the entry does not keep up"
 
@@ -65,7 +68,7 @@
 // objective of the job; whether the entry keeps up.
 //
 // Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, or if the entry is over its limit
-// (congestion.go). One that another entry hands over is refused as soon as this entry hands jobs over itself.
+// (congestion.go). One that another entry hands over is refused as soon as this entry hands jobs over itself or stops.
 //
 // Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
 // submitted to another entry, while one that is interrupted may have run.
@@ -73,8 +76,8 @@
 	switch {
 	case len(d.jobs)+len(d.handedOver) >= d.limits.Jobs:
 		return "too many jobs are under way"
-	case d.isShuttingDown() && now.Add(j.objective).After(d.shutdownAt):
-		return "the entry stops before the job would end"
+	case d.isShuttingDown() && (j.IsHandedOver || now.Add(j.objective).After(d.shutdownAt)):
+		return reasonStops
 	case d.congestion.isLimited() && !d.congestion.mayAccept(d.tasksUnderWay()):
 		return reasonNotKeepingUp
 	case j.IsHandedOver && d.congestion.handOver > 0:
@@ -155,6 +158,21 @@
 	d.emit(j.decisionMade(now, DecisionHandOverEnded{Answer: answer, Entry: j.takenBy}))
 }
 
+// handBack ends the jobs of other entries of which nothing can have begun.
+//
+// Inputs: whether the entry stops.
+//
+// Rule: each is refused for the entry's own sake.
+//
+// Reason: the entry that handed it over runs it, or says that it has not run, while there is time; one that is ended later may have run.
+func (d *Dispatcher) handBack(now time.Time) {
+	for _, j := range d.jobsByArrival() {
+		if j.IsHandedOver && !j.isDurable && !j.mayHaveBegun() {
+			d.finish(now, j, NotRun{Reason: reasonStops, RetryAfter: d.soon(), IsElsewhere: true})
+		}
+	}
+}
+
 // withdraw ends a job that was handed over, because its callers have left or its time is over.
 func (d *Dispatcher) withdraw(j *job) {
 	delete(d.handedOver, j.ID)
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
 
@@ -163,6 +164,57 @@
 	c.expect(Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job's time is over"}}, WithdrawHandOver{Job: "second", Number: 1})
 }
 
+// handedOverJob is a job that another entry hands over.
+func handedOverJob(id string) Job {
+	job := handOverJob(id)
+	job.IsHandedOver = true
+	return job
+}
+
+// expectRefusal fails unless the last events led to a refusal for the entry's own sake, and no other effect.
+func (c *handOverCase) expectRefusal(waiters ...Waiter) {
+	c.t.Helper()
+	if len(c.effects) != 1 {
+		c.t.Fatalf("got %+v, want a refusal", c.effects)
+	}
+	reply, _ := c.effects[0].(Reply)
+	answer, isNotRun := reply.Answer.(NotRun)
+	if !isNotRun || !answer.IsElsewhere || !slices.Equal(reply.Waiters, waiters) {
+		c.t.Fatalf("got %+v, want a refusal for the entry's own sake", c.effects)
+	}
+}
+
+// withWorker opens a session with an agent whose worker has room for one task.
+func (c *handOverCase) withWorker() {
+	record := worker.Record{ID: "w", Service: "service", Capacity: worker.Resources{CPU: 1000}}
+	c.handle(AgentUp{Agent: "a"}, WorkerDescribed{Agent: "a", Record: record}, LoadReceived{Agent: "a", Load: runner.Load{Accepts: true, Slowness: 1}})
+}
+
+// TestAnEntryThatStopsHandsBackWhatHasNotBegun stops an entry that runs one job of another entry while a second one waits there. The first is
+// answered, and the second refused at once.
+func TestAnEntryThatStopsHandsBackWhatHasNotBegun(t *testing.T) {
+	c := &handOverCase{t: t, now: time.Unix(1_000_000, 0), dispatcher: New(Limits{Jobs: 10}, rand.New(rand.NewPCG(1, 2)))}
+	c.withWorker()
+	c.handle(Submitted{Job: handedOverJob("begun"), Waiter: 1})
+	if !hasStart(c.effects) {
+		t.Fatalf("got %+v, want a start", c.effects)
+	}
+	c.handle(Submitted{Job: handOverJob("own"), Waiter: 2})
+	c.handle(Submitted{Job: handedOverJob("waiting"), Waiter: 3})
+	c.handle(ShutdownRequested{Until: c.now.Add(10 * time.Second)})
+	c.effects = slices.DeleteFunc(c.effects, func(e Effect) bool {
+		_, isReservation := e.(Reserve)
+		return isReservation
+	})
+	c.expectRefusal(3)
+	c.handle(Submitted{Job: handedOverJob("later"), Waiter: 4})
+	c.expectRefusal(4)
+	c.handle(RunUpdated{Agent: "a", Update: runner.Update{Name: TaskName("begun", 0, 0), Run: 1, Outcome: runner.OutcomeDone}})
+	if reply, ok := c.effects[0].(Reply); !ok || !reflect.DeepEqual(reply, Reply{Waiters: []Waiter{1}, Answer: Completed{}}) {
+		t.Errorf("got %+v, want the answer of the job that had begun", c.effects)
+	}
+}
+
 // otherEntry is the entry to which a random schedule hands jobs over.
 type otherEntry struct {
 	schedule *schedule
