handover, entry: the last answers of an entry that stops reach their senders

Cause: the connections on which jobs of others come were left open by the clean-up and cut by the end of the process: a job that was answered but whose answer was not written was interrupted at its caller. And when an answer and the end of the entry came together, Submit chose between them at random.

The sender's clean-up waits for all of its own. Submit looks for an answer before it says that the entry has stopped.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -27,16 +27,20 @@
 )
 
 // servePeers serves other entries and agents: exchanges, announcements, requests to owners of shards and jobs that are handed over. The clean-up
-// closes the listener and all connections.
+// closes the listener and all connections; it comes after the entry has stopped.
 func servePeers(listener net.Listener, exchanger *cluster.Exchanger, local *Entry) func() {
 	mux := http.NewServeMux()
 	mux.Handle(durable.PathPrefix, durable.NewServer(local))
-	mux.Handle(handover.Path, handover.NewServer(local, local.others))
+	handOvers, closeHandOvers := handover.NewServer(local, local.others)
+	mux.Handle(handover.Path, handOvers)
 	mux.Handle("/", exchanger.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	// Serve only returns when the listener is closed, which the clean-up does.
 	go func() { _ = server.Serve(listener) }()
-	return func() { _ = server.Close() }
+	return func() {
+		_ = server.Close()
+		closeHandOvers()
+	}
 }
 
 // Knows reports whether the number of known entries, this one included, is at least the one given.
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -28,7 +28,17 @@
 		e.post(dispatch.CallerLeft{Job: job.ID, Waiter: waiter})
 		return dispatch.Interrupted{Reason: "the caller has left"}
 	case <-e.context.Done():
-		return dispatch.Interrupted{Reason: "the entry has stopped"}
+		return answerOr(answered, dispatch.Interrupted{Reason: "the entry has stopped"})
+	}
+}
+
+// answerOr returns the answer that has come already, or another one if there is none.
+func answerOr(answered <-chan dispatch.Answer, otherwise dispatch.Answer) dispatch.Answer {
+	select {
+	case answer := <-answered:
+		return answer
+	default:
+		return otherwise
 	}
 }
 
--- /dev/null
+++ b/internal/entry/submit_test.go
@@ -0,0 +1,46 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/metric"
+)
+
+// newSubmitting returns an entry without an event loop, and the function that ends it.
+func newSubmitting(ring int) (*Entry, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Entry{
+		events: make(chan dispatch.Event, ring), metrics: metric.NewSet(), context: ctx, jobWaiters: newWaiters[dispatch.Waiter, dispatch.Answer](),
+	}, cancel
+}
+
+// callerContext is a context that does something as soon as a request waits for the caller to leave.
+type callerContext struct {
+	context.Context
+	onWait func()
+}
+
+func (c callerContext) Done() <-chan struct{} {
+	c.onWait()
+	return c.Context.Done()
+}
+
+// TestAnAnswerIsNotLostWithTheEntry answers a job and ends the entry before the request looks for either.
+func TestAnAnswerIsNotLostWithTheEntry(t *testing.T) {
+	for range 50 {
+		e, end := newSubmitting(1)
+		caller := callerContext{Context: t.Context(), onWait: func() {
+			submitted := (<-e.events).(dispatch.Submitted)
+			e.jobWaiters.answer(submitted.Waiter, dispatch.Completed{})
+			end()
+		}}
+		if got := e.Submit(caller, dispatch.Job{ID: "a"}); got != (dispatch.Completed{}) {
+			t.Fatalf("got %+v, want the answer", got)
+		}
+	}
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -16,7 +16,9 @@
 
 	"sailhead/internal/clock"
 	"sailhead/internal/dispatch"
+	"sailhead/internal/handover/handoverpb"
 	"sailhead/internal/logging"
+	"sailhead/internal/stream"
 	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
@@ -85,14 +87,21 @@
 
 // serve serves an entry and returns its address and a function that ends all its connections.
 func serve(t *testing.T, local Local) (address string, kill func()) {
+	address, kill, _ = serveUntilStopped(t, local)
+	return address, kill
+}
+
+// serveUntilStopped is serve, with the clean-up of the server.
+func serveUntilStopped(t *testing.T, local Local) (address string, kill, stop func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var mu sync.Mutex
 	var open []net.Conn
+	handler, closeServer := NewServer(local, logging.Discard())
 	server := &http.Server{
-		Handler: NewServer(local, logging.Discard()),
+		Handler: handler,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateNew {
 				mu.Lock()
@@ -110,8 +119,9 @@
 			_ = c.Close()
 		}
 	}
+	t.Cleanup(closeServer)
 	t.Cleanup(kill)
-	return listener.Addr().String(), kill
+	return listener.Addr().String(), kill, closeServer
 }
 
 func job(id string) dispatch.Job {
@@ -216,6 +226,71 @@
 	}
 }
 
+// TestTheLastAnswersOfAnEntryThatStopsArrive answers some jobs while the server is being closed. The others are lost, as they may have run.
+func TestTheLastAnswersOfAnEntryThatStopsArrive(t *testing.T) {
+	t.Run("all answered", func(t *testing.T) { stopAfterAnswers(t, 0) })
+	t.Run("some not answered", func(t *testing.T) { stopAfterAnswers(t, 10) })
+}
+
+// stopAfterAnswers closes the server of an entry that has answered all but some of its jobs.
+func stopAfterAnswers(t *testing.T, open int) {
+	local := &fakeEntry{submitted: make(chan *submission, 100)}
+	address, _, stop := serveUntilStopped(t, local)
+	r := newRig(t, address)
+	const jobs = 40
+	for range jobs {
+		r.handOver(job(fmt.Sprint(r.last)))
+		next(t, r.reports.outcomes)
+	}
+	var unanswered []*submission
+	answered := make(map[string]bool)
+	for i := range jobs {
+		s := next(t, local.submitted)
+		if i < open {
+			unanswered = append(unanswered, s)
+			continue
+		}
+		s.answer <- dispatch.Completed{}
+		answered[s.job.ID] = true
+	}
+	stop()
+	for range jobs {
+		got := next(t, r.reports.outcomes)
+		_, isLost := got.result.(dispatch.HandOverLost)
+		isCompleted := got.result == dispatch.HandOverAnswered{Answer: dispatch.Completed{}}
+		if isCompleted != answered[got.job] || isLost == answered[got.job] {
+			t.Errorf("got %+v of a job that was answered: %t", got, answered[got.job])
+		}
+	}
+	for _, s := range unanswered {
+		if s.ctx.Err() == nil {
+			t.Error("a job goes on after the server was closed")
+		}
+	}
+	if len(r.reports.outcomes) > 0 {
+		t.Errorf("got %+v too", <-r.reports.outcomes)
+	}
+}
+
+// TestAServerThatStopsTakesNoJobs hands a job over while the server waits for the answer of another one.
+func TestAServerThatStopsTakesNoJobs(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	ours, theirs := net.Pipe()
+	receiver := &receiving{local: local, conn: stream.New(ours, uncounted{}), ctx: t.Context(), cancel: make(map[uint64]context.CancelFunc)}
+	receiver.isStopping = true
+	sender := stream.New(theirs, uncounted{})
+	defer sender.Close(stream.ErrClosed)
+	defer receiver.conn.Close(stream.ErrClosed)
+	messages := make(chan *handoverpb.FromReceiver, 10)
+	go func() { _ = stream.Read(receiver.conn, receiver.handle) }()
+	go func() { _ = stream.Read(sender, func(m *handoverpb.FromReceiver) { messages <- m }) }()
+	sender.Send(packJob(clock.Now(), 7, "zone-a", job("a")))
+	answer := next(t, messages).GetAnswer()
+	if answer.GetNumber() != 7 || answer.GetOutcome() != handoverpb.Outcome_OUTCOME_REFUSED || len(local.submitted) > 0 {
+		t.Errorf("got %v, want a refusal", answer)
+	}
+}
+
 // TestTheJobsOfAnEntryThatDiesAreLost kills the entry that has a job: it may have run.
 func TestTheJobsOfAnEntryThatDiesAreLost(t *testing.T) {
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -183,8 +183,10 @@
 	if s.ctx.Err() != nil {
 		c.Close(stream.ErrClosed)
 	}
-	go watch(c, &l.alive, &handoverpb.FromSender{Message: &handoverpb.FromSender_Ping{Ping: &handoverpb.Ping{}}})
-	go s.closeIdle(l, c)
+	s.duties.Go(func() {
+		watch(c, &l.alive, &handoverpb.FromSender{Message: &handoverpb.FromSender_Ping{Ping: &handoverpb.Ping{}}})
+	})
+	s.duties.Go(func() { s.closeIdle(l, c) })
 	err = stream.Read(c, func(m *handoverpb.FromReceiver) { s.handle(l, m) })
 	s.lose(l, err)
 }
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,10 +39,33 @@
 type Server struct {
 	local  Local
 	logger log.Logger
+	duties sync.WaitGroup
+
+	mu       sync.Mutex
+	open     map[*receiving]bool
+	isClosed bool
 }
 
-// NewServer returns a server that submits jobs to the local entry. It serves Path.
-func NewServer(local Local, logger log.Logger) *Server { return &Server{local: local, logger: logger} }
+// answerTimeout is how long the clean-up waits for the local entry to answer: one that has stopped answers at once.
+const answerTimeout = 20 * time.Millisecond
+
+// NewServer returns a server that submits jobs to the local entry. It serves Path. The clean-up comes after the local entry has stopped: it
+// sends the last answers, closes all connections, drops the jobs that the entry has not answered, and returns when nothing of the server runs any more.
+func NewServer(local Local, logger log.Logger) (*Server, func()) {
+	s := &Server{local: local, logger: logger, open: make(map[*receiving]bool)}
+	return s, s.close
+}
+
+// close ends all connections.
+func (s *Server) close() {
+	s.mu.Lock()
+	s.isClosed = true
+	for r := range s.open {
+		s.duties.Go(r.finish)
+	}
+	s.mu.Unlock()
+	s.duties.Wait()
+}
 
 // ServeHTTP changes the protocol of a connection and serves it in another goroutine until it ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -58,12 +83,27 @@
 		http.Error(w, "the connection cannot change its protocol", http.StatusInternalServerError)
 		return
 	}
-	if err := acceptProtocol(conn); err != nil {
-		// The peer is gone, and it learns as much from the end of the connection.
+	if err := acceptProtocol(conn); err != nil || !s.add(conn) {
+		// The peer is gone or the process stops, and the peer learns as much from the end of the connection.
 		_ = conn.Close()
-		return
 	}
-	go s.serve(conn)
+}
+
+// add serves a connection in another goroutine, unless the server is closed.
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed {
+		return false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &receiving{local: s.local, conn: stream.New(conn, uncounted{}), ctx: ctx, cancel: make(map[uint64]context.CancelFunc)}
+	s.open[r] = true
+	s.duties.Go(func() {
+		defer cancel()
+		s.serve(r, conn.RemoteAddr())
+	})
+	return true
 }
 
 // acceptProtocol tells the peer that the protocol changes, and removes the deadlines of the HTTP server.
@@ -77,26 +117,61 @@
 
 // receiving is a connection on which jobs come.
 type receiving struct {
-	local  Local
-	conn   *stream.Connection
-	alive  liveness
-	ctx    context.Context
-	mu     sync.Mutex
-	cancel map[uint64]context.CancelFunc
+	local Local
+	conn  *stream.Connection
+	alive liveness
+	ctx   context.Context
+	// submits are the calls of Submit that have not returned.
+	submits sync.WaitGroup
+	mu      sync.Mutex
+	cancel  map[uint64]context.CancelFunc
+	// isStopping is set once no further jobs are taken.
+	isStopping bool
 	// isBroken is set once a message was invalid. Only the goroutine that reads uses it.
 	isBroken bool
 }
 
 // serve takes jobs until the connection ends, and drops those that are under way then.
-func (s *Server) serve(conn net.Conn) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	r := &receiving{local: s.local, conn: stream.New(conn, uncounted{}), ctx: ctx, cancel: make(map[uint64]context.CancelFunc)}
-	go watch(r.conn, &r.alive, &handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Ping{Ping: &handoverpb.Ping{}}})
+func (s *Server) serve(r *receiving, address net.Addr) {
+	s.duties.Go(func() {
+		watch(r.conn, &r.alive, &handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Ping{Ping: &handoverpb.Ping{}}})
+	})
 	// Other reasons for the end are known to the sender, which logs them.
 	if err := stream.Read(r.conn, r.handle); errors.Is(err, errInvalid) {
-		_ = level.Error(s.logger).Log("msg", "unable to take jobs of another entry", "address", conn.RemoteAddr(), "err", err)
+		_ = level.Error(s.logger).Log("msg", "unable to take jobs of another entry", "address", address, "err", err)
+	}
+	r.dropAll()
+	s.mu.Lock()
+	delete(s.open, r)
+	s.mu.Unlock()
+	r.submits.Wait()
+}
+
+// dropAll drops the jobs that are under way.
+func (r *receiving) dropAll() {
+	r.mu.Lock()
+	numbers := slices.Collect(maps.Keys(r.cancel))
+	r.mu.Unlock()
+	for _, number := range numbers {
+		r.end(number)
+	}
+}
+
+// finish takes no further jobs, sends the answers of those under way that come soon, and ends the connection.
+func (r *receiving) finish() {
+	r.mu.Lock()
+	r.isStopping = true
+	r.mu.Unlock()
+	answered := make(chan struct{})
+	go func() {
+		r.submits.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(answerTimeout):
 	}
+	r.conn.Finish()
 }
 
 // errInvalid ends a connection whose sender sent what no entry sends.
@@ -134,14 +209,16 @@
 
 // take submits a job and sends its answer when there is one.
 func (r *receiving) take(packed *handoverpb.Job) {
-	ctx, cancel := context.WithCancel(r.ctx)
-	r.mu.Lock()
-	r.cancel[packed.Number] = cancel
-	r.mu.Unlock()
+	ctx, ok := r.begin(packed.Number)
+	if !ok {
+		r.conn.Send(packAnswer(packed.Number, dispatch.NotRun{Reason: "the entry stops", RetryAfter: dispatch.RetryAfter, IsElsewhere: true}))
+		return
+	}
 	r.alive.began(clock.Now())
 	r.conn.Send(&handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Taken{Taken: &handoverpb.Taken{Number: packed.Number}}})
 	job := unpackJob(clock.Now(), packed)
 	go func() {
+		defer r.submits.Done()
 		answer := r.local.Submit(ctx, job)
 		if ctx.Err() == nil {
 			r.conn.Send(packAnswer(packed.Number, answer))
@@ -150,6 +227,19 @@
 	}()
 }
 
+// begin records that a job is under way, and one more call of Submit; ok is false if no further jobs are taken.
+func (r *receiving) begin(number uint64) (ctx context.Context, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isStopping {
+		return nil, false
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.cancel[number] = cancel
+	r.submits.Add(1)
+	return ctx, true
+}
+
 // end ends a job. It does nothing if the job has ended.
 func (r *receiving) end(number uint64) {
 	r.mu.Lock()
