dispatch: a job that comes again waits for the runs that another entry may have started

Cause: a job whose hand-over was withdrawn, lost or interrupted was forgotten at once. One that came again under its ID was started here or handed over to a third entry while the runs of the first submission went on; a durable job of the same ID ran beside the one that was handed over.

Change: its tasks are kept as ending runs for timing.RerunDelay, as those of a lost session are; meanwhile the job is neither placed nor handed over. A durable job of the same ID withdraws the hand-over, whose callers are told that it was interrupted, and waits as well.

Measured: three new tests; the random schedules with hand-overs let runs at the other entry go on after a withdrawal or a loss, and report interruptions.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -23,7 +23,7 @@
 	}
 	d.emit(j.decisionMade(now, DecisionCallerLeft{}))
 	if isHandedOver {
-		d.withdraw(j)
+		d.withdraw(now, j)
 		return
 	}
 	d.drop(now, j)
@@ -34,7 +34,7 @@
 	answer := Interrupted{Reason: "the job was cancelled"}
 	if j, ok := d.handedOver[e.Job]; ok {
 		d.replyHandedOver(now, j, answer)
-		d.withdraw(j)
+		d.withdraw(now, j)
 		d.emit(CancelReply{Waiter: e.Waiter, Known: true})
 		return
 	}
--- a/internal/dispatch/durable.go
+++ b/internal/dispatch/durable.go
@@ -13,11 +13,15 @@
 // their failed runs, and answers their callers; the dispatcher runs their tasks like others (runs.go). They have no
 // waiters and no time limit, and their tasks wait longer for a lost agent (rerun.go).
 
-// acceptDurable adds a durable job, without the tasks that are done already.
+// acceptDurable adds a durable job, without the tasks that are done already. One of the same ID that was handed over is withdrawn.
 func (d *Dispatcher) acceptDurable(now time.Time, e DurableAccepted) {
 	if _, ok := d.jobs[e.Job.ID]; ok {
 		return
 	}
+	if earlier, ok := d.handedOver[e.Job.ID]; ok {
+		d.replyHandedOver(now, earlier, Interrupted{Reason: "the job is kept from now on"})
+		d.withdraw(now, earlier)
+	}
 	j := d.newJob(now, e.Job)
 	j.isDurable = true
 	j.recoveredAt = e.NotBefore
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -3,13 +3,18 @@
 
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"sailhead/internal/timing"
+)
 
 // This file decides which jobs the entry hands over to another entry before anything of them has begun.
 //
 // Inputs: why the job would be refused for the entry's own sake, if it would; the windows of congestion.go.
 //
-// Rule: a job that would be refused for the entry's own sake is handed over, and so is a share of all others that rises with each window
+// Rule: a job of which a run from an earlier submission may not have ended stays here, where it waits for that run. A job that would be refused for the entry's own sake is handed over, and so is a share of all others that rises with each window
 // in which the entry is nearly late and falls with each one in which it is not. A job that was handed over once is not handed over again.
 // If no entry takes it, it is treated as it would be without this file. Of the jobs that no other entry has taken yet no more may be on their
 // way than congestion.go lets tasks wait.
@@ -89,7 +94,7 @@
 
 // handsOver reports whether a job is handed over. refusal is why it is refused otherwise, or "".
 func (d *Dispatcher) handsOver(j *job, refusal string) bool {
-	if !d.limits.HandOver || j.IsHandedOver || len(d.handedOver) >= d.limits.Jobs {
+	if !d.limits.HandOver || j.IsHandedOver || len(d.handedOver) >= d.limits.Jobs || slices.ContainsFunc(j.tasks, d.isEnding) {
 		return false
 	}
 	return refusal != "" || d.random.Float64() < float64(d.congestion.handOver)
@@ -144,8 +149,14 @@
 	delete(d.handedOver, e.Job)
 	switch result := e.Result.(type) {
 	case HandOverAnswered:
+		switch result.Answer.(type) {
+		case Interrupted, Failed:
+			d.awaitRunsElsewhere(now, j)
+		case Completed, NotRun:
+		}
 		d.replyHandedOver(now, j, result.Answer)
 	case HandOverLost:
+		d.awaitRunsElsewhere(now, j)
 		d.replyHandedOver(now, j, Interrupted(result))
 	case HandOverRefused:
 		d.acceptHere(now, j, d.ownRefusalReason(now, j))
@@ -174,11 +185,25 @@
 }
 
 // withdraw ends a job that was handed over, because its callers have left or its time is over.
-func (d *Dispatcher) withdraw(j *job) {
+func (d *Dispatcher) withdraw(now time.Time, j *job) {
 	delete(d.handedOver, j.ID)
+	d.awaitRunsElsewhere(now, j)
 	d.emit(WithdrawHandOver{Job: j.ID, Number: j.handOver})
 }
 
+// awaitRunsElsewhere lets a job that comes again wait for the runs that the other entry may have started.
+//
+// Inputs: whether the hand-over was withdrawn or lost, or the job failed or was interrupted there.
+//
+// Rule: none of the tasks is placed for timing.RerunDelay.
+//
+// Reason: the withdrawal may be late, and an entry that is lost ends its runs as one does that has lost its sessions with their agents.
+func (d *Dispatcher) awaitRunsElsewhere(now time.Time, j *job) {
+	for _, t := range j.tasks {
+		d.endingRuns[t.name] = endingRun{endedBy: now.Add(timing.RerunDelay)}
+	}
+}
+
 // expireHandedOver ends the jobs that were handed over and are not answered before their callers' time is over or the entry stops.
 func (d *Dispatcher) expireHandedOver(now time.Time) {
 	for _, j := range jobsByArrival(d.handedOver) {
@@ -190,6 +215,6 @@
 		default:
 			continue
 		}
-		d.withdraw(j)
+		d.withdraw(now, j)
 	}
 }
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sailhead/internal/runner"
+	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
 
@@ -26,10 +27,13 @@
 func newHandOverCase(t *testing.T) *handOverCase {
 	limits := Limits{Jobs: 1, HandOver: true}
 	c := &handOverCase{t: t, now: time.Unix(1_000_000, 0), dispatcher: New(limits, rand.New(rand.NewPCG(1, 2)))}
-	c.handle(Submitted{Job: handOverJob("first"), Waiter: 1})
+	c.occupy()
 	return c
 }
 
+// occupy submits the one job that may be under way.
+func (c *handOverCase) occupy() { c.handle(Submitted{Job: handOverJob("first"), Waiter: 1}) }
+
 func handOverJob(id string) Job {
 	return Job{
 		ID: id, RemainingTime: 2 * time.Second, Kind: Kind{Name: "kind", Service: "service", Attempts: 1, Stretch: 1.6, Target: 60 * time.Millisecond},
@@ -72,6 +76,73 @@
 	c.expect()
 }
 
+// pass lets time pass.
+func (c *handOverCase) pass(d time.Duration) {
+	c.now = c.now.Add(d)
+	c.handle(Ticked{})
+}
+
+// TestAJobThatComesAgainWaitsForItsRunsElsewhere ends hand-overs of which the other entry may have started runs. The job comes again at once.
+func TestAJobThatComesAgainWaitsForItsRunsElsewhere(t *testing.T) {
+	for name, end := range map[string]Event{
+		"withdrawn":   CallerLeft{Job: "second", Waiter: 2},
+		"cancelled":   CancelRequested{Job: "second", Waiter: 9},
+		"lost":        HandOverEnded{Job: "second", Number: 1, Result: HandOverLost{Reason: "lost"}},
+		"failed":      HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: Failed{Reason: "x"}}},
+		"interrupted": HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: Interrupted{Reason: "x"}}},
+	} {
+		c := newHandOverCase(t)
+		c.withWorker(2)
+		c.handOver(2)
+		c.handle(end)
+		c.handle(CallerLeft{Job: "first", Waiter: 1})
+		again := handOverJob("second")
+		again.Kind.Target = 10 * time.Second
+		c.handle(Submitted{Job: again, Waiter: 3})
+		c.expect()
+		c.pass(timing.RerunDelay - time.Millisecond)
+		c.expect()
+		c.pass(2 * time.Millisecond)
+		if !hasStart(c.effects) {
+			t.Errorf("%s: got %+v, want a start", name, c.effects)
+		}
+	}
+}
+
+// TestAJobThatComesAgainIsNotHandedOverAgainWhileItMayRunElsewhere submits a job for which there is no room here.
+func TestAJobThatComesAgainIsNotHandedOverAgainWhileItMayRunElsewhere(t *testing.T) {
+	c := newHandOverCase(t)
+	c.handOver(2)
+	c.handle(CallerLeft{Job: "second", Waiter: 2})
+	c.handle(Submitted{Job: handOverJob("second"), Waiter: 3})
+	c.expectRefusal(3)
+	c.pass(timing.RerunDelay)
+	c.occupy()
+	c.handOver(4)
+}
+
+// TestADurableJobOfTheSameIDReplacesOneThatWasHandedOver accepts a durable job while the other entry may run one of the same ID.
+func TestADurableJobOfTheSameIDReplacesOneThatWasHandedOver(t *testing.T) {
+	c := newHandOverCase(t)
+	c.handOver(2)
+	c.handle(DurableAccepted{Job: handOverJob("second")})
+	c.expect(Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job is kept from now on"}}, WithdrawHandOver{Job: "second", Number: 1})
+	c.handle(HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: Completed{}}})
+	c.expect()
+	c.withWorker(2)
+	c.handle(CallerLeft{Job: "first", Waiter: 1})
+	c.handle(Ticked{})
+	for _, effect := range c.effects {
+		if start, ok := effect.(StartTask); ok && start.Task.IsDurable {
+			t.Fatalf("got %+v while the job may run elsewhere", start)
+		}
+	}
+	c.pass(timing.RerunDelay)
+	if start, ok := c.effects[len(c.effects)-1].(StartTask); !ok || !start.Task.IsDurable {
+		t.Errorf("got %+v, want a start of the durable job", c.effects)
+	}
+}
+
 // TestWhatComesOfAnEarlierHandOverIsIgnored withdraws a job whose result is on its way, and hands it over again.
 func TestWhatComesOfAnEarlierHandOverIsIgnored(t *testing.T) {
 	for _, late := range []Event{
@@ -84,6 +155,8 @@
 		c := newHandOverCase(t)
 		c.handOver(2)
 		c.handle(CallerLeft{Job: "second", Waiter: 2})
+		c.pass(timing.RerunDelay)
+		c.occupy()
 		c.handOver(3)
 		c.handle(late)
 		c.expect()
@@ -184,9 +257,9 @@
 	}
 }
 
-// withWorker opens a session with an agent whose worker has room for one task.
-func (c *handOverCase) withWorker() {
-	record := worker.Record{ID: "w", Service: "service", Capacity: worker.Resources{CPU: 1000}}
+// withWorker opens a session with an agent whose worker has room for some tasks.
+func (c *handOverCase) withWorker(tasks int) {
+	record := worker.Record{ID: "w", Service: "service", Capacity: worker.Resources{CPU: 1000 * tasks}}
 	c.handle(AgentUp{Agent: "a"}, WorkerDescribed{Agent: "a", Record: record}, LoadReceived{Agent: "a", Load: runner.Load{Accepts: true, Slowness: 1}})
 }
 
@@ -194,7 +267,7 @@
 // answered, and the second refused at once.
 func TestAnEntryThatStopsHandsBackWhatHasNotBegun(t *testing.T) {
 	c := &handOverCase{t: t, now: time.Unix(1_000_000, 0), dispatcher: New(Limits{Jobs: 10}, rand.New(rand.NewPCG(1, 2)))}
-	c.withWorker()
+	c.withWorker(1)
 	c.handle(Submitted{Job: handedOverJob("begun"), Waiter: 1})
 	if !hasStart(c.effects) {
 		t.Fatalf("got %+v, want a start", c.effects)
@@ -221,13 +294,14 @@
 	// due has when it reports on each job again, numbers those of the hand-overs, and taken is set once it has taken the job.
 	due     map[string]time.Time
 	numbers map[string]uint64
+	jobs    map[string]Job
 	taken   map[string]bool
 	// ended are the results of earlier hand-overs, which may be reported again.
 	ended []HandOverEnded
 }
 
 func newOtherEntry(s *schedule) *otherEntry {
-	return &otherEntry{schedule: s, due: make(map[string]time.Time), numbers: make(map[string]uint64), taken: make(map[string]bool)}
+	return &otherEntry{schedule: s, due: make(map[string]time.Time), numbers: make(map[string]uint64), jobs: make(map[string]Job), taken: make(map[string]bool)}
 }
 
 // take takes a job. It fails if the job is there already, or was handed over before.
@@ -235,10 +309,26 @@
 	if o.has(job.ID) || job.IsHandedOver {
 		o.schedule.t.Fatalf("job %s was handed over twice", job.ID)
 	}
-	o.numbers[job.ID] = number
+	for _, name := range taskNames(job) {
+		if until, ok := o.schedule.ghosts[name]; ok && o.schedule.now.Before(until) {
+			o.schedule.t.Fatalf("job %s was handed over although a run may continue for %s", job.ID, until.Sub(o.schedule.now))
+		}
+	}
+	o.numbers[job.ID], o.jobs[job.ID] = number, job
 	o.due[job.ID] = o.schedule.now.Add(o.schedule.millis(1, 300))
 }
 
+// taskNames returns the names of a job's tasks.
+func taskNames(job Job) []string {
+	var names []string
+	for i, step := range job.Steps {
+		for k := range step.Count {
+			names = append(names, TaskName(job.ID, i, k))
+		}
+	}
+	return names
+}
+
 // has reports whether the entry has a job.
 func (o *otherEntry) has(job string) bool {
 	_, ok := o.due[job]
@@ -249,7 +339,20 @@
 func (o *otherEntry) withdraw(job string) {
 	if number, ok := o.numbers[job]; ok {
 		o.ended = append(o.ended, HandOverEnded{Job: job, Number: number, Result: HandOverAnswered{Answer: NotRun{Reason: "late"}}})
+		o.leaveRuns(job)
+	}
+	o.forget(job)
+}
+
+// leaveRuns lets the runs of a job continue after its end.
+func (o *otherEntry) leaveRuns(job string) {
+	for _, name := range taskNames(o.jobs[job]) {
+		o.schedule.ghosts[name] = o.schedule.now.Add(timing.RerunDelay - time.Millisecond)
 	}
+}
+
+func (o *otherEntry) forget(job string) {
+	delete(o.jobs, job)
 	delete(o.due, job)
 	delete(o.numbers, job)
 	delete(o.taken, job)
@@ -272,6 +375,8 @@
 			s.handle(HandOverTaken{Job: id, Number: o.numbers[id], Entry: "other"})
 		case s.chance(0.1):
 			o.end(id, HandOverLost{Reason: "lost"})
+		case s.chance(0.1):
+			o.end(id, HandOverAnswered{Answer: Interrupted{}})
 		case s.chance(0.1):
 			o.end(id, HandOverAnswered{Answer: NotRun{Reason: "no room", RetryAfter: time.Second}})
 		default:
@@ -282,7 +387,10 @@
 
 func (o *otherEntry) end(id string, result HandOverResult) {
 	ended := HandOverEnded{Job: id, Number: o.numbers[id], Result: result}
-	o.withdraw(id)
+	if _, isLost := result.(HandOverLost); isLost || result == (HandOverAnswered{Answer: Interrupted{}}) {
+		o.leaveRuns(id)
+	}
+	o.forget(id)
 	o.schedule.handle(ended)
 	o.ended = append(o.ended, ended)
 }
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -108,7 +108,7 @@
 	return count
 }
 
-// endingRun is a run of a dropped job that may not have ended.
+// endingRun is a run of a dropped job that may not have ended. The agent is empty if another entry may have started it.
 type endingRun struct {
 	agent AgentID
 	run   uint32
