dispatch: an entry with a job at another entry takes none of others

Cause: an entry refused jobs of others only while its share of hand-overs was above zero, not when it had handed one over for its limit of jobs. A job that came back under its ID to the entry that had handed it over joined the hand-over: both entries waited for each other until the callers' time was over.

Change: jobs of others are refused as long as one of this entry is elsewhere, and one that is elsewhere itself is refused in place of joined.

Measured: TestAnEntryThatHasHandedAJobOverTakesNone fails on the commit before (the job is taken) and passes; go test ./internal/dispatch passes.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -21,11 +21,15 @@
 // A NotRun carries the time after which the caller may retry (return.go). None of the rules applies to durable jobs:
 // package durable admits them, and they have no time limit.
 
-// submit admits a job or refuses it. A job that is under way already gets another waiter.
+// submit admits a job or refuses it. A job that is under way already gets another waiter; but one that was handed over does not wait for the
+// entry from which it comes back, as each would wait for the other.
 func (d *Dispatcher) submit(now time.Time, e Submitted) {
 	earlier, isKnown := d.jobs[e.Job.ID]
 	handedOver, isHandedOver := d.handedOver[e.Job.ID]
 	switch {
+	case isHandedOver && e.Job.IsHandedOver:
+		answer := NotRun{Reason: reasonHandsOver, RetryAfter: d.soon(), IsElsewhere: true}
+		d.emit(Reply{Waiters: []Waiter{e.Waiter}, Answer: answer})
 	case isHandedOver:
 		handedOver.waiters = append(handedOver.waiters, e.Waiter)
 		d.emit(handedOver.decisionMade(now, DecisionJoined{}))
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -37,6 +37,9 @@
 // reasonStops is why a job is refused that would not end before the entry does, or that another entry can run in its place.
 const reasonStops = "the entry stops before the job would end"
 
+// reasonHandsOver is why a job of another entry is refused.
+const reasonHandsOver = "the entry hands jobs over itself"
+
 // reasonNotKeepingUp is why a job is refused that the entry can neither run in time nor hand over.
 const reasonNotKeepingUp = "the entry does not keep up"
 
@@ -73,9 +76,10 @@
 // objective of the job; whether the entry keeps up.
 //
 // Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, or if the entry is over its limit
-// (congestion.go). One that another entry hands over is refused as soon as this entry hands jobs over itself or stops.
+// (congestion.go). One that another entry hands over is refused while this entry hands jobs over itself, or has done so and the job is still there, and
+// while it stops.
 //
-// Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
+// Reason: two entries near their limits do not pay for the jobs of each other. The limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
 // submitted to another entry, while one that is interrupted may have run.
 func (d *Dispatcher) ownRefusalReason(now time.Time, j *job) string {
 	switch {
@@ -85,8 +89,8 @@
 		return reasonStops
 	case d.congestion.isLimited() && !d.congestion.mayAccept(d.tasksUnderWay()):
 		return reasonNotKeepingUp
-	case j.IsHandedOver && d.congestion.handOver > 0:
-		return "the entry hands jobs over itself"
+	case j.IsHandedOver && (d.congestion.handOver > 0 || len(d.handedOver) > 0):
+		return reasonHandsOver
 	default:
 		return ""
 	}
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -208,6 +208,22 @@
 	}
 }
 
+// TestAnEntryThatHasHandedAJobOverTakesNone submits jobs of another entry while one of this entry is elsewhere: a new one, and that one itself, which
+// would wait for itself. After it has ended they are taken.
+func TestAnEntryThatHasHandedAJobOverTakesNone(t *testing.T) {
+	c := newHandOverCase(t)
+	c.handOver(2)
+	c.handle(CallerLeft{Job: "first", Waiter: 1})
+	c.handle(Submitted{Job: handedOverJob("third"), Waiter: 3})
+	c.expectRefusal(3)
+	c.handle(Submitted{Job: handedOverJob("second"), Waiter: 4})
+	c.expectRefusal(4)
+	c.handle(HandOverEnded{Job: "second", Number: 1, Result: HandOverAnswered{Answer: Completed{}}})
+	c.expect(Reply{Waiters: []Waiter{2}, Answer: Completed{}})
+	c.handle(Submitted{Job: handedOverJob("third"), Waiter: 5})
+	c.expect()
+}
+
 func TestAJobIsWithdrawnWithItsLastCaller(t *testing.T) {
 	c := newHandOverCase(t)
 	c.handOver(2)
