dispatch: a job without a deadline that was handed over ends

Cause: expireHandedOver ended only jobs whose callers say how long they wait. One without a deadline waited for as long as the other entry stayed alive without answering it.

Change: such a job ends when an answer would be useless, as one that runs here does (expiresAt).

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -212,7 +212,7 @@
 func (d *Dispatcher) expireHandedOver(now time.Time) {
 	for _, j := range jobsByArrival(d.handedOver) {
 		switch {
-		case j.RemainingTime > 0 && now.After(j.expiresAt()):
+		case now.After(j.expiresAt()):
 			d.replyHandedOver(now, j, Interrupted{Reason: "the job's time is over"})
 		case d.isShuttingDown() && now.After(d.shutdownAt):
 			d.replyHandedOver(now, j, Interrupted{Reason: "the entry stops"})
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -304,6 +304,20 @@
 	}
 }
 
+// TestAJobWithoutADeadlineThatWasHandedOverEnds hands a job over whose caller does not say how long it waits. The other entry never answers.
+func TestAJobWithoutADeadlineThatWasHandedOverEnds(t *testing.T) {
+	c := newHandOverCase(t)
+	job := handOverJob("second")
+	job.RemainingTime = 0
+	c.handle(Submitted{Job: job, Waiter: 2})
+	c.handle(HandOverTaken{Job: "second", Number: 1, Entry: "entry-2"}, CallerLeft{Job: "first", Waiter: 1})
+	useless := time.Duration(uselessFactor * float64(1660*time.Millisecond))
+	c.pass(useless - time.Millisecond)
+	c.expect()
+	c.pass(2 * time.Millisecond)
+	c.expect(Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job's time is over"}}, WithdrawHandOver{Job: "second", Number: 1})
+}
+
 // otherEntry is the entry to which a random schedule hands jobs over.
 type otherEntry struct {
 	schedule *schedule
