handover, entry: a full ring counts as an entry that cannot take the job

Cause: the sender ended the connection when 1,024 messages waited to be written, so all jobs there were interrupted. And an entry whose event ring was full answered a job of another entry as refused by the site, so its own entry refused it too.

Change: a job is sent while no more than half of the ring is in use (TrySend); the rest is left to withdrawals and pings. If not, it is treated here, and the entry gets no further ones for the time after a refusal. A full event ring refuses for the entry's own sake.

--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -18,7 +18,7 @@
 	case e.events <- dispatch.Submitted{Job: job, Waiter: waiter}:
 	default:
 		e.jobWaiters.remove(waiter)
-		return dispatch.NotRun{Reason: "the entry is overloaded", RetryAfter: dispatch.RetryAfter}
+		return dispatch.NotRun{Reason: "the entry is overloaded", RetryAfter: dispatch.RetryAfter, IsElsewhere: true}
 	}
 	select {
 	case answer := <-answered:
--- a/internal/entry/submit_test.go
+++ b/internal/entry/submit_test.go
@@ -44,3 +44,17 @@
 		}
 	}
 }
+
+// TestAFullRingRefusesForTheEntrysOwnSake submits a job while the event loop does not keep up. An entry that has handed it over may run it itself.
+func TestAFullRingRefusesForTheEntrysOwnSake(t *testing.T) {
+	e, end := newSubmitting(1)
+	defer end()
+	e.events <- dispatch.Ticked{}
+	answer, isNotRun := e.Submit(t.Context(), dispatch.Job{ID: "a"}).(dispatch.NotRun)
+	if !isNotRun || !answer.IsElsewhere {
+		t.Errorf("got %+v, want a refusal for the entry's own sake", answer)
+	}
+	if waiting := e.jobWaiters.count(); waiting > 0 {
+		t.Errorf("%d requests wait", waiting)
+	}
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -310,6 +311,34 @@
 	}
 }
 
+// TestAFullRingTakesNoJobAndLosesNone hands jobs over to an entry that reads nothing, until it gets no more. None of those that it has is lost
+// before the connection ends for its silence.
+func TestAFullRingTakesNoJobAndLosesNone(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer func() { _ = theirs.Close() }()
+	s := &Sender{zone: "zone-a", peers: func() []Peer { return nil }, handler: &recorder{outcomes: make(chan outcome, 2*stream.RingSize)}, ctx: t.Context(), jobs: make(map[uint64]*link)}
+	l := &link{conn: stream.New(ours, uncounted{}), jobs: make(map[uint64]string)}
+	defer l.conn.Close(stream.ErrClosed)
+	s.links = []*link{l}
+	large := job("a")
+	large.Payload = strings.Repeat("x", 4000)
+	var taken uint64
+	for taken < 2*stream.RingSize && s.HandOver(taken+1, large) {
+		taken++
+	}
+	if taken >= stream.RingSize || len(l.jobs) != int(taken) || len(s.jobs) != int(taken) {
+		t.Errorf("%d jobs were handed over, %d are on the link and %d in all", taken, len(l.jobs), len(s.jobs))
+	}
+	for number := uint64(1); number <= taken/2; number++ {
+		s.Withdraw(number)
+	}
+	select {
+	case <-l.conn.Closed():
+		t.Error("the connection has ended")
+	default:
+	}
+}
+
 // proxy forwards the bytes of one connection, in both directions, until it is told to be silent.
 func proxy(t *testing.T, to string) (address string, silence func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -75,7 +75,7 @@
 	alive liveness
 	// jobs are the IDs of those under way, by the numbers of the hand-overs.
 	jobs map[uint64]string
-	// refused is when the entry refused a job last, and used when one was handed over last.
+	// refused is when the entry refused a job last or had too many messages to read, and used when one was handed over last.
 	refused, used time.Time
 }
 
@@ -103,11 +103,15 @@
 	if l == nil {
 		return false
 	}
+	if !l.conn.TrySend(packJob(now, number, s.zone, job)) {
+		l.refused = now
+		return false
+	}
+	// The answer is handled after this, as it needs the lock.
 	l.jobs[number] = job.ID
 	l.used = now
 	l.alive.began(now)
 	s.jobs[number] = l
-	l.conn.Send(packJob(now, number, s.zone, job))
 	return true
 }
 
--- a/internal/stream/connection.go
+++ b/internal/stream/connection.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// TrySend queues a message if no more than half of the ring is in use, and reports whether it did. It does not block. The other half is left to
+// messages that must be sent, and a connection whose peer reads slowly goes on.
+func (c *Connection) TrySend(message proto.Message) bool {
+	select {
+	case <-c.closed:
+		return false
+	default:
+	}
+	if len(c.ring) >= RingSize/2 {
+		return false
+	}
+	c.Send(message)
+	return true
+}
+
 // Closed returns a channel that is closed when the connection has ended.
 func (c *Connection) Closed() <-chan struct{} { return c.closed }
 
--- a/internal/stream/connection_test.go
+++ b/internal/stream/connection_test.go
@@ -198,6 +198,32 @@
 	}
 }
 
+// TestTrySendLeavesRoom sends to a peer that does not read until there is no room, and then what must be sent.
+func TestTrySendLeavesRoom(t *testing.T) {
+	ours, _ := net.Pipe()
+	c := New(ours, uncounted{})
+	large := text(strings.Repeat("x", bufferSize))
+	sent := 0
+	for c.TrySend(large) {
+		sent++
+	}
+	if sent < RingSize/2 || sent > RingSize/2+2 {
+		t.Errorf("%d messages were sent, want %d", sent, RingSize/2)
+	}
+	for range RingSize / 4 {
+		c.Send(large)
+	}
+	select {
+	case <-c.Closed():
+		t.Errorf("the connection has ended: %v", c.cause)
+	default:
+	}
+	c.Close(ErrClosed)
+	if c.TrySend(large) {
+		t.Error("a message was sent on a closed connection")
+	}
+}
+
 // TestFinishWritesWhatIsQueued finishes a connection to which the peer goes on sending.
 func TestFinishWritesWhatIsQueued(t *testing.T) {
 	for range 20 {
