learned: the figures of a record are bounded

Cause: IsUsable took any finite logarithm, so a broken or foreign record of 1e38 gave estimates beyond any time, in each entry that heard of it.

Change: guesses and run times are from 1 ms, the shortest that is learned, to a week; variance and covariance within the square of that range; the longest run at most 16,384 times the mean. Figures keep room for single precision.

Measured: eight new cases are usable on the commit before and not now; go test ./internal/learned ./internal/cluster ./internal/dispatch passes.

--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -32,8 +32,7 @@
 	priorVariance = 0.16
 	// learnedSteps is from how many steps an estimate is good enough to judge a worker by.
 	learnedSteps = 10
-	// minRunTime is the shortest run time that is learned, so that its logarithm is finite.
-	minRunTime = time.Millisecond
+	minRunTime   = learned.ShortestTime
 )
 
 // stepTime is the estimate for a step.
--- a/internal/learned/learned.go
+++ b/internal/learned/learned.go
@@ -30,6 +30,24 @@
 	maxAge = time.Minute
 )
 
+const (
+	// ShortestTime is the shortest run time that is learned, so that its logarithm is finite.
+	ShortestTime = time.Millisecond
+	// longestTime is far above the run time of any task.
+	longestTime = 7 * 24 * time.Hour
+	// maxUnevenness is far above the number of tasks of a step: the longest run takes at most as many times the mean.
+	maxUnevenness = 1 << 14
+	// rounding is by how much a logarithm may change on its way, as it has single precision there.
+	rounding = 1e-4
+)
+
+// leastLog and mostLog bound the logarithms of run times, and mostSquare their variance and covariance.
+var (
+	leastLog   = math.Log(ShortestTime.Seconds()) - rounding
+	mostLog    = math.Log(longestTime.Seconds()) + rounding
+	mostSquare = (mostLog - leastLog) * (mostLog - leastLog)
+)
+
 // RunTime is what is known of the run times of a kind: a regression of the mean run time of a step on the caller's guess, both as logarithms of
 // seconds.
 type RunTime struct {
@@ -65,15 +83,19 @@
 
 // IsUsable reports whether the record can have been made from jobs.
 func (k Kind) IsUsable() bool {
-	r := k.RunTime
-	for _, x := range []float64{r.Guess, r.Actual, r.Variance, r.Covariance, r.Unevenness} {
-		if math.IsNaN(x) || math.IsInf(x, 0) {
-			return false
-		}
-	}
-	return k.Name != "" && r.Steps > 0 && r.Variance >= 0 && r.Unevenness >= 1 && k.Age >= 0 && k.CallerTime.Usual >= 0
+	return k.Name != "" && k.Age >= 0 && k.CallerTime.Usual >= 0 && k.RunTime.isUsable()
 }
 
+func (t RunTime) isUsable() bool {
+	return t.Steps > 0 &&
+		isWithin(leastLog, t.Guess, mostLog) && isWithin(leastLog, t.Actual, mostLog) &&
+		isWithin(0, t.Variance, mostSquare) && isWithin(-mostSquare, t.Covariance, mostSquare) &&
+		isWithin(1, t.Unevenness, maxUnevenness)
+}
+
+// isWithin is false for a figure that is no number.
+func isWithin(least, x, most float64) bool { return least <= x && x <= most }
+
 // Merge returns the record with what another entry has learned. The other record is of the same kind.
 //
 // Inputs: the steps that each record rests on, the time since a job was seen for each.
--- a/internal/learned/learned_test.go
+++ b/internal/learned/learned_test.go
@@ -83,6 +83,14 @@
 		"no name":           func(k *Kind) { k.Name = "" },
 		"no steps":          func(k *Kind) { k.RunTime.Steps = 0 },
 		"not a number":      func(k *Kind) { k.RunTime.Actual = math.NaN() },
+		"a run of 1 µs":     func(k *Kind) { k.RunTime.Actual = math.Log(1e-6) },
+		"a guess of 1 µs":   func(k *Kind) { k.RunTime.Guess = math.Log(1e-6) },
+		"a run of a year":   func(k *Kind) { k.RunTime.Actual = math.Log(3e7) },
+		"a guess of a year": func(k *Kind) { k.RunTime.Guess = math.Log(3e7) },
+		"huge":              func(k *Kind) { k.RunTime.Actual = math.MaxFloat32 },
+		"variance":          func(k *Kind) { k.RunTime.Variance = 1e6 },
+		"covariance":        func(k *Kind) { k.RunTime.Covariance = -1e6 },
+		"huge unevenness":   func(k *Kind) { k.RunTime.Unevenness = 1e9 },
 		"infinite":          func(k *Kind) { k.RunTime.Guess = math.Inf(1) },
 		"negative variance": func(k *Kind) { k.RunTime.Variance = -1 },
 		"unevenness":        func(k *Kind) { k.RunTime.Unevenness = 0.5 },
@@ -93,7 +101,10 @@
 			t.Errorf("%s: usable", name)
 		}
 	}
-	if k := record(1, 0, 0); !k.IsUsable() {
-		t.Error("a good record is not usable")
+	for name, logarithm := range map[string]float64{"1 s": 0, "the shortest": math.Log(1e-3), "a day": math.Log(86400)} {
+		// Records have single precision on their way.
+		if k := record(1, float64(float32(logarithm)), 0); !k.IsUsable() {
+			t.Errorf("a good record of %s is not usable", name)
+		}
 	}
 }
