entry: no connections for hand-overs are opened when hand_over is off

Cause: each entry kept two connections to others open, whatever the setting.

Change: without hand_over there are no peers to open connections to.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -37,8 +37,11 @@
 	e.post(dispatch.HandOverEnded{Job: job, Number: number, Result: result})
 }
 
-// handOverPeers returns the other entries.
+// handOverPeers returns the entries that may get jobs: none if jobs are not handed over, so that no connections are opened.
 func (e *Entry) handOverPeers() []handover.Peer {
+	if !e.settings.HandOver {
+		return nil
+	}
 	var peers []handover.Peer
 	for _, m := range e.directory.Members(cluster.RoleEntry) {
 		if m.Name != e.self.Name {
