handover, entry: pauses between reconnects double, with jitter

Cause: an entry that accepted connections and closed them was dialled again with each job, and one that could not be reached kept the place of a connection for a fixed second. An entry that starts tried its first exchange every 50 ms for as long as none succeeded.

The pause before the first exchange doubles with each failure up to the usual one.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// firstExchangeDelay is the pause between tries until the first exchange has succeeded, half of the longest. An entry that starts has learned nothing of
-// the jobs that come to it.
+// firstExchangeDelay is the mean pause before the first try. It doubles with each that fails, up to that of all later exchanges. An entry that starts
+// has learned nothing of the jobs that come to it.
 const firstExchangeDelay = 50 * time.Millisecond
 
 // exchange exchanges the directory with one other entry after the other, so that members and configuration spread while
@@ -83,13 +83,20 @@
 func (e *Entry) exchange() {
 	interval := firstExchangeDelay
 	for e.pause(interval/2 + rand.N(interval)) {
-		address, ok := e.anyPeer()
-		if ok && e.exchangeWith(address) {
-			interval = timing.ExchangeInterval
+		if address, ok := e.anyPeer(); ok {
+			interval = nextExchange(interval, e.exchangeWith(address))
 		}
 	}
 }
 
+// nextExchange returns the mean pause after an exchange.
+func nextExchange(before time.Duration, hasSucceeded bool) time.Duration {
+	if hasSucceeded {
+		return timing.ExchangeInterval
+	}
+	return min(2*before, timing.ExchangeInterval)
+}
+
 // exchangeWith exchanges the directory with the entry at an address, and reports whether that succeeded.
 func (e *Entry) exchangeWith(address string) bool {
 	before, _ := e.directory.Document()
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -30,8 +30,6 @@
 	standbyLinks = 2
 	// dialTimeout bounds the opening of a connection: a hundred round trips between availability zones.
 	dialTimeout = 250 * time.Millisecond
-	// redialDelay is the pause after a connection could not be opened.
-	redialDelay = time.Second
 	// standbyInterval is the time between two looks whether standbyLinks are open.
 	standbyInterval = time.Second
 	// idleTimeout is how long a connection without jobs stays open.
@@ -65,6 +63,8 @@
 	links []*link
 	// jobs has where each job is, by the numbers of the hand-overs.
 	jobs map[uint64]*link
+	// redials has the pauses before the next connections, by the names of the entries.
+	redials map[string]redial
 }
 
 // link is the connection to one entry, or the attempt to open it.
@@ -83,7 +83,7 @@
 // connections; jobs under way are lost then.
 func NewSender(zone string, peers func() []Peer, handler Handler) (*Sender, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Sender{zone: zone, peers: peers, handler: handler, ctx: ctx, jobs: make(map[uint64]*link)}
+	s := &Sender{zone: zone, peers: peers, handler: handler, ctx: ctx, jobs: make(map[uint64]*link), redials: make(map[string]redial)}
 	s.duties.Go(s.keepStandby)
 	return s, func() {
 		cancel()
@@ -159,14 +159,15 @@
 	if len(s.links) >= most {
 		return
 	}
+	now := clock.Now()
 	peers := s.peers()
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 	for _, peer := range peers {
 		isLinked := slices.ContainsFunc(s.links, func(l *link) bool { return l.peer.Name == peer.Name })
-		if len(s.links) >= most || isLinked || s.ctx.Err() != nil {
+		if len(s.links) >= most || isLinked || now.Before(s.redials[peer.Name].at) || s.ctx.Err() != nil {
 			continue
 		}
-		l := &link{peer: peer, jobs: make(map[uint64]string), used: clock.Now()}
+		l := &link{peer: peer, jobs: make(map[uint64]string), used: now}
 		s.links = append(s.links, l)
 		s.duties.Go(func() { s.serve(l) })
 	}
@@ -177,7 +178,6 @@
 	defer s.remove(l)
 	conn, err := dial(s.ctx, l.peer.Address)
 	if err != nil {
-		s.pause(redialDelay)
 		return
 	}
 	c := stream.New(conn, uncounted{})
@@ -258,6 +258,7 @@
 func (s *Sender) remove(l *link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended(clock.Now(), l.peer.Name)
 	s.links = slices.DeleteFunc(s.links, func(other *link) bool { return other == l })
 }
 
