dispatch: a test that an evacuated rack is not waited for

No fault was found: an agent in an evacuated availability zone is no candidate, so the workers elsewhere are taken at once.

--- a/internal/dispatch/distance_test.go
+++ b/internal/dispatch/distance_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
@@ -59,6 +60,38 @@
 	}
 }
 
+// TestAJobDoesNotWaitForARackThatIsBeingEvacuated submits a job that would be late elsewhere. Its rack is full, and its availability zone is evacuated
+// before the job comes or while it waits.
+func TestAJobDoesNotWaitForARackThatIsBeingEvacuated(t *testing.T) {
+	for _, isBefore := range []bool{true, false} {
+		now := time.Unix(1_000_000, 0)
+		d := New(Limits{Jobs: 10, FarTimes: 3}, rand.New(rand.NewPCG(1, 2)))
+		for rack, load := range map[string]runner.Load{
+			"r1": {Accepts: true, Slowness: 1, Used: worker.Resources{CPU: 4000}}, "r2": {Accepts: true, Slowness: 1},
+		} {
+			id := AgentID("agent-" + rack)
+			record := worker.Record{ID: rack, Service: "svc", Zone: "zone-" + rack, Capacity: worker.Resources{CPU: 4000}, Labels: []string{rack}}
+			d.Handle(now, AgentUp{Agent: id}, WorkerDescribed{Agent: id, Record: record}, LoadReceived{Agent: id, Load: load})
+		}
+		evacuate := EvacuationsChanged{State: evacuation.New(0, []evacuation.Change{{Zone: "zone-r1", Revision: 1, IsEvacuated: true}})}
+		submitted := Submitted{Waiter: 1, Job: Job{
+			ID: "j", Kind: Kind{Name: "kind", Service: "svc", Stretch: 1.6, Target: 60 * time.Millisecond},
+			Steps: []Step{{Count: 1, Needs: worker.Resources{CPU: 1000}, Expected: time.Second, Rack: "r1"}},
+		}}
+		events := []Event{submitted, evacuate}
+		if isBefore {
+			events = []Event{evacuate, submitted}
+		}
+		first := d.Handle(now, events[0])
+		if hasStart(first) {
+			t.Fatalf("evacuated before: %t: the job has not waited for its rack", isBefore)
+		}
+		if effects := d.Handle(now.Add(time.Millisecond), events[1]); !hasStart(effects) {
+			t.Errorf("evacuated before: %t: got %+v, want a start in the other rack", isBefore, effects)
+		}
+	}
+}
+
 func hasStart(effects []Effect) bool {
 	for _, effect := range effects {
 		if _, ok := effect.(StartTask); ok {
