dispatch: an evacuation hands back the jobs of other entries

Cause: an entry all of whose workers are in evacuated availability zones answered jobs of other entries as refused by the site, though their own entry may know workers elsewhere; and a job that came back was accepted without a look at the evacuation.

Change: such jobs are refused for the entry's own sake, and one that comes back is looked at as a new one is.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -50,7 +50,7 @@
 	j.waiters = []Waiter{e.Waiter}
 	d.containment.arrived(now, j)
 	if reason := d.evacuatedReason(j); reason != "" {
-		d.finish(now, j, d.evacuatedAnswer(reason))
+		d.finish(now, j, d.evacuatedAnswer(j, reason))
 		return
 	}
 	if reason := d.containedReason(j); reason != "" {
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -42,7 +42,7 @@
 func (d *Dispatcher) refuseEvacuated(now time.Time) {
 	for _, j := range slices.Clone(d.waiting) {
 		if reason := d.evacuatedReason(j); reason != "" && !j.isDurable && !j.mayHaveBegun() {
-			d.finish(now, j, d.evacuatedAnswer(reason))
+			d.finish(now, j, d.evacuatedAnswer(j, reason))
 		}
 	}
 }
@@ -73,10 +73,10 @@
 
 // evacuatedAnswer returns the answer to a job whose workers are all in evacuated zones.
 //
-// Rule: the caller may retry after RetryAfter.
+// Rule: the caller may retry after RetryAfter. A job of another entry goes back to it.
 //
 // Reason: nobody knows when the operators take a zone back, so the time says only how often it is worth to ask: workers of a
-// zone that was taken back are in use within a second.
-func (d *Dispatcher) evacuatedAnswer(reason string) NotRun {
-	return NotRun{Reason: reason, RetryAfter: RetryAfter}
+// zone that was taken back are in use within a second. The other entry may have sessions with workers of other zones.
+func (d *Dispatcher) evacuatedAnswer(j *job, reason string) NotRun {
+	return NotRun{Reason: reason, RetryAfter: RetryAfter, IsElsewhere: j.IsHandedOver}
 }
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -163,10 +163,19 @@
 		d.awaitRunsElsewhere(now, j)
 		d.replyHandedOver(now, j, Interrupted(result))
 	case HandOverRefused:
-		d.acceptHere(now, j, d.ownRefusalReason(now, j))
+		d.takeBack(now, j)
 	}
 }
 
+// takeBack accepts or refuses a job here that no other entry has taken.
+func (d *Dispatcher) takeBack(now time.Time, j *job) {
+	if reason := d.evacuatedReason(j); reason != "" {
+		d.finish(now, j, d.evacuatedAnswer(j, reason))
+		return
+	}
+	d.acceptHere(now, j, d.ownRefusalReason(now, j))
+}
+
 // replyHandedOver answers the waiters of a job that was handed over.
 func (d *Dispatcher) replyHandedOver(now time.Time, j *job, answer Answer) {
 	d.emit(Reply{Waiters: j.waiters, Answer: answer})
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/timing"
 	"sailhead/internal/worker"
@@ -318,6 +319,48 @@
 	c.expect(Reply{Waiters: []Waiter{2}, Answer: Interrupted{Reason: "the job's time is over"}}, WithdrawHandOver{Job: "second", Number: 1})
 }
 
+// evacuateWorker evacuates the availability zone of the worker of withWorker.
+func (c *handOverCase) evacuateWorker() {
+	c.handle(EvacuationsChanged{State: evacuation.New(0, []evacuation.Change{{Zone: "", Revision: 1, IsEvacuated: true}})})
+}
+
+// TestAnEvacuationHandsBackWhatHasNotBegun evacuates the zone of all workers that an entry knows, while a job of its own and one of another entry wait.
+// The other entry may know further workers.
+func TestAnEvacuationHandsBackWhatHasNotBegun(t *testing.T) {
+	c := &handOverCase{t: t, now: time.Unix(1_000_000, 0), dispatcher: New(Limits{Jobs: 10}, rand.New(rand.NewPCG(1, 2)))}
+	c.withWorker(1)
+	c.handle(Submitted{Job: handOverJob("begun"), Waiter: 1}, Submitted{Job: handOverJob("own"), Waiter: 2}, Submitted{Job: handedOverJob("theirs"), Waiter: 3})
+	c.evacuateWorker()
+	refused := make(map[Waiter]bool)
+	for _, effect := range c.effects {
+		if reply, ok := effect.(Reply); ok {
+			refused[reply.Waiters[0]] = reply.Answer.(NotRun).IsElsewhere
+		}
+	}
+	if want := map[Waiter]bool{2: false, 3: true}; !maps.Equal(refused, want) {
+		t.Errorf("refused, for the entry's own sake or not: %v, want %v", refused, want)
+	}
+	c.handle(Submitted{Job: handedOverJob("later"), Waiter: 4})
+	c.expectRefusal(4)
+}
+
+// TestAJobThatComesBackIsRefusedWhileAllWorkersAreEvacuated hands a job over before the evacuation.
+func TestAJobThatComesBackIsRefusedWhileAllWorkersAreEvacuated(t *testing.T) {
+	c := newHandOverCase(t)
+	c.withWorker(2)
+	c.handOver(2)
+	c.handle(CallerLeft{Job: "first", Waiter: 1})
+	c.evacuateWorker()
+	c.handle(HandOverEnded{Job: "second", Number: 1, Result: HandOverRefused{Reason: "evacuated"}})
+	if len(c.effects) != 1 {
+		t.Fatalf("got %+v, want a refusal", c.effects)
+	}
+	reply, _ := c.effects[0].(Reply)
+	if answer, isNotRun := reply.Answer.(NotRun); !isNotRun || answer.IsElsewhere {
+		t.Errorf("got %+v, want a refusal", reply)
+	}
+}
+
 // otherEntry is the entry to which a random schedule hands jobs over.
 type otherEntry struct {
 	schedule *schedule
