--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -369,6 +369,8 @@
 	numbers map[string]uint64
 	jobs    map[string]Job
 	taken   map[string]bool
+	// lastLeft is the job that was withdrawn, lost or interrupted last, so that its runs may continue.
+	lastLeft string
 	// ended are the results of earlier hand-overs, which may be reported again.
 	ended []HandOverEnded
 }
@@ -419,6 +421,7 @@
 
 // leaveRuns lets the runs of a job continue after its end.
 func (o *otherEntry) leaveRuns(job string) {
+	o.lastLeft = job
 	for _, name := range taskNames(o.jobs[job]) {
 		o.schedule.ghosts[name] = o.schedule.now.Add(timing.RerunDelay - time.Millisecond)
 	}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -389,6 +389,9 @@
 	if s.chance(0.05) && s.next > 1 {
 		id = fmt.Sprintf("%016x", s.next-1)
 	}
+	if s.other != nil && s.other.lastLeft != "" && s.chance(0.2) {
+		id = s.other.lastLeft
+	}
 	s.waiting[s.next] = id
 	if s.dispatcher.stateOf(id) == JobUnknown {
 		delete(s.began, id)
