--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -3,13 +3,18 @@
 
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"sailhead/internal/timing"
+)
 
 // This file decides which jobs the entry hands over to another entry before anything of them has begun.
 //
 // Inputs: why the job would be refused for the entry's own sake, if it would; the windows of congestion.go.
 //
-// Rule: a job that would be refused for the entry's own sake is handed over, and so is a share of all others that rises with each window
+// Rule: a job of which a run from an earlier submission may not have ended stays here, where it waits for that run. A job that would be refused for the entry's own sake is handed over, and so is a share of all others that rises with each window
 // in which the entry is nearly late and falls with each one in which it is not. A job that was handed over once is not handed over again.
 // If no entry takes it, it is treated as it would be without this file. Of the jobs that no other entry has taken yet no more may be on their
 // way than congestion.go lets tasks wait.
@@ -29,6 +34,12 @@
 	maxHandOverShare = 0.95
 )
 
+// reasonStops is why a job is refused that would not end before the entry does, or that another entry can run in its place.
+const reasonStops = "the entry stops before the job would end"
+
+// reasonHandsOver is why a job of another entry is refused.
+const reasonHandsOver = "the entry hands jobs over itself"
+
 // reasonNotKeepingUp is why a job is refused that the entry can neither run in time nor hand over.
 const reasonNotKeepingUp = "the entry does not keep up"
 
@@ -65,20 +76,21 @@
 // objective of the job; whether the entry keeps up.
 //
 // Rule: a job is refused if Limits.Jobs are under way, if the process ends before the job's objective, or if the entry is over its limit
-// (congestion.go). One that another entry hands over is refused as soon as this entry hands jobs over itself.
+// (congestion.go). One that another entry hands over is refused while this entry hands jobs over itself, or has done so and the job is still there, and
+// while it stops.
 //
-// Reason: the limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
+// Reason: two entries near their limits do not pay for the jobs of each other. The limit bounds memory and the time of a placement. During a shutdown a job that is refused at once can be
 // submitted to another entry, while one that is interrupted may have run.
 func (d *Dispatcher) ownRefusalReason(now time.Time, j *job) string {
 	switch {
 	case len(d.jobs)+len(d.handedOver) >= d.limits.Jobs:
 		return "too many jobs are under way"
-	case d.isShuttingDown() && now.Add(j.objective).After(d.shutdownAt):
-		return "the entry stops before the job would end"
+	case d.isShuttingDown() && (j.IsHandedOver || now.Add(j.objective).After(d.shutdownAt)):
+		return reasonStops
 	case d.congestion.isLimited() && !d.congestion.mayAccept(d.tasksUnderWay()):
 		return reasonNotKeepingUp
-	case j.IsHandedOver && d.congestion.handOver > 0:
-		return "the entry hands jobs over itself"
+	case j.IsHandedOver && (d.congestion.handOver > 0 || len(d.handedOver) > 0):
+		return reasonHandsOver
 	default:
 		return ""
 	}
@@ -86,7 +98,7 @@
 
 // handsOver reports whether a job is handed over. refusal is why it is refused otherwise, or "".
 func (d *Dispatcher) handsOver(j *job, refusal string) bool {
-	if !d.limits.HandOver || j.IsHandedOver || len(d.handedOver) >= d.limits.Jobs {
+	if !d.limits.HandOver || j.IsHandedOver || len(d.handedOver) >= d.limits.Jobs || slices.ContainsFunc(j.tasks, d.isEnding) {
 		return false
 	}
 	return refusal != "" || d.random.Float64() < float64(d.congestion.handOver)
@@ -108,9 +120,16 @@
 	return count
 }
 
+// findHandedOver returns the job of a hand-over that has not ended. What is reported of an earlier hand-over of the job must not be taken for
+// the result of a later one.
+func (d *Dispatcher) findHandedOver(id string, number uint64) (j *job, ok bool) {
+	j, ok = d.handedOver[id]
+	return j, ok && j.handOver == number
+}
+
 // handOverTaken records that another entry has taken a job.
 func (d *Dispatcher) handOverTaken(now time.Time, e HandOverTaken) {
-	if j, ok := d.handedOver[e.Job]; ok && !j.isTaken {
+	if j, ok := d.findHandedOver(e.Job, e.Number); ok && !j.isTaken {
 		j.isTaken, j.takenBy = true, e.Entry
 		d.onTheWay.startCounted(now, j.handedOverAt)
 	}
@@ -118,27 +137,43 @@
 
 // handOver hands a job over.
 func (d *Dispatcher) handOver(now time.Time, j *job) {
-	j.handedOverAt = now
+	d.lastHandOver++
+	j.handOver, j.handedOverAt = d.lastHandOver, now
 	d.handedOver[j.ID] = j
 	d.emit(j.decisionMade(now, DecisionHandedOver{}))
-	d.emit(HandOver{Job: j.Job})
+	d.emit(HandOver{Job: j.Job, Number: j.handOver})
 }
 
 // handOverEnded applies the result of a job that was handed over. One that no other entry has taken is accepted or refused here.
 func (d *Dispatcher) handOverEnded(now time.Time, e HandOverEnded) {
-	j, ok := d.handedOver[e.Job]
+	j, ok := d.findHandedOver(e.Job, e.Number)
 	if !ok {
 		return
 	}
 	delete(d.handedOver, e.Job)
 	switch result := e.Result.(type) {
 	case HandOverAnswered:
+		switch result.Answer.(type) {
+		case Interrupted, Failed:
+			d.awaitRunsElsewhere(now, j)
+		case Completed, NotRun:
+		}
 		d.replyHandedOver(now, j, result.Answer)
 	case HandOverLost:
+		d.awaitRunsElsewhere(now, j)
 		d.replyHandedOver(now, j, Interrupted(result))
 	case HandOverRefused:
-		d.acceptHere(now, j, d.ownRefusalReason(now, j))
+		d.takeBack(now, j)
+	}
+}
+
+// takeBack accepts or refuses a job here that no other entry has taken.
+func (d *Dispatcher) takeBack(now time.Time, j *job) {
+	if reason := d.evacuatedReason(j); reason != "" {
+		d.finish(now, j, d.evacuatedAnswer(j, reason))
+		return
 	}
+	d.acceptHere(now, j, d.ownRefusalReason(now, j))
 }
 
 // replyHandedOver answers the waiters of a job that was handed over.
@@ -147,23 +182,52 @@
 	d.emit(j.decisionMade(now, DecisionHandOverEnded{Answer: answer, Entry: j.takenBy}))
 }
 
+// handBack ends the jobs of other entries of which nothing can have begun.
+//
+// Inputs: whether the entry stops.
+//
+// Rule: each is refused for the entry's own sake.
+//
+// Reason: the entry that handed it over runs it, or says that it has not run, while there is time; one that is ended later may have run.
+func (d *Dispatcher) handBack(now time.Time) {
+	for _, j := range d.jobsByArrival() {
+		if j.IsHandedOver && !j.isDurable && !j.mayHaveBegun() {
+			d.finish(now, j, NotRun{Reason: reasonStops, RetryAfter: d.soon(), IsElsewhere: true})
+		}
+	}
+}
+
 // withdraw ends a job that was handed over, because its callers have left or its time is over.
-func (d *Dispatcher) withdraw(j *job) {
+func (d *Dispatcher) withdraw(now time.Time, j *job) {
 	delete(d.handedOver, j.ID)
-	d.emit(WithdrawHandOver{Job: j.ID})
+	d.awaitRunsElsewhere(now, j)
+	d.emit(WithdrawHandOver{Job: j.ID, Number: j.handOver})
+}
+
+// awaitRunsElsewhere lets a job that comes again wait for the runs that the other entry may have started.
+//
+// Inputs: whether the hand-over was withdrawn or lost, or the job failed or was interrupted there.
+//
+// Rule: none of the tasks is placed for timing.RerunDelay.
+//
+// Reason: the withdrawal may be late, and an entry that is lost ends its runs as one does that has lost its sessions with their agents.
+func (d *Dispatcher) awaitRunsElsewhere(now time.Time, j *job) {
+	for _, t := range j.tasks {
+		d.endingRuns[t.name] = endingRun{endedBy: now.Add(timing.RerunDelay)}
+	}
 }
 
 // expireHandedOver ends the jobs that were handed over and are not answered before their callers' time is over or the entry stops.
 func (d *Dispatcher) expireHandedOver(now time.Time) {
 	for _, j := range jobsByArrival(d.handedOver) {
 		switch {
-		case j.RemainingTime > 0 && now.After(j.expiresAt()):
+		case now.After(j.expiresAt()):
 			d.replyHandedOver(now, j, Interrupted{Reason: "the job's time is over"})
 		case d.isShuttingDown() && now.After(d.shutdownAt):
 			d.replyHandedOver(now, j, Interrupted{Reason: "the entry stops"})
 		default:
 			continue
 		}
-		d.withdraw(j)
+		d.withdraw(now, j)
 	}
 }
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -152,7 +152,7 @@
 		case CloseAgent:
 			s.closeAgent(e)
 		case HandOver:
-			s.other.take(e.Job)
+			s.other.take(e.Job, e.Number)
 		case WithdrawHandOver:
 			s.other.withdraw(e.Job)
 		case Reply:
@@ -392,6 +392,9 @@
 	if s.chance(0.05) && s.next > 1 {
 		id = fmt.Sprintf("%016x", s.next-1)
 	}
+	if s.other != nil && s.other.lastLeft != "" && s.chance(0.2) {
+		id = s.other.lastLeft
+	}
 	s.waiting[s.next] = id
 	if s.dispatcher.stateOf(id) == JobUnknown {
 		delete(s.began, id)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -10,12 +10,16 @@
 	"net"
 	"net/http"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"sailhead/internal/clock"
 	"sailhead/internal/dispatch"
+	"sailhead/internal/handover/handoverpb"
+	"sailhead/internal/logging"
+	"sailhead/internal/stream"
 	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
@@ -45,16 +49,19 @@
 // outcome is what a sender reports of a job. The result is nil for the report that the job was taken.
 type outcome struct {
 	job, entry string
+	number     uint64
 	result     dispatch.HandOverResult
 }
 
 // recorder keeps the reports of a sender.
 type recorder struct{ outcomes chan outcome }
 
-func (r *recorder) HandOverTaken(job, entry string) { r.outcomes <- outcome{job: job, entry: entry} }
+func (r *recorder) HandOverTaken(job string, number uint64, entry string) {
+	r.outcomes <- outcome{job: job, number: number, entry: entry}
+}
 
-func (r *recorder) HandOverEnded(job string, result dispatch.HandOverResult) {
-	r.outcomes <- outcome{job: job, result: result}
+func (r *recorder) HandOverEnded(job string, number uint64, result dispatch.HandOverResult) {
+	r.outcomes <- outcome{job: job, number: number, result: result}
 }
 
 // rig is a sender and one or more other entries.
@@ -62,6 +69,8 @@
 	t       *testing.T
 	sender  *Sender
 	reports *recorder
+	// last is the number of the latest hand-over.
+	last uint64
 }
 
 // newRig returns a sender whose peers are at the addresses, with a connection to one of them.
@@ -79,14 +88,21 @@
 
 // serve serves an entry and returns its address and a function that ends all its connections.
 func serve(t *testing.T, local Local) (address string, kill func()) {
+	address, kill, _ = serveUntilStopped(t, local)
+	return address, kill
+}
+
+// serveUntilStopped is serve, with the clean-up of the server.
+func serveUntilStopped(t *testing.T, local Local) (address string, kill, stop func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var mu sync.Mutex
 	var open []net.Conn
+	handler, closeServer := NewServer(local, logging.Discard())
 	server := &http.Server{
-		Handler: NewServer(local),
+		Handler: handler,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if state == http.StateNew {
 				mu.Lock()
@@ -104,8 +120,9 @@
 			_ = c.Close()
 		}
 	}
+	t.Cleanup(closeServer)
 	t.Cleanup(kill)
-	return listener.Addr().String(), kill
+	return listener.Addr().String(), kill, closeServer
 }
 
 func job(id string) dispatch.Job {
@@ -121,11 +138,17 @@
 // longest is how long the tests wait for what must happen.
 const longest = 10 * time.Second
 
+// tryHandOver hands a job over if an entry may get it now.
+func (r *rig) tryHandOver(j dispatch.Job) bool {
+	r.last++
+	return r.sender.HandOver(r.last, j)
+}
+
 // handOver hands a job over as soon as a connection is open.
 func (r *rig) handOver(j dispatch.Job) {
 	r.t.Helper()
 	for end := time.Now().Add(longest); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if r.sender.HandOver(j) {
+		if r.tryHandOver(j) {
 			return
 		}
 	}
@@ -158,14 +181,14 @@
 	if !reflect.DeepEqual(s.job, want) {
 		t.Errorf("got %+v, want %+v", s.job, want)
 	}
-	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", entry: "entry-0"}); got != want {
+	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", number: r.last, entry: "entry-0"}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	for _, answer := range []dispatch.Answer{
 		dispatch.Completed{}, dispatch.Failed{Reason: "f"}, dispatch.NotRun{Reason: "n", RetryAfter: 3 * time.Second}, dispatch.Interrupted{Reason: "i"},
 	} {
 		s.answer <- answer
-		got, want := next(t, r.reports.outcomes), outcome{job: s.job.ID, result: dispatch.HandOverAnswered{Answer: answer}}
+		got, want := next(t, r.reports.outcomes), outcome{job: s.job.ID, number: r.last, result: dispatch.HandOverAnswered{Answer: answer}}
 		if got != want {
 			t.Errorf("got %+v, want %+v", got, want)
 		}
@@ -182,10 +205,10 @@
 	r.handOver(job("a"))
 	next(t, r.reports.outcomes)
 	next(t, local.submitted).answer <- dispatch.NotRun{Reason: "late", RetryAfter: time.Second, IsElsewhere: true}
-	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", result: dispatch.HandOverRefused{Reason: "late"}}); got != want {
+	if got, want := next(t, r.reports.outcomes), (outcome{job: "a", number: r.last, result: dispatch.HandOverRefused{Reason: "late"}}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	if r.sender.HandOver(job("b")) {
+	if r.tryHandOver(job("b")) {
 		t.Error("a job was handed over to an entry that has just refused one")
 	}
 	r.handOver(job("c"))
@@ -197,13 +220,78 @@
 	r := newRig(t, address)
 	r.handOver(job("a"))
 	s := next(t, local.submitted)
-	r.sender.Withdraw("a")
+	r.sender.Withdraw(r.last)
 	next(t, s.ctx.Done())
-	if !r.sender.HandOver(job("a")) {
+	if !r.tryHandOver(job("a")) {
 		t.Error("the job cannot be handed over again")
 	}
 }
 
+// TestTheLastAnswersOfAnEntryThatStopsArrive answers some jobs while the server is being closed. The others are lost, as they may have run.
+func TestTheLastAnswersOfAnEntryThatStopsArrive(t *testing.T) {
+	t.Run("all answered", func(t *testing.T) { stopAfterAnswers(t, 0) })
+	t.Run("some not answered", func(t *testing.T) { stopAfterAnswers(t, 10) })
+}
+
+// stopAfterAnswers closes the server of an entry that has answered all but some of its jobs.
+func stopAfterAnswers(t *testing.T, open int) {
+	local := &fakeEntry{submitted: make(chan *submission, 100)}
+	address, _, stop := serveUntilStopped(t, local)
+	r := newRig(t, address)
+	const jobs = 40
+	for range jobs {
+		r.handOver(job(fmt.Sprint(r.last)))
+		next(t, r.reports.outcomes)
+	}
+	var unanswered []*submission
+	answered := make(map[string]bool)
+	for i := range jobs {
+		s := next(t, local.submitted)
+		if i < open {
+			unanswered = append(unanswered, s)
+			continue
+		}
+		s.answer <- dispatch.Completed{}
+		answered[s.job.ID] = true
+	}
+	stop()
+	for range jobs {
+		got := next(t, r.reports.outcomes)
+		_, isLost := got.result.(dispatch.HandOverLost)
+		isCompleted := got.result == dispatch.HandOverAnswered{Answer: dispatch.Completed{}}
+		if isCompleted != answered[got.job] || isLost == answered[got.job] {
+			t.Errorf("got %+v of a job that was answered: %t", got, answered[got.job])
+		}
+	}
+	for _, s := range unanswered {
+		if s.ctx.Err() == nil {
+			t.Error("a job goes on after the server was closed")
+		}
+	}
+	if len(r.reports.outcomes) > 0 {
+		t.Errorf("got %+v too", <-r.reports.outcomes)
+	}
+}
+
+// TestAServerThatStopsTakesNoJobs hands a job over while the server waits for the answer of another one.
+func TestAServerThatStopsTakesNoJobs(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	ours, theirs := net.Pipe()
+	receiver := &receiving{local: local, conn: stream.New(ours, uncounted{}), ctx: t.Context(), cancel: make(map[uint64]context.CancelFunc)}
+	receiver.isStopping = true
+	sender := stream.New(theirs, uncounted{})
+	defer sender.Close(stream.ErrClosed)
+	defer receiver.conn.Close(stream.ErrClosed)
+	messages := make(chan *handoverpb.FromReceiver, 10)
+	go func() { _ = stream.Read(receiver.conn, receiver.handle) }()
+	go func() { _ = stream.Read(sender, func(m *handoverpb.FromReceiver) { messages <- m }) }()
+	sender.Send(packJob(clock.Now(), 7, "zone-a", job("a")))
+	answer := next(t, messages).GetAnswer()
+	if answer.GetNumber() != 7 || answer.GetOutcome() != handoverpb.Outcome_OUTCOME_REFUSED || len(local.submitted) > 0 {
+		t.Errorf("got %v, want a refusal", answer)
+	}
+}
+
 // TestTheJobsOfAnEntryThatDiesAreLost kills the entry that has a job: it may have run.
 func TestTheJobsOfAnEntryThatDiesAreLost(t *testing.T) {
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
@@ -218,11 +306,39 @@
 		t.Errorf("got %+v, want a lost job", got)
 	}
 	next(t, s.ctx.Done())
-	if r.sender.HandOver(job("b")) {
+	if r.tryHandOver(job("b")) {
 		t.Error("a job was handed over to an entry that is gone")
 	}
 }
 
+// TestAFullRingTakesNoJobAndLosesNone hands jobs over to an entry that reads nothing, until it gets no more. None of those that it has is lost
+// before the connection ends for its silence.
+func TestAFullRingTakesNoJobAndLosesNone(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer func() { _ = theirs.Close() }()
+	s := &Sender{zone: "zone-a", peers: func() []Peer { return nil }, handler: &recorder{outcomes: make(chan outcome, 2*stream.RingSize)}, ctx: t.Context(), jobs: make(map[uint64]*link)}
+	l := &link{conn: stream.New(ours, uncounted{}), jobs: make(map[uint64]string)}
+	defer l.conn.Close(stream.ErrClosed)
+	s.links = []*link{l}
+	large := job("a")
+	large.Payload = strings.Repeat("x", 4000)
+	var taken uint64
+	for taken < 2*stream.RingSize && s.HandOver(taken+1, large) {
+		taken++
+	}
+	if taken >= stream.RingSize || len(l.jobs) != int(taken) || len(s.jobs) != int(taken) {
+		t.Errorf("%d jobs were handed over, %d are on the link and %d in all", taken, len(l.jobs), len(s.jobs))
+	}
+	for number := uint64(1); number <= taken/2; number++ {
+		s.Withdraw(number)
+	}
+	select {
+	case <-l.conn.Closed():
+		t.Error("the connection has ended")
+	default:
+	}
+}
+
 // proxy forwards the bytes of one connection, in both directions, until it is told to be silent.
 func proxy(t *testing.T, to string) (address string, silence func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
