dispatch: a job that one entry refuses is handed over to another

Cause: a job without room here was refused as soon as the one entry that got it had refused it for its own sake, although a third one may keep up.

Change: it is handed over once more, with a new number, while it would be refused here. A new result tells that no entry could get the job, which is not tried again. The test of a job that no entry takes played one refusal, which now leads to a second hand-over; it plays the new result with the same checks, and a new test plays two refusals and a late first one.

Measured: TestAJobThatIsRefusedElsewhereIsHandedOverToAnotherEntry did not build before, as it names the new result; it passes. Random schedules with hand-overs, which report the new result too: pass.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -16,9 +16,9 @@
 //
 // Rule: a job of which a run from an earlier submission may not have ended stays here, where it waits for that run. A job that would be refused
 // for the entry's own sake is handed over, and so is a share of all others that rises with each window in which the entry is nearly late, and
-// falls with each one in which it is not. A job that was handed over once is not handed over again. If no entry takes it, it is
-// treated as it would be without this file. Of the jobs that no other entry has taken yet no more may be on their
-// way than congestion.go lets tasks wait.
+// falls with each one in which it is not. A job that another entry hands over is not handed over again. One that is refused there is handed over to
+// a further entry, up to maxHandOvers in all, while it would be refused here. If no entry takes it, it is treated as it would be without this file.
+// Of the jobs that no other entry has taken yet no more may be on their way than congestion.go lets tasks wait.
 //
 // Reason: the balancer sends callers to the entries of their availability zone, whatever these can carry. A job that another entry runs costs
 // this one its payload once and an answer, in place of starts, reservations, offers and reports from each of its workers. A link that is
@@ -38,6 +38,8 @@
 	maxHandOverShare = 0.95
 	// nearLimitShare is the share from which an entry is near its limit. A single window may be late by chance.
 	nearLimitShare = 0.5
+	// maxHandOvers is how many entries get a job in succession of which the earlier ones refuse it: each costs the sender its payload again.
+	maxHandOvers = 2
 )
 
 // reasonStops is why a job is refused that would not end before the entry does, or that another entry can run in its place.
@@ -76,14 +78,18 @@
 // HandOverAnswered carries the answer of the other entry.
 type HandOverAnswered struct{ Answer Answer }
 
-// HandOverRefused reports that no entry has taken the job, so nothing of it runs elsewhere.
+// HandOverRefused reports that the other entry has refused the job for its own sake, so nothing of it runs elsewhere.
 type HandOverRefused struct{ Reason string }
 
+// HandOverNotSent reports that no entry could get the job.
+type HandOverNotSent struct{ Reason string }
+
 // HandOverLost reports that the other entry may have run tasks of the job and will not answer.
 type HandOverLost struct{ Reason string }
 
 func (HandOverAnswered) isHandOverResult() {}
 func (HandOverRefused) isHandOverResult()  {}
+func (HandOverNotSent) isHandOverResult()  {}
 func (HandOverLost) isHandOverResult()     {}
 
 // ownRefusalReason returns why the entry refuses a job for its own sake, so that another one may serve it at once, or "" if it does not.
@@ -155,6 +161,8 @@
 func (d *Dispatcher) handOver(now time.Time, j *job) {
 	d.lastHandOver++
 	j.handOver, j.handedOverAt = d.lastHandOver, now
+	j.handOvers++
+	j.isTaken, j.takenBy = false, ""
 	d.handedOver[j.ID] = j
 	d.emit(j.decisionMade(now, DecisionHandedOver{}))
 	d.emit(HandOver{Job: j.Job, Number: j.handOver})
@@ -179,17 +187,24 @@
 		d.awaitRunsElsewhere(now, j)
 		d.replyHandedOver(now, j, Interrupted(result))
 	case HandOverRefused:
-		d.takeBack(now, j)
+		d.takeBack(now, j, j.handOvers < maxHandOvers)
+	case HandOverNotSent:
+		d.takeBack(now, j, false)
 	}
 }
 
-// takeBack accepts or refuses a job here that no other entry has taken.
-func (d *Dispatcher) takeBack(now time.Time, j *job) {
+// takeBack accepts or refuses a job here that no other entry runs. One that has no room here is handed over to a further entry if it may be.
+func (d *Dispatcher) takeBack(now time.Time, j *job, mayHandOn bool) {
 	if reason := d.evacuatedReason(j); reason != "" {
 		d.finish(now, j, d.evacuatedAnswer(j, reason))
 		return
 	}
-	d.acceptHere(now, j, d.ownRefusalReason(now, j))
+	refusal := d.ownRefusalReason(now, j)
+	if refusal != "" && mayHandOn && d.handsOver(j, refusal) && d.mayHandOver() {
+		d.handOver(now, j)
+		return
+	}
+	d.acceptHere(now, j, refusal)
 }
 
 // replyHandedOver answers the waiters of a job that was handed over.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -103,6 +103,8 @@
 	expected forecast.Forecast
 	// begun is set once a task may have run.
 	begun bool
+	// handOvers is how many times the job was handed over.
+	handOvers int
 	// handOver is the number of the hand-over to another entry, and handedOverAt its time. isTaken is set once that has taken it, and takenBy is its name.
 	handOver     uint64
 	handedOverAt time.Time
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -17,7 +17,7 @@
 		return
 	}
 	// The event loop calls this, so it must not wait for its own ring.
-	go e.HandOverEnded(handOver.Job.ID, handOver.Number, dispatch.HandOverRefused{Reason: "no other entry takes jobs"})
+	go e.HandOverEnded(handOver.Job.ID, handOver.Number, dispatch.HandOverNotSent{Reason: "no other entry takes jobs"})
 }
 
 // HandOverTaken reports that another entry has taken a job.
@@ -28,7 +28,7 @@
 // HandOverEnded reports the result of a job that was handed over.
 func (e *Entry) HandOverEnded(job string, number uint64, result dispatch.HandOverResult) {
 	switch result.(type) {
-	case dispatch.HandOverRefused:
+	case dispatch.HandOverRefused, dispatch.HandOverNotSent:
 		e.metrics.Add(metric.HandOversRefused, 1)
 	case dispatch.HandOverLost:
 		e.metrics.Add(metric.HandOversLost, 1)
