--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -45,8 +45,8 @@
 // reasonStops is why a job is refused that would not end before the entry does, or that another entry can run in its place.
 const reasonStops = "the entry stops before the job would end"
 
-// reasonNearLimit is why a job of another entry is refused while this one hands over most of its own.
-const reasonNearLimit = "the entry hands most of its own jobs over"
+// reasonNearLimit is why a job of another entry is refused; see nearLimitShare.
+const reasonNearLimit = "the entry is near its limit"
 
 // reasonIsElsewhere is why a job comes back at once that this entry has handed over.
 const reasonIsElsewhere = "the job was handed over from here"
