dispatch: a short job uses kept room though several long ones wait

Cause: a job that finds its service full for its length was noted as having found no room at all. So from the second long job on that has to leave room for shorter ones, all later jobs of the service were taken for jobs without room: short ones reserved at a few agents at random in place of starting where room is kept for them.

Change: the room that is left is noted as the time below which tasks find some, and only ever falls. It comes from the tasks that were held back, not from the shortest step of their job.

Measured: with two and five long jobs waiting the short one is started now; the test fails without the change.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -13,35 +13,29 @@
 
 // This file applies what agents tell of the room that long tasks leave free for shorter ones. Package runner decides on it (headroom.go).
 
-// room is which jobs of a service may find free resources after a job has found none.
-type room int
+// room is what jobs of a service may find after a job has found none: tasks find some if they take less time than it.
+type room time.Duration
 
 const (
-	roomForNone room = iota
-	// roomForShorter is that jobs with shorter tasks may: some of what is free is kept for them.
-	roomForShorter
-	// roomForOthers is that any job may.
-	roomForOthers
+	roomForNone   room = 0
+	roomForOthers room = math.MaxInt64
 )
 
-// fullServices holds the services whose workers have no room, with the time from which on tasks find none.
-type fullServices map[string]time.Duration
+// rooms holds the room of the services in which a job has found none.
+type rooms map[string]room
 
-// has reports whether the workers have no room for a job.
-func (f fullServices) has(j *job) bool {
-	from, ok := f[j.Kind.Service]
-	return ok && j.shortestTask() >= from
+// isFull reports whether there is no room for a job.
+func (r rooms) isFull(j *job) bool {
+	left, ok := r[j.Kind.Service]
+	return ok && room(j.shortestTask()) >= left
 }
 
 // note notes the room that is left after a job.
-func (f fullServices) note(j *job, left room) {
-	switch left {
-	case roomForNone:
-		f[j.Kind.Service] = 0
-	case roomForShorter:
-		f[j.Kind.Service] = j.shortestTask()
-	case roomForOthers:
+func (r rooms) note(j *job, left room) {
+	if earlier, ok := r[j.Kind.Service]; ok {
+		left = min(left, earlier)
 	}
+	r[j.Kind.Service] = left
 }
 
 // shortestTask returns the estimated time of the job's shortest tasks.
--- /dev/null
+++ b/internal/dispatch/headroom_test.go
@@ -0,0 +1,51 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sailhead/internal/runner"
+	"sailhead/internal/worker"
+)
+
+// keptRoom is the load of a worker of four cores of which two are free, and kept for tasks of up to 120 ms.
+func keptRoom() runner.Load {
+	return runner.Load{
+		Accepts: true, Slowness: 1, Used: worker.Resources{CPU: 2000},
+		Headroom: []runner.Headroom{{LongerThan: 120 * time.Millisecond, CPU: 2000}},
+	}
+}
+
+// agentWithRack adds an agent whose worker has four cores in a rack.
+func agentWithRack(d *Dispatcher, now time.Time, rack string, load runner.Load) {
+	id := AgentID("agent-" + rack)
+	record := worker.Record{ID: rack, Service: "svc", Capacity: worker.Resources{CPU: 4000}, Labels: []string{rack}}
+	d.Handle(now, AgentUp{Agent: id}, WorkerDescribed{Agent: id, Record: record}, LoadReceived{Agent: id, Load: load})
+}
+
+// TestAShortJobUsesKeptRoomThoughLongOnesWait submits a short job behind some long ones, which have to leave free all that is free.
+func TestAShortJobUsesKeptRoomThoughLongOnesWait(t *testing.T) {
+	for _, waiting := range []int{0, 1, 2, 5} {
+		now := time.Unix(1_000_000, 0)
+		d := New(Limits{Jobs: 10}, rand.New(rand.NewPCG(1, 2)))
+		agentWithRack(d, now, "r1", keptRoom())
+		submit := func(name string, priority int, expected time.Duration) []Effect {
+			kind := Kind{Name: name, Service: "svc", Priority: priority, Stretch: 1.6, Target: time.Second}
+			step := Step{Count: 1, Needs: worker.Resources{CPU: 1000}, Expected: expected}
+			return d.Handle(now, Submitted{Job: Job{ID: name, Kind: kind, Steps: []Step{step}}, Waiter: 1})
+		}
+		for i := range waiting {
+			if hasStart(submit(fmt.Sprint("long-", i), 0, 900*time.Millisecond)) {
+				t.Fatalf("long job %d was started on room that is kept", i)
+			}
+		}
+		if !hasStart(submit("short", 1, 60*time.Millisecond)) {
+			t.Errorf("the short job was not started while %d long ones wait", waiting)
+		}
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -31,12 +31,12 @@
 		d.useProbes(now)
 	}
 	d.sortWaiting(now)
-	full := make(fullServices)
+	left := make(rooms)
 	for _, j := range slices.Clone(d.waiting) {
 		if !d.mayPlace(now, j) {
 			continue
 		}
-		full.note(j, d.placeJob(now, j, full.has(j)))
+		left.note(j, d.placeJob(now, j, left.isFull(j)))
 	}
 }
 
@@ -56,9 +56,9 @@
 }
 
 // placeJob places the tasks of a job that may run now, unless its service is full, and reserves for those that found no
-// worker. It returns which later jobs of the service may find room.
+// worker. It returns the room that later jobs of the service may find.
 func (d *Dispatcher) placeJob(now time.Time, j *job, isFull bool) room {
-	tasks, left := d.placeable(now, j), roomForNone
+	tasks, left := d.placeable(now, j), roomForOthers
 	if free := d.withoutOffer(j, tasks); !isFull && len(free) > 0 {
 		var placements []placement
 		placements, left = d.plan(now, j, free)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -61,8 +61,8 @@
 	isSuspect func(*task) bool
 	// hasLeftOut is set if an ejected worker had room for a task that must not fail again.
 	hasLeftOut bool
-	// isHeldBack is set if a worker has room that the tasks have to leave for shorter ones.
-	isHeldBack bool
+	// left is the room for tasks that are shorter than those that have to leave some.
+	left room
 }
 
 // plan chooses workers for as many of the tasks as there are resources. The tasks are in the order of their steps.
@@ -85,14 +85,10 @@
 		p.placeGroup(group)
 		tasks = tasks[len(group):]
 	}
-	switch {
-	case hasLeftOut || p.hasLeftOut:
+	if hasLeftOut || p.hasLeftOut {
 		return p.placements, roomForOthers
-	case p.isHeldBack:
-		return p.placements, roomForShorter
-	default:
-		return p.placements, roomForNone
 	}
+	return p.placements, p.left
 }
 
 // gatherCandidates collects the agents that accept tasks of a job, in random order. Those whose worker is too slow for the
@@ -212,12 +208,15 @@
 	return fits
 }
 
-// freeFor returns what tasks of a step may use of a worker's free resources, and notes whether they have to leave any.
+// freeFor returns what tasks of a step may use of a worker's free resources, and notes if they have to leave any.
 func (p *planner) freeFor(c *candidate, step int) worker.Resources {
 	free := c.free
-	left := leftFree(c.headroom, p.job.times[step].task)
+	estimate := p.job.times[step].task
+	left := leftFree(c.headroom, estimate)
 	free.CPU -= left
-	p.isHeldBack = p.isHeldBack || left > 0
+	if left > 0 && (p.left == roomForNone || room(estimate) < p.left) {
+		p.left = room(estimate)
+	}
 	return free
 }
 
