settings: a kind has one weight in share_weights

Cause: of two weights of one kind the last one held, without a word.

Change: such a list is an error, as an option that stands twice is.

Measured: the test fails without the change (no error).

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,6 +67,7 @@
 		{"size without unit", `{"role": "entry", "name": "e", "peer_address": "127.0.0.1:1", "max_body": 5}`, `settings: f.json:1: option max_body: needs a size with a unit, such as "8MiB"`},
 		{"weight without kind", goodPlatformEntry + `"share_weights": ["2"]}`, `settings: f.json:7: option share_weights: 2 is not a kind with its weight, such as "refunds=2"`},
 		{"weight out of range", goodPlatformEntry + `"share_weights": ["refunds=0"]}`, `settings: f.json:7: option share_weights: the weight of refunds is not within 0.01 to 100`},
+		{"two weights of a kind", goodPlatformEntry + `"share_weights": ["refunds=2", "reports=3", "refunds=4"]}`, `settings: f.json:7: option share_weights: refunds has two weights`},
 		{"bounds crossed", `{"role": "backend-standin", "name": "b", "listen_address": "127.0.0.1:1", "service_time_min": "1s"}`, `settings: f.json:1: option service_time_min: 1s is more than service_time_max 500ms`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/settings/weight.go
+++ b/internal/settings/weight.go
@@ -47,6 +47,18 @@
 		weights[i] = weight
 	}
 	*place = weights
+	return checkWeights(weights)
+}
+
+// checkWeights returns an error if a kind has several weights.
+func checkWeights(weights []Weight) error {
+	known := make(map[string]bool, len(weights))
+	for _, weight := range weights {
+		if known[weight.Kind] {
+			return errors.Errorf("%s has two weights", weight.Kind)
+		}
+		known[weight.Kind] = true
+	}
 	return nil
 }
 
