shares: a worker without CPU, or one very long task, does not spoil the shares

Cause: a division of no CPU between competitors that used nothing made their debts NaN, for good: they were never below their shares again. And a task is charged for all of its estimated time at its start, so one of 5 minutes on one core counted as a usual use of some 260 cores: one that waited beside it was entitled to 0.26 of 10 cores, for minutes.

Change: a worker without CPU is not divided. The usual use that shares are computed from is no more than the CPU of the worker.

Measured: both tests fail without the change.

--- a/internal/shares/divide.go
+++ b/internal/shares/divide.go
@@ -28,7 +28,7 @@
 	IsWaiting bool
 }
 
-// Divide divides a worker between its competitors, until it is divided again.
+// Divide divides a worker between its competitors, until it is divided again. One without CPU is left as it was divided before.
 //
 // Inputs: the cores of the worker, the competitors that wait for room on it, what each was given lately and usually gets, the weights of the
 // settings.
@@ -40,10 +40,13 @@
 // Reason: a competitor that goes on as usual gets all that it asks for, whatever others do, and those that ask for more than usual divide the
 // rest. With equal weights a burst of a kind that is small otherwise would take from a kind that is large.
 func (a *Accounts) Divide(now time.Time, cores float64, waiting []Competitor) []Share {
+	if cores <= 0 {
+		return nil
+	}
 	for _, c := range waiting {
 		a.account(now, c)
 	}
-	demands := a.demands(now, waiting)
+	demands := a.demands(now, cores, waiting)
 	equal := cores / float64(max(len(demands), 1))
 	for i := range demands {
 		d := &demands[i]
@@ -90,12 +93,14 @@
 	weight float64
 }
 
-// demands returns the demands of all competitors.
-func (a *Accounts) demands(now time.Time, waiting []Competitor) []demand {
+// demands returns the demands of all competitors for a worker. Usual use is no more than the worker has, as a long task that has just begun is
+// charged for all of its time.
+func (a *Accounts) demands(now time.Time, cores float64, waiting []Competitor) []demand {
 	demands := make([]demand, 0, len(a.accounts))
 	for c, each := range a.accounts {
 		each.update(now)
-		demands = append(demands, demand{competitor: c, account: each, isOpen: slices.Contains(waiting, c), usual: a.usualUse(now, each)})
+		usual := min(a.usualUse(now, each), cores)
+		demands = append(demands, demand{competitor: c, account: each, isOpen: slices.Contains(waiting, c), usual: usual})
 	}
 	return demands
 }
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -115,6 +115,36 @@
 	}
 }
 
+// TestAWorkerWithoutCPUIsDividedAgainOnceItHasSome divides a worker that has no CPU for a while.
+func TestAWorkerWithoutCPUIsDividedAgainOnceItHasSome(t *testing.T) {
+	a := NewAccounts()
+	first, second := Competitor{Kind: "first"}, Competitor{Kind: "second"}
+	waiting := []Competitor{first, second}
+	a.Divide(began, 0, waiting)
+	a.Charge(began, first, 0, 1)
+	now := began.Add(time.Second)
+	divided := a.Divide(now, workerCores, waiting)
+	if sum := entitled(divided, first) + entitled(divided, second); !(math.Abs(sum-workerCores) < 0.01) {
+		t.Errorf("the shares are %.2f cores in all, there are %d", sum, workerCores)
+	}
+	if !a.IsBelow(now.Add(time.Second), first) {
+		t.Error("the first has not paid its debt of a core-second after a second")
+	}
+}
+
+// TestUsualUseIsNoMoreThanTheWorkerHas charges one competitor for a task that is expected to take minutes.
+func TestUsualUseIsNoMoreThanTheWorkerHas(t *testing.T) {
+	a := NewAccounts()
+	slow, waiting := Competitor{Kind: "slow"}, Competitor{Kind: "waiting"}
+	use(a, began, time.Second, waiting, 5)
+	now := began.Add(time.Second)
+	a.Charge(now, slow, 0, NewWork(1000, 5*time.Minute))
+	now = now.Add(5 * time.Second)
+	if got := entitled(a.Divide(now, workerCores, []Competitor{slow, waiting}), waiting); got < 1 {
+		t.Errorf("one that waits beside a single long task may use %.2f of %d cores", got, workerCores)
+	}
+}
+
 // TestAccountsAreBounded opens more accounts, and notes more kinds, than are kept.
 func TestAccountsAreBounded(t *testing.T) {
 	a, k := NewAccounts(), NewKinds()
