shares: one that was given nothing stays below its share while it waits

Cause: the first division after a competitor began to wait opened its account, with no usual use and so no credit. Its debt stayed at zero, which did not count as below the share: a new kind or availability zone came after all others for as long as it got nothing.

Change: who has no debt is below its share, as docs/design/shares.md says.

Measured: TestANewCompetitorIsWeighedEqually, one second after the division: fails without the change.

--- a/internal/shares/account.go
+++ b/internal/shares/account.go
@@ -80,10 +80,10 @@
 	}
 }
 
-// IsBelow reports whether a competitor was given less than its share. One that was given nothing yet was.
+// IsBelow reports whether a competitor was given no more than its share: it has no debt.
 func (a *Accounts) IsBelow(now time.Time, c Competitor) bool {
 	each, ok := a.accounts[c]
-	return !ok || each.debtAt(now) < 0
+	return !ok || each.debtAt(now) <= 0
 }
 
 // account returns the account of a competitor. It opens one if there is none, and keeps it unless there are too many.
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -77,6 +77,9 @@
 	if got, want := entitled(divided, added), workerCores*equal/(equal+3*3); math.Abs(got-want) > 0.1 {
 		t.Errorf("the new one may use %.2f cores, want about %.2f", got, want)
 	}
+	if !a.IsBelow(began.Add(21*time.Second), added) {
+		t.Error("one that was given nothing is not below its share after it has waited for a second")
+	}
 }
 
 // TestWeightsMultiplyShares gives one of two competitors that are alike twice the weight.
