runner: an offer is taken back as it was charged

Cause: an offer kept a pointer to the reservation that led to it. And a reservation that was replaced by one of another kind went on to compete as the first kind.

Change: the offer keeps the reservation as it was; a reservation competes as its latest kind.

Measured: TestAnOfferIsTakenBackAsItWasCharged and TestAReservationCompetesAsItsLatestKind fail without the change.

--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -80,7 +80,7 @@
 	session SessionID
 	// unused are the offered resources that no start has used.
 	unused worker.Resources
-	// reservation is the one that led to the offer, nil for a probe.
+	// reservation is the one that led to the offer as it was then, nil for a probe.
 	reservation *reservation
 	expires     time.Time
 	// isProbe is set for a probe, which keeps no resources.
@@ -104,6 +104,7 @@
 	case e.Reservation.Count <= 0:
 	case at >= 0:
 		r.reservations[at].Reservation = e.Reservation
+		r.reservations[at].competitor = s.competitor(e.Reservation.Kind)
 	case r.countReservations(e.Session) < maxReservations:
 		r.noteArrival(r.now, e.Reservation.Kind, e.Reservation.Needs, e.Reservation.Estimate, e.Reservation.Urgency)
 		added := &reservation{Reservation: e.Reservation, session: e.Session, competitor: s.competitor(e.Reservation.Kind)}
@@ -195,7 +196,8 @@
 	}
 	resources := best.Needs.Times(count)
 	r.lastOffer++
-	r.offers[r.lastOffer] = &offer{session: best.session, unused: resources, reservation: best, expires: now.Add(r.sessions[best.session].offerTimeout())}
+	offered, expires := *best, now.Add(r.sessions[best.session].offerTimeout())
+	r.offers[r.lastOffer] = &offer{session: best.session, unused: resources, reservation: &offered, expires: expires}
 	r.offered = r.offered.Plus(resources)
 	r.chargeOffer(now, best, resources, 1)
 	r.markLoadDue()
--- a/internal/runner/shares_test.go
+++ b/internal/runner/shares_test.go
@@ -222,6 +222,35 @@
 	}
 }
 
+// TestAnOfferIsTakenBackAsItWasCharged makes an offer of a long task, and changes the reservation that led to it before the answer.
+func TestAnOfferIsTakenBackAsItWasCharged(t *testing.T) {
+	w := newSharedWorker(t, true)
+	reservation := Reservation{Job: "j", Needs: worker.Resources{CPU: taskCPU}, Count: 9, Kind: "kind", Estimate: longTask, Urgency: w.urgency(longTask)}
+	w.handle(ReservationRequested{Session: 1, Reservation: reservation})
+	reservation.Estimate = shortTask
+	w.handle(ReservationRequested{Session: 1, Reservation: reservation})
+	w.handle(ReservationRequested{Session: 1, Reservation: Reservation{Job: "j"}})
+	w.handle(OfferAnswered{Session: 1, Offer: w.runner.lastOffer})
+	w.pass(20 * time.Millisecond)
+	w.makeScarce()
+	if !w.runner.sharing.accounts.IsBelow(w.now, w.runner.sessions[1].competitor("kind")) {
+		t.Error("the zone used nothing, and is charged for more than its share")
+	}
+}
+
+// TestAReservationCompetesAsItsLatestKind lets a job be submitted again as one of another kind.
+func TestAReservationCompetesAsItsLatestKind(t *testing.T) {
+	w := newSharedWorker(t, true)
+	for range 8 {
+		w.start(1, "busy", longTask)
+	}
+	w.reserve(1, "j", "earlier", shortTask)
+	w.reserve(1, "j", "later", shortTask)
+	if got, want := w.runner.waitingCompetitors(), w.runner.sessions[1].competitor("later"); len(got) != 1 || got[0] != want {
+		t.Errorf("%v wait, want %v", got, want)
+	}
+}
+
 // BenchmarkOffer is the cost of an offer and its answer while 100 jobs of three kinds in three availability zones wait.
 func BenchmarkOffer(b *testing.B) {
 	for _, isShared := range []bool{false, true} {
