runner: runs that end with their worker are charged for what they took

Cause: when an incarnation ends, its runs are finished without an incarnation to vacate, so that what their competitors were charged at the start stayed: all of the estimated time, also for the tasks beside one that crashed the worker.

Change: finishLost settles the charges of the runs.

Measured: eight tasks of an estimated minute whose worker ends 20 ms after their start: their zone has no debt two seconds later; the test fails without the change.

--- a/internal/runner/shares_test.go
+++ b/internal/runner/shares_test.go
@@ -251,6 +251,28 @@
 	}
 }
 
+// TestARunThatEndsWithItsWorkerIsChargedForWhatItTook lets a worker end under long tasks that were started just before. Their zone may use a
+// share of the next one at once.
+func TestARunThatEndsWithItsWorkerIsChargedForWhatItTook(t *testing.T) {
+	for _, tellsStart := range []bool{false, true} {
+		w := newSharedWorker(t, true)
+		if tellsStart {
+			w.runner.worker.record.StartedMillis = 1
+		}
+		for range 8 {
+			w.start(1, "kind", time.Minute)
+		}
+		w.pass(20 * time.Millisecond)
+		w.handle(RenewAnswered{Incarnation: w.runner.worker.record.Incarnation(), Sent: w.now, Result: worker.NotReached{}})
+		if w.runner.worker != nil {
+			t.Fatal("the worker has not ended")
+		}
+		if account := w.runner.sharing.accounts; !account.IsBelow(w.now.Add(2*time.Second), w.runner.sessions[1].competitor("kind")) {
+			t.Errorf("the start of the worker is told: %t: the zone is charged for more than its runs took", tellsStart)
+		}
+	}
+}
+
 // BenchmarkOffer is the cost of an offer and its answer while 100 jobs of three kinds in three availability zones wait.
 func BenchmarkOffer(b *testing.B) {
 	for _, isShared := range []bool{false, true} {
--- a/internal/runner/unsettled.go
+++ b/internal/runner/unsettled.go
@@ -35,6 +35,7 @@
 func (r *Runner) finishLost(now time.Time, ended *incarnation, end incarnationEnd) {
 	mayStartAgain := end == endNotListening && ended.tellsStart()
 	for _, t := range r.active() {
+		r.settleCharge(now, t)
 		if !mayStartAgain || !t.hasStartUnderWay() {
 			r.finish(t, OutcomeLost, string(end))
 			continue
