runner: the use of kinds without tasks is forgotten

Cause: usedByKind kept a zero for each kind that ever had a task on the incarnation. The names come from entries, so the map grew without bound.

Change: a kind is removed with its last task. The random schedules check in addition that no kind with an active task is missing, as they only looked at kinds that are in the map.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -23,7 +23,7 @@
 	firstSeen time.Time
 	// used is the sum of what the active tasks need.
 	used worker.Resources
-	// usedByKind is the CPU that the active tasks of each kind need, in thousandths of a core.
+	// usedByKind is the CPU that the active tasks of each kind need, in thousandths of a core, without those that need none; see countUse.
 	usedByKind map[string]int
 	// suspect is the task beside which nothing is started at present, or nil; see suspect.go.
 	suspect *task
@@ -81,6 +81,15 @@
 // tellsStart reports whether the worker tells when its process started. One that does may start again under its ID.
 func (i *incarnation) tellsStart() bool { return i.record.StartedMillis != 0 }
 
+// countUse adds CPU, in thousandths of a core, to what the active tasks of a kind need. Kinds that need none are forgotten, as their names come from
+// entries.
+func (i *incarnation) countUse(kind string, cpu int) {
+	i.usedByKind[kind] += cpu
+	if i.usedByKind[kind] == 0 {
+		delete(i.usedByKind, kind)
+	}
+}
+
 // readClock stores a reading of the worker's clock. It is at least as old as the answer that carried it, so a lease
 // computed from it ends no later than intended.
 func (i *incarnation) readClock(clock time.Duration, received time.Time) {
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -270,6 +270,11 @@
 			s.t.Fatalf("the runner counts %d as used by the kind %q, its active tasks use %d", used, kind, want)
 		}
 	}
+	for _, t := range s.runner.active() {
+		if used := s.runner.worker.usedByKind[t.Kind]; used == 0 {
+			s.t.Fatalf("the runner counts nothing as used by the kind %q, of which a task is active", t.Kind)
+		}
+	}
 	if used := len(s.runner.active()) * taskCPU; used != s.runner.worker.used.CPU {
 		s.t.Fatalf("the runner counts %d as used, its active tasks use %d", s.runner.worker.used.CPU, used)
 	}
--- a/internal/runner/shares_test.go
+++ b/internal/runner/shares_test.go
@@ -273,6 +273,17 @@
 	}
 }
 
+// TestKindsThatUseNothingAreForgotten runs tasks of many kinds, one after the other.
+func TestKindsThatUseNothingAreForgotten(t *testing.T) {
+	w := newSharedWorker(t, true)
+	for i := range 20 {
+		w.end(w.start(1, fmt.Sprint("kind-", i), shortTask))
+	}
+	if kept := len(w.runner.worker.usedByKind); kept > 0 {
+		t.Errorf("the use of %d kinds is kept, of which no task is active", kept)
+	}
+}
+
 // BenchmarkOffer is the cost of an offer and its answer while 100 jobs of three kinds in three availability zones wait.
 func BenchmarkOffer(b *testing.B) {
 	for _, isShared := range []bool{false, true} {
