dispatch: a job does not wait for fast workers that cannot run it

Cause: a job that is late on a slow worker waits for another one for a part of its slack, also if none of the others has the label or the capacity that its steps need: agents whose worker is fast enough were candidates whatever they can run, and offers of the slow one were not used.

Change: slow workers are left out, and their offers left, only while a fast enough one could run a task of the job.

The same change with workers that cannot run the job left out of the candidates at all gives other random orders (testdata/reservations) for the same decisions, and was dropped.

--- a/internal/dispatch/headroom_test.go
+++ b/internal/dispatch/headroom_test.go
@@ -88,3 +88,18 @@
 	}
 	return 0
 }
+
+// TestAJobDoesNotWaitForWorkersThatCannotRunIt submits a job that would be late on the only worker with its label. Others are fast enough.
+func TestAJobDoesNotWaitForWorkersThatCannotRunIt(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	d := New(Limits{Jobs: 10}, rand.New(rand.NewPCG(1, 2)))
+	agentWithRack(d, now, "label", runner.Load{Accepts: true, Slowness: 1, TimeFactor: 4})
+	for _, rack := range []string{"r1", "r2", "r3"} {
+		agentWithRack(d, now, rack, runner.Load{Accepts: true, Slowness: 1, TimeFactor: 0.9})
+	}
+	kind := Kind{Name: "kind", Service: "svc", Stretch: 1.6, Target: 60 * time.Millisecond}
+	step := Step{Count: 1, Needs: worker.Resources{CPU: 1000}, Expected: time.Second, Label: "label"}
+	if !hasStart(d.Handle(now, Submitted{Job: Job{ID: "j", Kind: kind, Steps: []Step{step}}, Waiter: 1})) {
+		t.Error("the job waits for a worker that cannot run it")
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"sailhead/internal/runner"
@@ -92,7 +93,7 @@
 }
 
 // gatherCandidates collects the agents that accept tasks of a job, in random order. Those whose worker is too slow for the
-// job are left out, unless all are. It reports whether a healthy one was.
+// job are left out, unless all are that could run it. It reports whether a healthy one was.
 func (d *Dispatcher) gatherCandidates(now time.Time, j *job) (hasLeftOut bool) {
 	d.candidates = d.candidates[:0]
 	var slow []candidate
@@ -108,7 +109,8 @@
 			d.candidates = append(d.candidates, c)
 		}
 	}
-	if len(d.candidates) == 0 {
+	canRun := func(c candidate) bool { return j.canRunOn(c.agent.record) }
+	if !slices.ContainsFunc(d.candidates, canRun) {
 		d.candidates = append(d.candidates, slow...)
 		hasLeftOut = false
 	}
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -197,7 +197,9 @@
 	if j.Kind.Service != a.record.Service || !d.containment.permits(j, a.id) || d.isContained(j) {
 		return false
 	}
-	isSuitable := func(other *agent) bool { return d.mayRun(j, other) && !other.isTooSlow(now, j) }
+	isSuitable := func(other *agent) bool {
+		return d.mayRun(j, other) && j.canRunOn(other.record) && !other.isTooSlow(now, j)
+	}
 	return !a.isTooSlow(now, j) || !slices.ContainsFunc(d.ordered, isSuitable)
 }
 
@@ -233,6 +235,11 @@
 	})
 }
 
+// canRunOn reports whether a task of some step of the job could run on a worker if it were empty.
+func (j *job) canRunOn(w worker.Record) bool {
+	return slices.ContainsFunc(j.Steps, func(step Step) bool { return step.canRunOn(w) })
+}
+
 // canRunOn reports whether a task of the step could run on a worker if it were empty.
 func (s Step) canRunOn(w worker.Record) bool {
 	return s.Needs.Fits(w.Capacity) && (s.Label == "" || w.HasLabel(s.Label))
