shares: the division is split by steps; the package names functions that exist

Cause: Divide set the weights, summed them and divided; the package comment named Entitle, which is gone.

Change: weigh and sumOfWeights; the sum stays in the sorted order, as before. No change of behaviour.

--- a/internal/shares/divide.go
+++ b/internal/shares/divide.go
@@ -47,16 +47,9 @@
 		a.account(now, c)
 	}
 	demands := a.demands(now, cores, waiting)
-	equal := cores / float64(max(len(demands), 1))
-	for i := range demands {
-		d := &demands[i]
-		d.weight = d.account.weight * max(d.account.known(now, d.usual, equal), leastShare*equal)
-	}
+	weigh(now, cores, demands)
 	slices.SortFunc(demands, compareDemands)
-	weights := 0.0
-	for _, d := range demands {
-		weights += d.weight
-	}
+	weights := sumOfWeights(demands)
 	shares := make([]Share, 0, len(demands))
 	left, leftWeights := cores, weights
 	for _, d := range demands {
@@ -76,6 +69,24 @@
 	return shares
 }
 
+// weigh sets the weights of the demands for a worker.
+func weigh(now time.Time, cores float64, demands []demand) {
+	equal := cores / float64(max(len(demands), 1))
+	for i := range demands {
+		d := &demands[i]
+		d.weight = d.account.weight * max(d.account.known(now, d.usual, equal), leastShare*equal)
+	}
+}
+
+// sumOfWeights returns the sum of the weights of demands. Their order has to be the same each time, as this is a sum of fractions.
+func sumOfWeights(demands []demand) float64 {
+	sum := 0.0
+	for _, d := range demands {
+		sum += d.weight
+	}
+	return sum
+}
+
 // known returns the usual use by which a competitor is weighed: an equal share at first, and what it was seen to use once it is known for long.
 func (a *account) known(now time.Time, usual, equal float64) float64 {
 	doubt := float64(decay(now.Sub(a.opened), learnTime))
--- a/internal/shares/doc.go
+++ b/internal/shares/doc.go
@@ -3,7 +3,7 @@
 
 // Package shares keeps account of who uses a worker, and decides who comes first while demand exceeds what is free.
 //
-// Competitors are the kinds of jobs, in each availability zone. Accounts hold what each of them was given lately and what it usually gets;
-// Entitle divides the worker between them; Headroom is what long tasks leave free for kinds of shorter ones. All of it is pure: nothing here
-// knows of sessions, reservations or time other than as arguments.
+// Competitors are the kinds of jobs, in each availability zone. Accounts holds what each of them was given lately and what it usually gets, and
+// Accounts.Divide divides the worker between them. Kinds.Headroom is what long tasks leave free for kinds of shorter ones. All of it is pure: time
+// is an argument, and nothing here knows of sessions or reservations.
 package shares
