--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -36,8 +36,8 @@
 
 // isTooSlow reports whether a job that is placed on the worker now would be late for that reason.
 //
-// Inputs: the slowness and the time factor of the worker, the longest chain of the job and its distance (distance.go), its objective or, if that can no longer be
-// reached, when its answer is useless, how long it has waited.
+// Inputs: the slowness and the time factor of the worker, the longest chain of the job and its distance (distance.go), its objective or, if that
+// can no longer be reached, when its answer is useless, how long it has waited.
 //
 // Rule: a chain that takes as many times longer as the worker is slow ends after that. A worker that is slow for good, but healthy, is
 // not too slow for a job that has waited for maxSpeedWaitShare of its slack.
--- a/internal/runner/reservation.go
+++ b/internal/runner/reservation.go
@@ -62,7 +62,7 @@
 	Resources worker.Resources
 	// Left is how many tasks the reservation still counts. At zero it is gone.
 	Left int
-	// Kind is that of the reservation. Jobs of the kind use the offer first.
+	// Kind is that of the reservation. Only jobs of the kind use the offer; any job may if it is empty.
 	Kind string
 	// IsProbe is set if the offer is for one task that shows whether the worker is well again. No reservation leads to it.
 	IsProbe bool
