shares: no room is kept for a kind that does not come any more

Cause: headroom is what a kind usually uses, over 30 s. After its callers went, or where it may not run any more as it is contained, long tasks left that room free for up to a minute while several competitors waited.

Change: no room is kept for a kind of which no task has asked for room for a second, or five times as long as its tasks take. One that uses a core all the time sends one in each of these times.

Measured: TestAKindThatIsGoneKeepsNoRoom fails without the change.

--- a/internal/shares/headroom.go
+++ b/internal/shares/headroom.go
@@ -14,6 +14,10 @@
 	shorterBy = 2
 	// wholeTask is the part of the mean need of a kind from which on room is kept for a task of it: many need less than the mean.
 	wholeTask = 0.8
+	// absentTime is how long no task of a kind asks for room before none is kept for it, and absentTasks the same in times of its tasks, if that is
+	// longer: of a kind that uses a core all the time one comes in each.
+	absentTime  = time.Second
+	absentTasks = 5
 	// taskWeight is the weight of one task in the averages of its kind.
 	taskWeight = 0.05
 )
@@ -40,6 +44,8 @@
 	length time.Duration
 	slack  time.Duration
 	need   float64
+	// arrived is when a task asked for room last.
+	arrived time.Time
 	// given is the work that it was given, which decays with usualTime, up to updated.
 	given   Work
 	updated time.Time
@@ -53,6 +59,7 @@
 // Arrived notes a task that asks for room: the CPU that it needs in thousandths of a core, its estimated time and how long it can wait.
 func (k *Kinds) Arrived(now time.Time, name string, cpu int, length, slack time.Duration) {
 	each := k.kind(now, name)
+	each.arrived = now
 	switch {
 	case length <= 0 || cpu <= 0:
 	case each.length == 0:
@@ -113,17 +120,17 @@
 // Inputs: for each kind how long its tasks take and can wait, what they need, what it usually uses of the worker and uses now.
 //
 // Rule: a task leaves room for the kinds whose tasks take half as long as it does or less, and cannot wait until it ends: what they usually use
-// and do not use now, in whole tasks.
+// and do not use now, in whole tasks. A kind that is absent (absentTime) is left none.
 //
 // Reason: room that is taken by a long task is gone for all of that time. A kind that can wait as long gets it by its share instead. Less
-// room than for a task would stay unused.
+// room than for a task would stay unused, as does room for a kind that may not run here any more or has no callers.
 func (k *Kinds) Headroom(now time.Time, inUse map[string]int) []Bound {
 	var bounds []Bound
 	left := 0
 	for _, each := range k.byLength() {
 		each.update(now)
 		usual := usualCores(each.given, now.Sub(k.began)) * milliCores
-		if room := each.wholeTasks(usual - float64(inUse[each.name])); room > 0 {
+		if room := each.wholeTasks(usual - float64(inUse[each.name])); room > 0 && !each.isAbsent(now) {
 			left += room
 			bounds = append(bounds, Bound{LongerThan: each.longerThan(), CPU: left})
 		}
@@ -145,6 +152,11 @@
 	return known
 }
 
+// isAbsent reports whether no task of the kind has asked for room for so long that none is expected.
+func (k *kind) isAbsent(now time.Time) bool {
+	return now.Sub(k.arrived) > max(absentTime, absentTasks*k.length)
+}
+
 // longerThan returns from which time on tasks leave room for those of the kind.
 func (k *kind) longerThan() time.Duration {
 	return max(shorterBy*k.length, k.slack)
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -204,6 +204,25 @@
 	}
 }
 
+// TestAKindThatIsGoneKeepsNoRoom asks what long tasks leave free once no short ones come any more.
+func TestAKindThatIsGoneKeepsNoRoom(t *testing.T) {
+	now := began.Add(20 * time.Second)
+	for _, test := range []struct {
+		name string
+		wait time.Duration
+		want bool
+	}{
+		{"short tasks have come just now", 0, true},
+		{"none has come for half a second", 500 * time.Millisecond, true},
+		{"none has come for two seconds", 2 * time.Second, false},
+	} {
+		bounds := usedKinds().Headroom(now.Add(test.wait), nil)
+		if got := LeftFree(bounds, 900*time.Millisecond) > 0; got != test.want {
+			t.Errorf("%s: a long task leaves room: %t, want %t", test.name, got, test.want)
+		}
+	}
+}
+
 // BenchmarkDivide is the cost of a division between three kinds in three availability zones, all of which wait. It is made at each tick.
 func BenchmarkDivide(b *testing.B) {
 	a := NewAccounts()
