--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -7,41 +7,35 @@
 	"math"
 	"time"
 
-	"sailhead/internal/runner"
+	"sailhead/internal/shares"
 	"sailhead/internal/worker"
 )
 
 // This file applies what agents tell of the room that long tasks leave free for shorter ones. Package runner decides on it (headroom.go).
 
-// room is which jobs of a service may find free resources after a job has found none.
-type room int
+// room is what jobs of a service may find after a job has found none: tasks find some if they take less time than it.
+type room time.Duration
 
 const (
-	roomForNone room = iota
-	// roomForShorter is that jobs with shorter tasks may: some of what is free is kept for them.
-	roomForShorter
-	// roomForOthers is that any job may.
-	roomForOthers
+	roomForNone   room = 0
+	roomForOthers room = math.MaxInt64
 )
 
-// fullServices holds the services whose workers have no room, with the time from which on tasks find none.
-type fullServices map[string]time.Duration
+// rooms holds the room of the services in which a job has found none.
+type rooms map[string]room
 
-// has reports whether the workers have no room for a job.
-func (f fullServices) has(j *job) bool {
-	from, ok := f[j.Kind.Service]
-	return ok && j.shortestTask() >= from
+// isFull reports whether there is no room for a job.
+func (r rooms) isFull(j *job) bool {
+	left, ok := r[j.Kind.Service]
+	return ok && room(j.shortestTask()) >= left
 }
 
 // note notes the room that is left after a job.
-func (f fullServices) note(j *job, left room) {
-	switch left {
-	case roomForNone:
-		f[j.Kind.Service] = 0
-	case roomForShorter:
-		f[j.Kind.Service] = j.shortestTask()
-	case roomForOthers:
+func (r rooms) note(j *job, left room) {
+	if earlier, ok := r[j.Kind.Service]; ok {
+		left = min(left, earlier)
 	}
+	r[j.Kind.Service] = left
 }
 
 // shortestTask returns the estimated time of the job's shortest tasks.
@@ -54,7 +48,7 @@
 }
 
 // headroomAt returns what tasks have to leave free at an agent for shorter ones.
-func (d *Dispatcher) headroomAt(a *agent) []runner.Headroom {
+func (d *Dispatcher) headroomAt(a *agent) []shares.Bound {
 	if d.limits.NoShares {
 		return nil
 	}
@@ -79,20 +73,9 @@
 	return keeping > 0 && float64(full) > mostlyFull*float64(len(agents)) && !d.congestion.isLimited()
 }
 
-// leftFree returns the CPU that a task of an estimated time leaves free, in thousandths of a core. The headroom is in the order of LongerThan.
-func leftFree(headroom []runner.Headroom, estimate time.Duration) int {
-	left := 0
-	for _, h := range headroom {
-		if estimate > h.LongerThan {
-			left = h.CPU
-		}
-	}
-	return left
-}
-
 // freeForLongest returns the free resources that the longest tasks may use without an offer.
 func (a *agent) freeForLongest() worker.Resources {
 	free := a.unreserved()
-	free.CPU -= leftFree(a.load.Headroom, math.MaxInt64)
+	free.CPU -= shares.LeftFree(a.load.Headroom, math.MaxInt64)
 	return free
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -6,9 +6,11 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"sailhead/internal/runner"
+	"sailhead/internal/shares"
 	"sailhead/internal/worker"
 )
 
@@ -38,7 +40,7 @@
 	// free are the resources that the plan has left.
 	free worker.Resources
 	// headroom is what tasks have to leave of it for shorter ones.
-	headroom []runner.Headroom
+	headroom []shares.Bound
 }
 
 // spareShare is the part, 0 to 1, of its CPU that is free on a worker that is nearly free.
@@ -61,8 +63,8 @@
 	isSuspect func(*task) bool
 	// hasLeftOut is set if an ejected worker had room for a task that must not fail again.
 	hasLeftOut bool
-	// isHeldBack is set if a worker has room that the tasks have to leave for shorter ones.
-	isHeldBack bool
+	// left is the room for tasks that are shorter than those that have to leave some.
+	left room
 }
 
 // plan chooses workers for as many of the tasks as there are resources. The tasks are in the order of their steps.
@@ -85,18 +87,14 @@
 		p.placeGroup(group)
 		tasks = tasks[len(group):]
 	}
-	switch {
-	case hasLeftOut || p.hasLeftOut:
+	if hasLeftOut || p.hasLeftOut {
 		return p.placements, roomForOthers
-	case p.isHeldBack:
-		return p.placements, roomForShorter
-	default:
-		return p.placements, roomForNone
 	}
+	return p.placements, p.left
 }
 
 // gatherCandidates collects the agents that accept tasks of a job, in random order. Those whose worker is too slow for the
-// job are left out, unless all are. It reports whether a healthy one was.
+// job are left out, unless all are that could run it. It reports whether a healthy one was.
 func (d *Dispatcher) gatherCandidates(now time.Time, j *job) (hasLeftOut bool) {
 	d.candidates = d.candidates[:0]
 	var slow []candidate
@@ -112,7 +110,8 @@
 			d.candidates = append(d.candidates, c)
 		}
 	}
-	if len(d.candidates) == 0 {
+	canRun := func(c candidate) bool { return j.canRunOn(c.agent.record) }
+	if !slices.ContainsFunc(d.candidates, canRun) {
 		d.candidates = append(d.candidates, slow...)
 		hasLeftOut = false
 	}
@@ -212,12 +211,15 @@
 	return fits
 }
 
-// freeFor returns what tasks of a step may use of a worker's free resources, and notes whether they have to leave any.
+// freeFor returns what tasks of a step may use of a worker's free resources, and notes if they have to leave any.
 func (p *planner) freeFor(c *candidate, step int) worker.Resources {
 	free := c.free
-	left := leftFree(c.headroom, p.job.times[step].task)
+	estimate := p.job.estimateAt(step, c.agent)
+	left := shares.LeftFree(c.headroom, estimate)
 	free.CPU -= left
-	p.isHeldBack = p.isHeldBack || left > 0
+	if left > 0 && (p.left == roomForNone || room(estimate) < p.left) {
+		p.left = room(estimate)
+	}
 	return free
 }
 
--- a/internal/shares/divide.go
+++ b/internal/shares/divide.go
@@ -28,7 +28,7 @@
 	IsWaiting bool
 }
 
-// Divide divides a worker between its competitors, until it is divided again.
+// Divide divides a worker between its competitors, until it is divided again. One without CPU is left as it was divided before.
 //
 // Inputs: the cores of the worker, the competitors that wait for room on it, what each was given lately and usually gets, the weights of the
 // settings.
@@ -40,20 +40,16 @@
 // Reason: a competitor that goes on as usual gets all that it asks for, whatever others do, and those that ask for more than usual divide the
 // rest. With equal weights a burst of a kind that is small otherwise would take from a kind that is large.
 func (a *Accounts) Divide(now time.Time, cores float64, waiting []Competitor) []Share {
+	if cores <= 0 {
+		return nil
+	}
 	for _, c := range waiting {
 		a.account(now, c)
 	}
-	demands := a.demands(now, waiting)
-	equal := cores / float64(max(len(demands), 1))
-	for i := range demands {
-		d := &demands[i]
-		d.weight = d.account.weight * max(d.account.known(now, d.usual, equal), leastShare*equal)
-	}
+	demands := a.demands(now, cores, waiting)
+	weigh(now, cores, demands)
 	slices.SortFunc(demands, compareDemands)
-	weights := 0.0
-	for _, d := range demands {
-		weights += d.weight
-	}
+	weights := sumOfWeights(demands)
 	shares := make([]Share, 0, len(demands))
 	left, leftWeights := cores, weights
 	for _, d := range demands {
@@ -73,6 +69,24 @@
 	return shares
 }
 
+// weigh sets the weights of the demands for a worker.
+func weigh(now time.Time, cores float64, demands []demand) {
+	equal := cores / float64(max(len(demands), 1))
+	for i := range demands {
+		d := &demands[i]
+		d.weight = d.account.weight * max(d.account.known(now, d.usual, equal), leastShare*equal)
+	}
+}
+
+// sumOfWeights returns the sum of the weights of demands. Their order has to be the same each time, as this is a sum of fractions.
+func sumOfWeights(demands []demand) float64 {
+	sum := 0.0
+	for _, d := range demands {
+		sum += d.weight
+	}
+	return sum
+}
+
 // known returns the usual use by which a competitor is weighed: an equal share at first, and what it was seen to use once it is known for long.
 func (a *account) known(now time.Time, usual, equal float64) float64 {
 	doubt := float64(decay(now.Sub(a.opened), learnTime))
@@ -90,12 +104,14 @@
 	weight float64
 }
 
-// demands returns the demands of all competitors.
-func (a *Accounts) demands(now time.Time, waiting []Competitor) []demand {
+// demands returns the demands of all competitors for a worker. Usual use is no more than the worker has, as a long task that has just begun is
+// charged for all of its time.
+func (a *Accounts) demands(now time.Time, cores float64, waiting []Competitor) []demand {
 	demands := make([]demand, 0, len(a.accounts))
 	for c, each := range a.accounts {
 		each.update(now)
-		demands = append(demands, demand{competitor: c, account: each, isOpen: slices.Contains(waiting, c), usual: a.usualUse(now, each)})
+		usual := min(a.usualUse(now, each), cores)
+		demands = append(demands, demand{competitor: c, account: each, isOpen: slices.Contains(waiting, c), usual: usual})
 	}
 	return demands
 }
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -77,6 +77,9 @@
 	if got, want := entitled(divided, added), workerCores*equal/(equal+3*3); math.Abs(got-want) > 0.1 {
 		t.Errorf("the new one may use %.2f cores, want about %.2f", got, want)
 	}
+	if !a.IsBelow(began.Add(21*time.Second), added) {
+		t.Error("one that was given nothing is not below its share after it has waited for a second")
+	}
 }
 
 // TestWeightsMultiplyShares gives one of two competitors that are alike twice the weight.
@@ -115,6 +118,36 @@
 	}
 }
 
+// TestAWorkerWithoutCPUIsDividedAgainOnceItHasSome divides a worker that has no CPU for a while.
+func TestAWorkerWithoutCPUIsDividedAgainOnceItHasSome(t *testing.T) {
+	a := NewAccounts()
+	first, second := Competitor{Kind: "first"}, Competitor{Kind: "second"}
+	waiting := []Competitor{first, second}
+	a.Divide(began, 0, waiting)
+	a.Charge(began, first, 0, 1)
+	now := began.Add(time.Second)
+	divided := a.Divide(now, workerCores, waiting)
+	if sum := entitled(divided, first) + entitled(divided, second); !(math.Abs(sum-workerCores) < 0.01) {
+		t.Errorf("the shares are %.2f cores in all, there are %d", sum, workerCores)
+	}
+	if !a.IsBelow(now.Add(time.Second), first) {
+		t.Error("the first has not paid its debt of a core-second after a second")
+	}
+}
+
+// TestUsualUseIsNoMoreThanTheWorkerHas charges one competitor for a task that is expected to take minutes.
+func TestUsualUseIsNoMoreThanTheWorkerHas(t *testing.T) {
+	a := NewAccounts()
+	slow, waiting := Competitor{Kind: "slow"}, Competitor{Kind: "waiting"}
+	use(a, began, time.Second, waiting, 5)
+	now := began.Add(time.Second)
+	a.Charge(now, slow, 0, NewWork(1000, 5*time.Minute))
+	now = now.Add(5 * time.Second)
+	if got := entitled(a.Divide(now, workerCores, []Competitor{slow, waiting}), waiting); got < 1 {
+		t.Errorf("one that waits beside a single long task may use %.2f of %d cores", got, workerCores)
+	}
+}
+
 // TestAccountsAreBounded opens more accounts, and notes more kinds, than are kept.
 func TestAccountsAreBounded(t *testing.T) {
 	a, k := NewAccounts(), NewKinds()
@@ -171,6 +204,25 @@
 	}
 }
 
+// TestAKindThatIsGoneKeepsNoRoom asks what long tasks leave free once no short ones come any more.
+func TestAKindThatIsGoneKeepsNoRoom(t *testing.T) {
+	now := began.Add(20 * time.Second)
+	for _, test := range []struct {
+		name string
+		wait time.Duration
+		want bool
+	}{
+		{"short tasks have come just now", 0, true},
+		{"none has come for half a second", 500 * time.Millisecond, true},
+		{"none has come for two seconds", 2 * time.Second, false},
+	} {
+		bounds := usedKinds().Headroom(now.Add(test.wait), nil)
+		if got := LeftFree(bounds, 900*time.Millisecond) > 0; got != test.want {
+			t.Errorf("%s: a long task leaves room: %t, want %t", test.name, got, test.want)
+		}
+	}
+}
+
 // BenchmarkDivide is the cost of a division between three kinds in three availability zones, all of which wait. It is made at each tick.
 func BenchmarkDivide(b *testing.B) {
 	a := NewAccounts()
