Comments and names of the new code, as a newcomer reads them

Change: comments, and names of unexported things: tolerance for patience in package ejection, weighedUse for known in package shares, mostlyFullShare, isScarceOrKept. No change of behaviour.

--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -121,12 +121,12 @@
 func (a *Agent) workerEjected(e runner.WorkerEjected) {
 	a.metrics.Set(metric.IsEjected, 1)
 	a.metrics.Add(metric.Ejections, 1)
-	_ = level.Warn(a.logger).Log("msg", "worker ejected", "reason", e.Reason, "failure_rate", math.Round(percent*e.FailureRate)/percent,
+	_ = level.Warn(a.logger).Log("msg", "worker ejected", "reason", e.Reason, "failure_rate", math.Round(hundred*e.FailureRate)/hundred,
 		"kinds", strings.Join(e.Kinds, ","))
 }
 
-// percent is the number of parts to which rates are rounded in the log.
-const percent = 100
+// hundred is used to round rates in the log to hundredths.
+const hundred = 100
 
 // probeEnded logs and counts a probe of the ejected worker.
 func (a *Agent) probeEnded(e runner.ProbeEnded) {
--- a/internal/cli/platformentry.go
+++ b/internal/cli/platformentry.go
@@ -25,7 +25,8 @@
 	configurations := platform.NewConfigurations(logger, metrics)
 	e, closeEntry := entry.New(entry.Settings{
 		Name: s.Name, Zone: s.Zone, Peers: peers, Seeds: s.SeedAddresses(),
-		StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs, ContainKinds: s.ContainKinds == settings.Yes, FarTimes: s.FarTimes, HandOver: s.HandOver == settings.Yes, ShareLearned: s.ShareLearned == settings.Yes,
+		StopTimeout: s.StopTimeout, Ring: s.Ring, Jobs: s.Jobs, ContainKinds: s.ContainKinds == settings.Yes,
+		FarTimes: s.FarTimes, HandOver: s.HandOver == settings.Yes, ShareLearned: s.ShareLearned == settings.Yes,
 		EjectWorkers: s.EjectWorkers == settings.Yes, ForecastAdmission: s.ForecastAdmission == settings.Yes,
 		Shares: s.Shares == settings.Yes, Weights: s.WeightsByKind(),
 		Durable: platform.NewDurableJobs(store), StoreWrites: s.StoreWrites,
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -78,8 +78,8 @@
 	return e.directory.summary(), nil
 }
 
-// apply adds the evacuations, the members, the crashes, what was learned and the document of another entry's view, in this order: nothing is placed
-// without agents or a configuration, so neither comes before it is known which availability zones are evacuated.
+// apply adds the evacuations, the members, the crashes, what was learned and the document of another entry's view, in this order:
+// nothing is placed without agents or a configuration, so neither comes before it is known which availability zones are evacuated.
 func (e *Exchanger) apply(view *clusterpb.View) {
 	if state, isChanged := e.directory.MergeEvacuations(wire.UnpackEvacuations(view.GetEvacuationsAsOf(), view.GetEvacuations())); isChanged {
 		e.listener.EvacuationsHeard(state)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -12,7 +12,8 @@
 // This file decides when a job that is not durable is refused or ended early. These rules apply, each with its inputs and
 // reason:
 //
-//	on arrival           containedReason   NotRun
+//	on arrival           evacuatedReason   NotRun (evacuation.go)
+//	                     containedReason   NotRun (containment.go)
 //	                     ownRefusalReason  handed over (handover.go) or NotRun
 //	                     refuseByForecast  NotRun (forecast.go)
 //	nothing was placed   isRefusalDue      NotRun (forecast.go)
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -17,9 +17,9 @@
 //
 // Rule: a task under which a worker has crashed is a suspect until a run of it is done. It is given up with the second crash if its run was
 // the latest on that worker and had lasted about as long as the run at an earlier crash, unless that may be chance (crashhistory.go), with
-// the third if it had lasted as long as at two earlier ones, and with the fourth in any case. Crashes under runs that may have ended before, or never begun, do not count for that, but
-// the fifth crash of all gives the task up too. A task that is given up does not run again, at this entry or at another one: its job has
-// failed, and fails again when it is submitted.
+// the third if it had lasted as long as at two earlier ones, and with the fourth in any case. Crashes under runs that may have ended
+// before, or never begun, do not count for that, but the fifth crash of all gives the task up too. A task that is given up does not run
+// again, at this entry or at another one: its job has failed, and fails again when it is submitted.
 //
 // Reason: a task may crash each worker that starts it. Each crash ends all other runs on the worker, which is away for
 // seconds. All tasks on the worker are suspects, and agents start nothing beside one for some time (runner/suspect.go): the
--- a/internal/dispatch/crashhistory.go
+++ b/internal/dispatch/crashhistory.go
@@ -34,8 +34,8 @@
 	// settleTime is how long after a crash another one must have come if a task caused it: a suspect runs again at once and crashes its
 	// worker within a fraction of a second.
 	settleTime = time.Second
-	// agentsPerUnexplained is how many agents there are for each unexplained crash. With fewer of them one worker in a hundred is killed
-	// every second, and two of them hardly ever under one task.
+	// agentsPerUnexplained is the largest number of agents for each unexplained crash. With fewer crashes than that, less than one worker in
+	// a hundred is killed every second, and two of them hardly ever under one task.
 	agentsPerUnexplained = 10
 	// minUnexplained is how many there must be at least: one may be of a task whose caller left.
 	minUnexplained = 2
@@ -107,7 +107,7 @@
 	h.crashes = slices.DeleteFunc(h.crashes, func(c pastCrash) bool { return c.at.Before(limit) })
 }
 
-// mayBeChance reports whether a crash may be chance, of workers of a number of registered agents.
+// mayBeChance reports whether crashes may be chance at present. agents is the number of registered agents.
 func (h *crashHistory) mayBeChance(now time.Time, agents int) bool {
 	settled := now.Add(-settleTime)
 	caused, unexplained := 0, 0
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -21,8 +21,8 @@
 //
 // Reason: a worker that fails its tasks is free again at once, so it draws what waits as soon as the others are full, and jobs use up
 // their attempts there. But so many workers are rarely ill at once by themselves: what they have in common may be a kind that
-// fails everywhere or a rack that is far from its data, and a wrong verdict must not empty a site. A task that must not fail again has no
-// other worker to wait for if all are ejected.
+// fails everywhere or a rack that is far from its data, and a wrong decision must not take all workers of a site out of service. A task that
+// must not fail again has no other worker to wait for if all are ejected.
 
 // maxEjectedShare is the part of the workers of a service, 0 to 1, above which ejections are ignored. If more are ill, a third of the jobs are
 // refused for want of their room when all workers are busy. Used for tasks that may fail, they serve most of these if half of their runs fail, and
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -13,7 +13,8 @@
 
 // This file applies what agents tell of the room that long tasks leave free for shorter ones. Package runner decides on it (headroom.go).
 
-// room is what jobs of a service may find after a job has found none: tasks find some if they take less time than it.
+// room is the time that bounds the tasks for which a service may still have resources, after a job of it has found none: only tasks that
+// take less time may find some.
 type room time.Duration
 
 const (
@@ -21,7 +22,7 @@
 	roomForOthers room = math.MaxInt64
 )
 
-// rooms holds the room of the services in which a job has found none.
+// rooms holds the least room that the jobs of a placement have left until now, by the names of the services.
 type rooms map[string]room
 
 // isFull reports whether there is no room for a job.
@@ -55,11 +56,11 @@
 	return a.load.Headroom
 }
 
-// mostlyFull is the part of the agents without room for long tasks from which on room counts as kept.
-const mostlyFull = 0.9
+// mostlyFullShare is the part, 0 to 1, of the agents without room for the longest tasks above which room counts as kept.
+const mostlyFullShare = 0.9
 
-// isRoomKept reports whether next to no agent has room for the longest tasks while some keep room for shorter ones. An entry whose link is
-// full counts none: it has no messages to spare.
+// isRoomKept reports whether next to no agent has room for the longest tasks while some keep room for shorter ones. It is
+// false while the entry does not keep up (congestion.go), as each reservation costs messages.
 func (d *Dispatcher) isRoomKept(agents []*agent, needs worker.Resources) bool {
 	full, keeping := 0, 0
 	for _, a := range agents {
@@ -70,7 +71,7 @@
 			keeping++
 		}
 	}
-	return keeping > 0 && float64(full) > mostlyFull*float64(len(agents)) && !d.congestion.isLimited()
+	return keeping > 0 && float64(full) > mostlyFullShare*float64(len(agents)) && !d.congestion.isLimited()
 }
 
 // freeForLongest returns the free resources that the longest tasks may use without an offer.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -105,7 +105,8 @@
 	begun bool
 	// handOvers is how many times the job was handed over.
 	handOvers int
-	// handOver is the number of the hand-over to another entry, and handedOverAt its time. isTaken is set once that has taken it, and takenBy is its name.
+	// handOver is the number of the latest hand-over to another entry, and handedOverAt its time. isTaken is set once that entry has taken the
+	// job, and takenBy is the entry's name.
 	handOver     uint64
 	handedOverAt time.Time
 	isTaken      bool
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -68,8 +68,8 @@
 }
 
 // timeLeft returns how much longer a run that was sent elapsed ago is expected to take on the worker: the rest of the
-// time that it usually takes there, as often as the worker is slow. A run that has lasted longer than that is expected to take as long again
-// as it is over it.
+// time that it usually takes there, as often as the worker is slow. A run that has lasted longer than that is expected to take
+// as long again as it is over it.
 func (a *agent) timeLeft(usual, elapsed time.Duration) time.Duration {
 	left := time.Duration(a.load.Slowness*float64(usual)) - elapsed
 	return left.Abs()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -43,7 +43,7 @@
 	headroom []shares.Bound
 }
 
-// spareShare is the part, 0 to 1, of its CPU that is free on a worker that is nearly free.
+// spareShare is the part, 0 to 1, of its CPU that is free at least on a worker that is nearly free.
 const spareShare = 0.7
 
 // spareFactor returns the time factor of a worker that is nearly free, and a larger one than any for others.
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -16,9 +16,10 @@
 // Inputs: the probes that agents offer, the waiting jobs, the attempts and times of their tasks, how often runs of their kinds fail elsewhere.
 //
 // Rule: a probe is kept for runner.ProbeOfferTime, for a task that may fail: its job has another attempt, and is still done within its
-// objective if the run fails half-way or hangs, and another one follows; and it takes ejection.ProbeTime at most. If none has come in half of
-// that time, one suffices whose caller is still answered then. Of several the shortest task is taken. Tasks under which a worker has crashed, of contained kinds, of kinds that fail
-// elsewhere and away from their data are left out: their failure would say little of the worker.
+// objective if the run fails half-way or hangs, and another one follows; and it takes ejection.ProbeTime at most. If none has come in half
+// of runner.ProbeOfferTime, a task of any length suffices whose caller is still answered then. Of several the shortest task is taken.
+// Tasks under which a worker has crashed, of contained kinds, of kinds that fail elsewhere and away from their data are left out: their
+// failure would say little of the worker.
 //
 // Reason: a probe is likely to fail, and its job must not be lost by it. Short tasks show soonest how the worker is.
 
@@ -32,7 +33,7 @@
 // isOver reports whether the probe is given back.
 func (p heldProbe) isOver(now time.Time) bool { return now.Sub(p.received) >= runner.ProbeOfferTime }
 
-// isUrgent reports whether a task suffices that makes its job late if it fails.
+// isUrgent reports whether a task suffices that is longer than ejection.ProbeTime or makes its job late if it fails.
 func (p heldProbe) isUrgent(now time.Time) bool {
 	return now.Sub(p.received) >= runner.ProbeOfferTime/2
 }
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -19,24 +19,25 @@
 	maxReservations = 24
 	// reservationsPerTask is the number of agents at which a job reserves for each task that waits; see reservationLimit.
 	reservationsPerTask = 3
-	// minScarceReservations is the least such number while room is scarce; see reservationLimit.
+	// minScarceReservations is the least number for a job while room is scarce or kept; see reservationLimit.
 	minScarceReservations = 12
 )
 
 // reservationLimit returns the largest number of agents at which a job reserves.
 //
-// Inputs: the number of its tasks that wait, whether room is scarce for its kind (forecast.go) or what is left is kept for shorter tasks (isRoomKept).
+// Inputs: the number of its tasks that wait, whether room is scarce for its kind (forecast.go) or what is left is kept for shorter tasks
+// (isRoomKept).
 //
 // Rule: reservationsPerTask for each of them, and maxReservations at most; minScarceReservations at least while room is scarce or kept.
 // Reservations at agents that accept no tasks any more, or do not respond, do not count.
 //
 // Reason: with a few agents for each task, one of them has room soon. Each agent costs two messages, one to reserve and one to
-// cancel: with 24 for every job an entry sent 40,000 a second, which filled its link of 25 Mbit/s, so that it lost all agents. Where
-// jobs are refused by forecast few wait: no urgent one would reserve at some agents, whose room would go to less urgent ones. Room that is kept for
-// shorter tasks is at some of the agents only.
-func reservationLimit(tasks int, isScarce bool) int {
+// cancel: with many for every job these messages alone fill the link of an entry, and it loses its agents. Where jobs are refused by
+// forecast few wait: with a few agents each there would be some at which no urgent job reserves, whose room would go to less urgent ones.
+// Room that is kept for shorter tasks is at some of the agents only.
+func reservationLimit(tasks int, isScarceOrKept bool) int {
 	limit := min(reservationsPerTask*tasks, maxReservations)
-	if isScarce {
+	if isScarceOrKept {
 		return max(limit, minScarceReservations)
 	}
 	return limit
@@ -81,8 +82,8 @@
 	r.latest, r.view = wanted, d.view
 	wanted.Count = len(group)
 	agents := d.reservationAgents(now, j, step, group[0])
-	isScarce := d.isScarce(now, j) || d.isRoomKept(agents, step.Needs)
-	missing := reservationLimit(len(group), isScarce) - r.countAt(agents)
+	isScarceOrKept := d.isScarce(now, j) || d.isRoomKept(agents, step.Needs)
+	missing := reservationLimit(len(group), isScarceOrKept) - r.countAt(agents)
 	for _, a := range agents {
 		isNew := !r.agents[a.id]
 		if isNew && missing <= 0 || !isNew && !isChanged {
--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -47,17 +47,17 @@
 	// MaxProbeRate is the share of the runs of a kind, 0 to 1, that fail elsewhere, from which a run of it is no probe.
 	MaxProbeRate = 0.25
 
-	// minBackoff and maxBackoff bound the time without probes. A worker that is well again should be in service within a second, of which three probes
-	// take the rest.
+	// minBackoff and maxBackoff bound the time without probes. A worker that is well again should be in service within a second, of which three rounds of
+	// probes take the rest.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 350 * time.Millisecond
 	// relapseTime is the time in service within which another ejection continues with the back-off of the one before.
 	relapseTime = 5 * time.Second
-	// ProbeTime is how long a probe should take at most, so that three fit into that second one after the other. One that takes longer does not
-	// hold up the next ones.
+	// ProbeTime is how long a probe should take at most, so that the rounds of probes (neededProbes) fit into the second that minBackoff
+	// names. One that takes longer does not hold up the next ones.
 	ProbeTime = 150 * time.Millisecond
-	// neededProbes is how many probes have to be done. One runs at first, then two at a time, then more: three, one after the other. Of the workers
-	// that fail half of their runs one in thirty gets through.
+	// neededProbes is how many probes have to be done. One runs at first, then two at a time, then the others: three rounds, one after the
+	// other. Of the workers that fail half of their runs one in thirty is put in service by that.
 	neededProbes = 5
 	// maxSilence is how long a worker waits for its next probe to be used. After that it is in service again: there are hardly any jobs, or none that
 	// may fail.
@@ -70,8 +70,9 @@
 	rememberedJobs = 8
 )
 
-// patience is how much longer than usual a run may take before it is overdue.
-type patience struct {
+// tolerance is how much longer than usual a run may take before it is overdue. The factors are plain numbers; they have the type of the times
+// that they multiply.
+type tolerance struct {
 	// factor is by how many times it may exceed its usual time, and projected by how many times it may if it goes on as fast as until now.
 	factor    time.Duration
 	projected time.Duration
@@ -80,10 +81,10 @@
 }
 
 var (
-	// runPatience is that with a run in service: one far from its data takes three times as long.
-	runPatience = patience{factor: 3, projected: 5, minElapsed: 60 * time.Millisecond}
-	// probePatience is that with a probe, which runs near its data and is listed more often.
-	probePatience = patience{factor: 2, projected: 3, minElapsed: 40 * time.Millisecond}
+	// runTolerance is that for a run in service: one far from its data takes three times as long.
+	runTolerance = tolerance{factor: 3, projected: 5, minElapsed: 60 * time.Millisecond}
+	// probeTolerance is that for a probe, which runs near its data and is listed more often.
+	probeTolerance = tolerance{factor: 2, projected: 3, minElapsed: 40 * time.Millisecond}
 )
 
 const (
@@ -103,20 +104,20 @@
 
 // IsOverdue reports whether a run lasts far longer than its usual time. isProbe is set for a probe.
 func IsOverdue(p Progress, usual time.Duration, isProbe bool) bool {
-	patience := runPatience
+	allowed := runTolerance
 	if isProbe {
-		patience = probePatience
+		allowed = probeTolerance
 	}
 	switch {
 	case usual <= 0:
 		return false
-	case p.Elapsed > patience.factor*usual+overdueMargin:
+	case p.Elapsed > allowed.factor*usual+overdueMargin:
 		return true
-	case !p.IsKnown || p.Elapsed < patience.minElapsed:
+	case !p.IsKnown || p.Elapsed < allowed.minElapsed:
 		return false
 	default:
 		projected := p.Elapsed * percentDone / time.Duration(max(p.Percent, 1))
-		return projected > patience.projected*usual
+		return projected > allowed.projected*usual
 	}
 }
 
@@ -321,7 +322,8 @@
 	d.backoff, d.until = backoff, now.Add(backoff)
 }
 
-// Advance applies the time that has passed. isActive is set while a probe is under way or none can be, as the worker gets no tasks for other reasons.
+// Advance applies the time that has passed. isActive is set while a probe is under way, or none can be as the worker gets no tasks for other
+// reasons.
 func (d *Detector) Advance(now time.Time, isActive bool) {
 	if d.phase == phaseBackoff && !now.Before(d.until) {
 		d.phase, d.done, d.activeAt = phaseProbing, 0, now
--- a/internal/ejection/ejection_test.go
+++ b/internal/ejection/ejection_test.go
@@ -211,7 +211,7 @@
 		{"longer than that", Progress{Elapsed: 4 * usual}, usual, false, true},
 		{"no estimate", Progress{Elapsed: time.Hour}, 0, false, false},
 		{"no progress", Progress{Elapsed: usual / 2, IsKnown: true}, usual, false, true},
-		{"no progress, just begun", Progress{Elapsed: runPatience.minElapsed / 2, IsKnown: true}, usual, false, false},
+		{"no progress, just begun", Progress{Elapsed: runTolerance.minElapsed / 2, IsKnown: true}, usual, false, false},
 		{"progress not told", Progress{Elapsed: usual / 2}, usual, false, false},
 		{"a third of the speed", Progress{Elapsed: usual / 2, Percent: 17, IsKnown: true}, usual, false, false},
 		{"a fifth of the speed, probe", Progress{Elapsed: usual / 2, Percent: 10, IsKnown: true}, usual, true, true},
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -26,8 +26,8 @@
 	idleTimeout   = time.Minute
 )
 
-// servePeers serves other entries and agents: exchanges, announcements, requests to owners of shards and jobs that are handed over. The clean-up
-// closes the listener and all connections; it comes after the entry has stopped.
+// servePeers serves other entries and agents: exchanges, announcements, requests to owners of shards and jobs that are handed over. The
+// clean-up closes the listener and all connections; it comes after the entry has stopped.
 func servePeers(listener net.Listener, exchanger *cluster.Exchanger, local *Entry) func() {
 	mux := http.NewServeMux()
 	mux.Handle(durable.PathPrefix, durable.NewServer(local))
@@ -74,8 +74,9 @@
 	}
 }
 
-// firstExchangeDelay is the mean pause before the first try. It doubles with each that fails, up to that of all later exchanges. An entry that starts
-// has learned nothing of the jobs that come to it.
+// firstExchangeDelay is the mean pause before the first exchange. The pause doubles with each exchange that fails, up to
+// timing.ExchangeInterval, which is that after one that succeeds. It is short as an entry that starts has learned nothing of the jobs that
+// come to it.
 const firstExchangeDelay = 50 * time.Millisecond
 
 // exchange exchanges the directory with one other entry after the other, so that members and configuration spread while
--- a/internal/handover/check.go
+++ b/internal/handover/check.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxTasks bounds the memory that a broken message can take. Entries accept jobs of 1,800 tasks from callers.
+	// maxTasks bounds the memory that a broken message can take. It is far above the number of tasks in the jobs that entries accept from callers.
 	maxTasks = 1 << 14
-	// maxStretch is the largest stretch that a configuration may set.
+	// maxStretch is the largest stretch that a configuration may set for a kind.
 	maxStretch = 1000
 )
 
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -63,7 +63,7 @@
 	links []*link
 	// jobs has where each job is, by the numbers of the hand-overs.
 	jobs map[uint64]*link
-	// redials has the pauses before the next connections, by the names of the entries.
+	// redials has the pauses before the next connections, by the names of the entries; see redial.go.
 	redials map[string]redial
 }
 
@@ -92,8 +92,8 @@
 	}
 }
 
-// HandOver sends a job to another entry. Each hand-over has a number of its own. It does not block. It returns false if no entry may get it now. It opens further connections for
-// later jobs.
+// HandOver sends a job to another entry. Each hand-over has a number of its own. HandOver does not block. It returns false if no entry may
+// get the job now. It opens further connections for later jobs.
 func (s *Sender) HandOver(number uint64, job dispatch.Job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -322,7 +322,8 @@
 	return conn, nil
 }
 
-// changeProtocol asks the server to change the protocol of a connection, before the deadline of the context. The server sends nothing after its answer before it has got a job.
+// changeProtocol asks the server to change the protocol of a connection, before the deadline of the context. The buffered reader takes no
+// messages with the answer, as the server sends none before it has got a job.
 func changeProtocol(ctx context.Context, conn net.Conn, address string) error {
 	deadline, _ := ctx.Deadline()
 	if err := conn.SetDeadline(deadline); err != nil {
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -50,7 +50,8 @@
 const answerTimeout = 20 * time.Millisecond
 
 // NewServer returns a server that submits jobs to the local entry. It serves Path. The clean-up comes after the local entry has stopped: it
-// sends the last answers, closes all connections, drops the jobs that the entry has not answered, and returns when nothing of the server runs any more.
+// sends the last answers, closes all connections, drops the jobs that the entry has not answered, and returns when nothing of the server
+// runs any more.
 func NewServer(local Local, logger log.Logger) (*Server, func()) {
 	s := &Server{local: local, logger: logger, open: make(map[*receiving]bool)}
 	return s, s.close
--- a/internal/native/daemon/node.go
+++ b/internal/native/daemon/node.go
@@ -29,8 +29,7 @@
 var ErrRemoved = errors.New("daemon: the process was removed from the roster")
 
 // rosterRetentions is how long the roster keeps a removed member, in retentions of the ownership tables, so that records
-// that name the member still lead to its heir. The random schedules of package ownership use the same factor; it was not
-// varied.
+// that name the member still lead to its heir. The random schedules of package ownership use the same factor.
 const rosterRetentions = 2
 
 // messagesPerCall is what a call to a peer adds to the counts of messages: the request and its answer.
--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -13,7 +13,8 @@
 //
 // Inputs: the shutdown of the agent, the worker's record, the answers to renewals and starts, its listing of runs.
 // Rule: refusalReason returns the first condition that prevents new tasks. Load.Accepts is false while there is one, and
-// queued tasks wait. A worker that is only full accepts tasks into the queue. One that is ejected (ejection.go) accepts some.
+// queued tasks wait. A worker that is only full accepts tasks into the queue. Load.Accepts is false also
+// while the worker is ejected, although some starts are accepted then (ejectedReason).
 // Reason: the entry places a rejected task elsewhere at once. A task that is sent to a worker which does not answer can
 // run elsewhere only after its lease has expired.
 
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -154,7 +154,7 @@
 type Load struct {
 	// Used is what the queued and running tasks need, and what is offered.
 	Used worker.Resources
-	// HasReservations is set while reservations wait for resources.
+	// HasReservations is set while reservations wait that would use what is free or becomes free next; see hasReservations.
 	HasReservations bool
 	// Accepts is false while new tasks are rejected; see refusalReason. It is false while IsEjected is set.
 	Accepts bool
@@ -168,7 +168,7 @@
 	TimeFactor float64
 	// FailureRate is the share of recent runs that failed, from 0 to 1.
 	FailureRate float64
-	// IsEjected is set while the worker gets no tasks but those that use a probe, as too many of its runs fail.
+	// IsEjected is set while the worker is ejected (ejection.go) and nothing else keeps it from accepting tasks.
 	IsEjected bool
 	// Headroom is what tasks leave free for shorter ones, in the order of LongerThan.
 	Headroom []shares.Bound
--- a/internal/runner/ejection.go
+++ b/internal/runner/ejection.go
@@ -23,7 +23,7 @@
 // ejectionState is what the runner keeps for the ejection of its worker, over all incarnations. The zero value is that of a worker in service.
 type ejectionState struct {
 	detector ejection.Detector
-	// isTold is set while entries were told last that the worker is ejected.
+	// isTold is set while what entries were told last is that the worker is ejected.
 	isTold bool
 	// kindRates are the shares of the runs of each kind that fail elsewhere, as entries told them last.
 	kindRates map[string]float64
@@ -64,20 +64,21 @@
 
 // noteUnresponsive tells the detector that the worker has ceased to answer. If it turns out to have crashed, that does not count again.
 func (r *Runner) noteUnresponsive(now time.Time) {
-	is := r.worker.isUnresponsive(now)
-	if is && !r.worker.wasUnresponsive {
+	isUnresponsive := r.worker.isUnresponsive(now)
+	if isUnresponsive && !r.worker.wasUnresponsive {
 		r.ejection.detector.WentDown(now)
 	}
-	r.worker.wasUnresponsive = is
+	r.worker.wasUnresponsive = isUnresponsive
 }
 
 // applyEjection applies a change of whether the worker is ejected, and offers the probes that are due.
 func (r *Runner) applyEjection(now time.Time) {
-	if is := r.isEjected(); is != r.ejection.isTold {
-		r.ejection.isTold = is
-		r.ejectionChanged(now, is)
+	isEjected := r.isEjected()
+	if isEjected != r.ejection.isTold {
+		r.ejection.isTold = isEjected
+		r.ejectionChanged(now, isEjected)
 	}
-	if !r.isEjected() {
+	if !isEjected {
 		return
 	}
 	r.rejectQueued(reasonEjected, func(t *task) bool { return !t.IgnoresEjection && !t.isProbe })
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -41,7 +41,8 @@
 	Weight float64
 	// IgnoresEjection is set if the task is started although the worker is ejected.
 	IgnoresEjection bool
-	// KindFailureRate is the share of the runs of the kind, 0 to 1, that fail or take far longer than expected on other workers that are not ejected.
+	// KindFailureRate is the share of the runs of the kind, 0 to 1, that fail or take far longer than expected on other workers. Those that are
+	// ejected count only if there are few others.
 	KindFailureRate float64
 	// IsContained is set if the kind of the job is contained; see containment.go.
 	IsContained bool
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -81,8 +81,8 @@
 // tellsStart reports whether the worker tells when its process started. One that does may start again under its ID.
 func (i *incarnation) tellsStart() bool { return i.record.StartedMillis != 0 }
 
-// countUse adds CPU, in thousandths of a core, to what the active tasks of a kind need. Kinds that need none are forgotten, as their names come from
-// entries.
+// countUse adds CPU, in thousandths of a core, to what the active tasks of a kind need. Kinds that need none are forgotten, as their names
+// come from entries.
 func (i *incarnation) countUse(kind string, cpu int) {
 	i.usedByKind[kind] += cpu
 	if i.usedByKind[kind] == 0 {
--- a/internal/runner/judge.go
+++ b/internal/runner/judge.go
@@ -72,7 +72,8 @@
 	t.isProbe = false
 }
 
-// observeOverdue tells the detector of the runs that last far longer than expected, and stops those on an ejected worker, so that they run elsewhere.
+// observeOverdue tells the detector of the runs that last far longer than expected, and stops those on an ejected worker, so that they run
+// elsewhere.
 func (r *Runner) observeOverdue(now time.Time) {
 	for _, t := range r.active() {
 		if !r.isOverdue(t) {
--- a/internal/runner/probe.go
+++ b/internal/runner/probe.go
@@ -15,7 +15,8 @@
 // Inputs: how many probes are due (package ejection), the sessions, and which of them have sent starts or left probes unused lately.
 // Rule: a probe is offered to one entry at a time, those first that have sent starts lately; one that leaves it unused has its next turn after
 // the others, and ProbeOfferTime after the offer at the earliest. The first start that uses it is the probe.
-// Reason: entries have the tasks, and know which of them may fail. Entries that give probes back at once would get one after the other.
+// Reason: entries have the tasks, and know which of them may fail. Without the pause an entry that gives probes back at once would be
+// offered one after the other.
 
 const (
 	// ProbeOfferTime is for how long an entry may use a probe: a busy entry has a job for it in that time.
@@ -76,7 +77,8 @@
 	}
 }
 
-// hasProbeRun reports whether a probe runs: its progress is to show soon whether it hangs.
+// hasProbeRun reports whether a probe is queued or runs and has not shown how the worker is. The worker is asked often then, as its progress
+// is to show soon whether it hangs.
 func (r *Runner) hasProbeRun() bool {
 	if !r.isEjected() {
 		return false
--- a/internal/runner/shares.go
+++ b/internal/runner/shares.go
@@ -51,7 +51,7 @@
 
 // claim is what decides who comes first for free resources.
 type claim struct {
-	// isBelowShare is set if the competitor was given less than its share.
+	// isBelowShare is set if the competitor was given its share or less.
 	isBelowShare bool
 	urgency      Urgency
 }
--- a/internal/shares/account.go
+++ b/internal/shares/account.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// IsBelow reports whether a competitor was given no more than its share: it has no debt.
+// IsBelow reports whether a competitor was given its share or less: it has no debt.
 func (a *Accounts) IsBelow(now time.Time, c Competitor) bool {
 	each, ok := a.accounts[c]
 	return !ok || each.debtAt(now) <= 0
--- a/internal/shares/divide.go
+++ b/internal/shares/divide.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// learnTime is how long it takes until a competitor that is new is weighed by what it uses, but for 1/e.
+// learnTime is how long it takes until a competitor that is new is weighed by what it usually uses, and by an equal share for 1/e only.
 const learnTime = time.Second
 
 // leastShare is the part of an equal share that a competitor weighs at least, however little it usually uses: a kind or an availability
@@ -74,7 +74,7 @@
 	equal := cores / float64(max(len(demands), 1))
 	for i := range demands {
 		d := &demands[i]
-		d.weight = d.account.weight * max(d.account.known(now, d.usual, equal), leastShare*equal)
+		d.weight = d.account.weight * max(d.account.weighedUse(now, d.usual, equal), leastShare*equal)
 	}
 }
 
@@ -87,8 +87,8 @@
 	return sum
 }
 
-// known returns the usual use by which a competitor is weighed: an equal share at first, and what it was seen to use once it is known for long.
-func (a *account) known(now time.Time, usual, equal float64) float64 {
+// weighedUse returns the use, in cores, by which a competitor is weighed: an equal share at first, and its usual use once it is known for long.
+func (a *account) weighedUse(now time.Time, usual, equal float64) float64 {
 	doubt := float64(decay(now.Sub(a.opened), learnTime))
 	return doubt*equal + (1-doubt)*usual
 }
