Entry.JobsOpen stands beside IsIdle; two comments on functions of one name

Cause: JobsOpen stood among the hand-overs, though it counts all jobs. newJob and jobsByArrival are each a method and a function whose comments read alike.

Change: order and comments only.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -228,7 +228,8 @@
 // jobsByArrival returns the jobs under way here in the order of their arrival.
 func (d *Dispatcher) jobsByArrival() []*job { return jobsByArrival(d.jobs) }
 
-// jobsByArrival returns jobs in the order of their arrival.
+// jobsByArrival returns jobs in the order of their arrival. Those that were handed over have no number: their times and IDs
+// order them.
 func jobsByArrival(all map[string]*job) []*job {
 	jobs := make([]*job, 0, len(all))
 	for _, j := range all {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -135,7 +135,7 @@
 	return j
 }
 
-// newJob returns a job that arrives at a time.
+// newJob returns a job that arrives at a time, with the estimates and the settings of the entry.
 func (d *Dispatcher) newJob(now time.Time, submitted Job) *job {
 	j := newJob(now, submitted, d.runTimes)
 	j.farTimes = d.limits.FarTimes
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -50,6 +50,3 @@
 	}
 	return peers
 }
-
-// JobsOpen returns the number of jobs under way, those that were handed over included.
-func (e *Entry) JobsOpen() int { return int(e.jobs.Load()) }
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -93,3 +93,6 @@
 func (e *Entry) IsIdle() bool {
 	return e.jobs.Load() == 0 && e.jobWaiters.count() == 0 && e.ownedShards.Load() == 0 && e.durableWaiters.count() == 0
 }
+
+// JobsOpen returns the number of jobs under way, those that were handed over included.
+func (e *Entry) JobsOpen() int { return int(e.jobs.Load()) }
