--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -105,7 +105,8 @@
 	begun bool
 	// handOvers is how many times the job was handed over.
 	handOvers int
-	// handOver is the number of the hand-over to another entry, and handedOverAt its time. isTaken is set once that has taken it, and takenBy is its name.
+	// handOver is the number of the latest hand-over to another entry, and handedOverAt its time. isTaken is set once that entry has taken the
+	// job, and takenBy is the entry's name.
 	handOver     uint64
 	handedOverAt time.Time
 	isTaken      bool
@@ -134,7 +135,7 @@
 	return j
 }
 
-// newJob returns a job that arrives at a time.
+// newJob returns a job that arrives at a time, with the estimates and the settings of the entry.
 func (d *Dispatcher) newJob(now time.Time, submitted Job) *job {
 	j := newJob(now, submitted, d.runTimes)
 	j.farTimes = d.limits.FarTimes
