--- a/internal/ejection/ejection_test.go
+++ b/internal/ejection/ejection_test.go
@@ -56,8 +56,8 @@
 	return most
 }
 
-// TestDetection plays workers on which a part of the runs goes wrong. The most runs until a worker that is ill is ejected, and the fewest until
-// one that is well is, are means over seeds: a worker has some 30 runs a second, so 3000 are a hundred seconds.
+// TestDetection plays workers on which a part of the runs goes wrong. The most runs until a faulty worker is ejected, and the fewest until
+// one without a fault is, are means over seeds: a worker has some 30 runs a second, so 3000 are a hundred seconds.
 func TestDetection(t *testing.T) {
 	const most, seeds = 6000, 100
 	for _, c := range []struct {
--- a/internal/ejection/kinds_test.go
+++ b/internal/ejection/kinds_test.go
@@ -52,7 +52,7 @@
 }
 
 // TestOverdueRunsOfSeveralKindsEjectTheWorker plays workers on which the runs of one kind are overdue, and something else says that the worker is
-// ill. They are ejected after as many runs as without other kinds, or a few more.
+// faulty. They are ejected after as many runs as without other kinds, or a few more.
 func TestOverdueRunsOfSeveralKindsEjectTheWorker(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/overload/ejection_test.go
+++ b/internal/overload/ejection_test.go
@@ -14,10 +14,10 @@
 	"sailhead/internal/runner"
 )
 
-// noEjection turns the ejection of workers off, to measure without it.
+// noEjection turns the ejection of workers off in all tests of the package.
 var noEjection = flag.Bool("ejection.off", false, "do not eject workers")
 
-// ejectionSeed is the seed of the tests of ejection, to play others than that of which the figures are.
+// ejectionSeed is the seed of the tests of ejection.
 var ejectionSeed = flag.Uint64("ejection.seed", 1, "seed of the tests of ejection")
 
 // The faults of the tests.
@@ -226,7 +226,7 @@
 // TestAKindThatTakesLongerEjectsFew plays the pattern of a kind whose tasks take four times as long as before, from one moment on, at a load that
 // bears that.
 //
-// Grounds for its figures: until entries have seen such tasks end, each worker alone looks ill. No more are ejected than may be, and none once the
+// Grounds for its figures: until entries have seen such tasks end, each worker alone looks faulty. No more are ejected than may be, and none once the
 // estimates of all entries have followed. For a second or two up to three in ten workers are missing, so a twentieth of the work may be
 // lost.
 func TestAKindThatTakesLongerEjectsFew(t *testing.T) {
--- a/internal/overload/forecast_test.go
+++ b/internal/overload/forecast_test.go
@@ -194,7 +194,7 @@
 	s.after((scarceFrom+scarceTo)/2, do)
 }
 
-// TestAnEntryThatJoinsInABurstLearns lets an entry join a burst that knows no rate, and gets as many jobs as the others.
+// TestAnEntryThatJoinsInABurstLearns lets an entry join in the burst. It knows no rate, and gets as many jobs as each of the others.
 func TestAnEntryThatJoinsInABurstLearns(t *testing.T) {
 	s := newScarce(1)
 	r := s.watch()
@@ -219,7 +219,7 @@
 	}
 }
 
-// TestForecastsHoldWithLoadsThatAreStale lets the messages to all entries take 5 ms longer than usual, several times that,, as on VMs that are busy.
+// TestForecastsHoldWithLoadsThatAreStale lets the messages to all entries take 5 ms longer than usual, as on VMs that are busy: several times as long.
 func TestForecastsHoldWithLoadsThatAreStale(t *testing.T) {
 	s := newScarce(1)
 	for _, e := range s.entries {
--- a/internal/overload/scarcity_test.go
+++ b/internal/overload/scarcity_test.go
@@ -44,7 +44,8 @@
 
 // burst is a time in which more jobs come than usual.
 type burst struct {
-	// kind and zone are those whose jobs come more often, empty for all; entry is the number of the only entry that gets them plus one, zero for all.
+	// kind and zone are those whose jobs come more often, empty for all; entry is the number of the only entry that gets more, counted from 1, zero
+	// for all.
 	kind, zone string
 	entry      int
 	factor     float64
@@ -57,7 +58,7 @@
 	// load is the work that usually comes, as a part of what all workers do.
 	load   float64
 	bursts []burst
-	// hotRack is the rack of the data of a part of the lookups, hotShare.
+	// hotRack is the rack of the data of some lookups, and hotShare the part of them, 0 to 1.
 	hotRack  string
 	hotShare float64
 	// guessBias is by how many times callers' guesses are too long.
--- a/internal/overload/shares_test.go
+++ b/internal/overload/shares_test.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// keptShare is the part of its work that a kind or an availability zone keeps on time while another one bursts: the operators' aim.
+	// keptShare is the part of its work that a kind or an availability zone keeps on time while another one bursts, 0 to 1.
 	keptShare = 0.95
 	// goodputLoss is how much less work may be done on time than by urgency alone, as a part of what came.
 	goodputLoss = 0.02
