--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -64,8 +64,8 @@
 	r.outcomes <- outcome{job: job, number: number, result: result}
 }
 
-// rig is a sender and one or more other entries.
-type rig struct {
+// handOverTest is a sender and one or more other entries.
+type handOverTest struct {
 	t       *testing.T
 	sender  *Sender
 	reports *recorder
@@ -73,13 +73,13 @@
 	last uint64
 }
 
-// newRig returns a sender whose peers are at the addresses, with a connection to one of them.
-func newRig(t *testing.T, addresses ...string) *rig {
+// newHandOverTest returns a sender whose peers are at the addresses, with a connection to one of them.
+func newHandOverTest(t *testing.T, addresses ...string) *handOverTest {
 	var peers []Peer
 	for i, address := range addresses {
 		peers = append(peers, Peer{Name: fmt.Sprintf("entry-%d", i), Address: address})
 	}
-	r := &rig{t: t, reports: &recorder{outcomes: make(chan outcome, 100)}}
+	r := &handOverTest{t: t, reports: &recorder{outcomes: make(chan outcome, 100)}}
 	sender, closeSender := NewSender("zone-a", func() []Peer { return append([]Peer(nil), peers...) }, r.reports)
 	t.Cleanup(closeSender)
 	r.sender = sender
@@ -139,13 +139,13 @@
 const longest = 10 * time.Second
 
 // tryHandOver hands a job over if an entry may get it now.
-func (r *rig) tryHandOver(j dispatch.Job) bool {
+func (r *handOverTest) tryHandOver(j dispatch.Job) bool {
 	r.last++
 	return r.sender.HandOver(r.last, j)
 }
 
 // handOver hands a job over as soon as a connection is open.
-func (r *rig) handOver(j dispatch.Job) {
+func (r *handOverTest) handOver(j dispatch.Job) {
 	r.t.Helper()
 	for end := time.Now().Add(longest); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if r.tryHandOver(j) {
@@ -169,7 +169,7 @@
 func TestAJobArrivesUnchangedAndIsAnswered(t *testing.T) {
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
 	address, _ := serve(t, local)
-	r := newRig(t, address)
+	r := newHandOverTest(t, address)
 	sent := job("a")
 	r.handOver(sent)
 	s := next(t, local.submitted)
@@ -201,7 +201,7 @@
 func TestAnEntryThatRefusedGetsNoJobsForSomeTime(t *testing.T) {
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
 	address, _ := serve(t, local)
-	r := newRig(t, address)
+	r := newHandOverTest(t, address)
 	r.handOver(job("a"))
 	next(t, r.reports.outcomes)
 	next(t, local.submitted).answer <- dispatch.NotRun{Reason: "late", RetryAfter: time.Second, IsElsewhere: true}
@@ -217,7 +217,7 @@
 func TestAWithdrawnJobIsDropped(t *testing.T) {
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
 	address, _ := serve(t, local)
-	r := newRig(t, address)
+	r := newHandOverTest(t, address)
 	r.handOver(job("a"))
 	s := next(t, local.submitted)
 	r.sender.Withdraw(r.last)
@@ -237,7 +237,7 @@
 func stopAfterAnswers(t *testing.T, open int) {
 	local := &fakeEntry{submitted: make(chan *submission, 100)}
 	address, _, stop := serveUntilStopped(t, local)
-	r := newRig(t, address)
+	r := newHandOverTest(t, address)
 	const jobs = 40
 	for range jobs {
 		r.handOver(job(fmt.Sprint(r.last)))
@@ -296,7 +296,7 @@
 func TestTheJobsOfAnEntryThatDiesAreLost(t *testing.T) {
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
 	address, kill := serve(t, local)
-	r := newRig(t, address)
+	r := newHandOverTest(t, address)
 	r.handOver(job("a"))
 	next(t, r.reports.outcomes)
 	s := next(t, local.submitted)
@@ -388,7 +388,7 @@
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
 	address, _ := serve(t, local)
 	through, silence := proxy(t, address)
-	r := newRig(t, through)
+	r := newHandOverTest(t, through)
 	r.handOver(job("a"))
 	next(t, r.reports.outcomes)
 	s := next(t, local.submitted)
--- a/internal/handover/redial_test.go
+++ b/internal/handover/redial_test.go
@@ -46,7 +46,7 @@
 		}
 	}))
 	defer server.Close()
-	r := newRig(t, server.Listener.Addr().String())
+	r := newHandOverTest(t, server.Listener.Addr().String())
 	begin := time.Now()
 	for time.Since(begin) < 600*time.Millisecond {
 		r.tryHandOver(job("a"))
