--- a/internal/dispatch/distance_test.go
+++ b/internal/dispatch/distance_test.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// TestAJobDoesNotWaitForARackThatIsBeingEvacuated submits a job that would be late elsewhere. Its rack is full, and its availability zone is evacuated
-// before the job comes or while it waits.
+// TestAJobDoesNotWaitForARackThatIsBeingEvacuated submits a job that would be late elsewhere. Its rack is full, and its availability zone is
+// evacuated before the job comes or while it waits.
 func TestAJobDoesNotWaitForARackThatIsBeingEvacuated(t *testing.T) {
 	for _, isBefore := range []bool{true, false} {
 		now := time.Unix(1_000_000, 0)
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -227,8 +227,8 @@
 	}
 }
 
-// TestAnEntryIsFullWithAJobThatItHandedOver submits jobs of another entry while the one that this entry may have is elsewhere: a new one, and that one
-// itself, which would wait for itself. After it has ended they are taken.
+// TestAnEntryIsFullWithAJobThatItHandedOver submits jobs of another entry while the one that this entry may have is elsewhere: a new one, and that
+// one itself, which would wait for itself. After it has ended they are taken.
 func TestAnEntryIsFullWithAJobThatItHandedOver(t *testing.T) {
 	c := newHandOverCase(t)
 	c.handOver(2)
@@ -393,8 +393,8 @@
 	c.handle(EvacuationsChanged{State: evacuation.New(0, []evacuation.Change{{Zone: "", Revision: 1, IsEvacuated: true}})})
 }
 
-// TestAnEvacuationHandsBackWhatHasNotBegun evacuates the zone of all workers that an entry knows, while a job of its own and one of another entry wait.
-// The other entry may know further workers.
+// TestAnEvacuationHandsBackWhatHasNotBegun evacuates the zone of all workers that an entry knows, while a job of its own and one of another entry
+// wait. The other entry may know further workers.
 func TestAnEvacuationHandsBackWhatHasNotBegun(t *testing.T) {
 	c := &handOverCase{t: t, now: time.Unix(1_000_000, 0), dispatcher: New(Limits{Jobs: 10}, rand.New(rand.NewPCG(1, 2)))}
 	c.withWorker(1)
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -586,7 +586,7 @@
 }
 
 // TestRandomSchedulesWithEjection ejects workers and offers probes, while agents lose their sessions and runs fail. Ejected workers get
-// only tasks that may fail.
+// only tasks that may fail, unless all workers are ejected.
 func TestRandomSchedulesWithEjection(t *testing.T) {
 	probes, ignored := 0, 0
 	for seed := *first; seed < *first+uint64(*schedules); seed++ {
--- a/internal/overload/ejection_test.go
+++ b/internal/overload/ejection_test.go
@@ -99,14 +99,14 @@
 	return o
 }
 
-// TestWorkersThatFailInABurst plays the pattern of a burst of a long kind beside workers of which many runs fail, hang or are lost. Without ejection a
-// worker that fails at once is free again at once, so it draws what waits at all entries and fails that too.
+// TestWorkersThatFailInABurst plays the pattern of a burst of a long kind beside workers of which many runs fail, hang or are lost. Without ejection
+// a worker that fails at once is free again at once, so it draws what waits at all entries and fails that too.
 //
-// Grounds for its figures: the jobs are served as if the workers were not there (drains), less what finding them costs: of five jobs that run on each at
-// first and nine probes in three seconds most end late if the worker hangs, 100 of 1,900 jobs for seven workers, more of them of the short kind. The
-// failed runs are six until a worker is ejected, with those that run beside, and those of nine probes with one and a half failed runs each, as a few get
-// on to the next ones: 20 for each worker. Hardly any job fails: its two attempts would have to fall on workers that are not found yet, which takes a
-// tenth of a second. Half of the workers are more than may be ejected: their room is used, and three times as many jobs fail.
+// Grounds for its figures: the jobs are served as if the workers were not there (drains), less what finding them costs: of five jobs that run on each
+// at first and nine probes in three seconds most end late if the worker hangs, 100 of 1,900 jobs for seven workers, more of them of the short kind.
+// The failed runs are six until a worker is ejected, with those that run beside, and those of nine probes with one and a half failed runs each, as a
+// few get on to the next ones: 20 for each worker. Hardly any job fails: its two attempts would have to fall on workers that are not found yet, which
+// takes a tenth of a second. Half of the workers are more than may be ejected: their room is used, and three times as many jobs fail.
 func TestWorkersThatFailInABurst(t *testing.T) {
 	for _, group := range []struct {
 		share  float64
@@ -199,8 +199,8 @@
 	return o
 }
 
-// TestAKindThatFailsEverywhereEjectsNobody plays the pattern of a bad configuration of one kind: all its runs fail, or a third, on whatever worker, from
-// one moment on.
+// TestAKindThatFailsEverywhereEjectsNobody plays the pattern of a bad configuration of one kind: all its runs fail, or a third, on whatever worker,
+// from one moment on.
 //
 // Grounds for its figures: what runs at that moment is judged before anybody can know that others fail too. The share of ejected workers stays
 // below that from which ejections are ignored, and it is nearly nil soon after. All kinds are served as without ejection.
@@ -250,11 +250,11 @@
 	for _, c := range []struct {
 		name string
 		// disturb happens while the workers are probed for the last time.
-		disturb func(s *scarcity, ill []*agent)
+		disturb func(s *scarcity, faulty []*agent)
 	}{
 		{"nothing else", func(*scarcity, []*agent) {}},
-		{"sessions end while a probe is out", func(s *scarcity, ill []*agent) {
-			for _, a := range ill {
+		{"sessions end while a probe is out", func(s *scarcity, faulty []*agent) {
+			for _, a := range faulty {
 				for id, e := range a.entries {
 					if e.isOpen(a.id, id) && s.random.IntN(2) == 0 {
 						a.handle(runner.SessionClosed{Session: id})
@@ -269,10 +269,10 @@
 			const share, again = 0.05, 500 * time.Millisecond
 			s := newScarcity(*ejectionSeed, failureEntries, failureAgents, usualLoad)
 			s.attempts = failureAttempts
-			ill := s.agentsInOrder()[:3]
+			faulty := s.agentsInOrder()[:3]
 			s.setFault(share, failsAll, 3*time.Second, 5*time.Second)
 			s.setFault(share, failsAll, 5*time.Second+again, 6*time.Second)
-			s.after(6*time.Second+100*time.Millisecond, func() { c.disturb(s, ill) })
+			s.after(6*time.Second+100*time.Millisecond, func() { c.disturb(s, faulty) })
 			var last time.Duration
 			s.every(time.Millisecond, func() {
 				if s.ejected() > 0 {
@@ -294,15 +294,15 @@
 func TestARestartedAgentEjectsItsWorkerAgain(t *testing.T) {
 	s := newScarcity(*ejectionSeed, failureEntries, failureAgents, usualLoad)
 	s.attempts = failureAttempts
-	ill := s.agentsInOrder()[0]
-	ill.worker.fault = failsAll
+	faulty := s.agentsInOrder()[0]
+	faulty.worker.fault = failsAll
 	var before int
 	s.after(3*time.Second, func() {
-		ill.restart()
+		faulty.restart()
 		before = s.failedRuns
 	})
 	isEjected := false
-	s.after(4500*time.Millisecond, func() { isEjected = ill.isEjected })
+	s.after(4500*time.Millisecond, func() { isEjected = faulty.isEjected })
 	s.play(5 * time.Second)
 	if !isEjected {
 		t.Error("the worker is not ejected after the restart of its agent")
--- a/internal/overload/forecast_test.go
+++ b/internal/overload/forecast_test.go
@@ -219,7 +219,8 @@
 	}
 }
 
-// TestForecastsHoldWithLoadsThatAreStale lets the messages to all entries take 5 ms longer than usual, as on VMs that are busy: several times as long.
+// TestForecastsHoldWithLoadsThatAreStale lets the messages to all entries take 5 ms longer than usual, as on VMs that are busy: several times as
+// long.
 func TestForecastsHoldWithLoadsThatAreStale(t *testing.T) {
 	s := newScarce(1)
 	for _, e := range s.entries {
--- a/internal/overload/handover_test.go
+++ b/internal/overload/handover_test.go
@@ -66,8 +66,8 @@
 // withHandOver lets the entries hand jobs over.
 func withHandOver(s *site) { s.limits.HandOver = true }
 
-// TestAnEntryWithASmallLinkHandsJobsOver plays the pattern of TestAnEntryWithASmallLinkServesWhatItCanCarry: one entry gets two and five times
-// the 80 jobs a second that its link carries, while seven others and the workers have room. Handed over, a job costs the link a third of that. Four fifths
+// TestAnEntryWithASmallLinkHandsJobsOver plays the pattern of TestAnEntryWithASmallLinkServesWhatItCanCarry: one entry gets two and five times the 80
+// jobs a second that its link carries, while seven others and the workers have room. Handed over, a job costs the link a third of that. Four fifths
 // of twice the jobs must be in time, as the first half second passes before the entry knows; of five times, which do not fit, half again as many as
 // the entry serves alone.
 func TestAnEntryWithASmallLinkHandsJobsOver(t *testing.T) {
--- a/internal/overload/learned_test.go
+++ b/internal/overload/learned_test.go
@@ -35,7 +35,7 @@
 // TestEntriesThatSeeFewJobsLearnFromEachOther plays the pattern of a site that starts with many entries, each of which gets some jobs a second, and
 // callers whose guesses are a quarter of the run times: 50 entries, 18 workers, nine tenths of what fits. By such guesses jobs get a quarter of the
 // time that they need, and are refused or late. An entry alone has seen too few of the long jobs after four seconds; together they have seen dozens
-// after one. Of the jobs that the wrong guesses cost, a tenth or more of the work, a fifth must be served.
+// after one. Of the work that is not on time without exchanges, a tenth or more, a fifth must be with them.
 func TestEntriesThatSeeFewJobsLearnFromEachOther(t *testing.T) {
 	const length, seeds = 4 * time.Second, 8
 	play := func(prepare func(*scarcity)) float64 {
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -350,9 +350,9 @@
 
 // failShare returns the part of the runs that fail now.
 func (s *schedule) failShare() float64 {
-	const usual, ill, phase = 0.05, 0.8, 3 * time.Second
+	const usual, faulty, phase = 0.05, 0.8, 3 * time.Second
 	if s.ejecting != nil && s.now.UnixNano()/int64(phase)%2 == 0 {
-		return ill
+		return faulty
 	}
 	return usual
 }
