--- a/internal/overload/shares_test.go
+++ b/internal/overload/shares_test.go
@@ -99,7 +99,7 @@
 	return newScarcityWith(*sharesSeed, size.entries, size.agents, usualLoad, option, bursts...)
 }
 
-// checkServed checks what part of the work of some is on time that came from a time on.
+// checkServed fails if, of any of the protected jobs that came from a time on, less than a part of the work is on time.
 func (s *scarcity) checkServed(t *testing.T, from time.Duration, want float64, all ...protected) {
 	t.Helper()
 	for _, p := range all {
@@ -168,7 +168,7 @@
 	s.checkServed(t, sharesFrom, keptShare, protected{kind: "lookup", except: joined.zone}, protected{kind: "reminder", except: joined.zone})
 }
 
-// join adds an entry to the zone of another one, which takes over half of its jobs.
+// join adds an entry to the zone of another one. The new one takes over half of the jobs of the other.
 func (s *scarcity) join(other *entry) {
 	e := s.addEntry(len(s.entries))
 	e.zone = other.zone
@@ -204,7 +204,7 @@
 // downgrade replaces the entry by one of an earlier version, and opens its sessions again.
 func (e *entry) downgrade() {
 	e.dispatcher = dispatch.New(dispatch.Limits{Jobs: 2000, NoShares: true}, rand.New(rand.NewPCG(1, 1)))
-	e.sent = forget
+	e.sent = asEarlierVersion
 	ids := slices.Sorted(maps.Keys(e.sessions))
 	e.handle(dispatch.AgentsRegistered{Agents: ids, Chosen: len(ids)})
 	for _, id := range ids {
@@ -213,8 +213,8 @@
 	e.site.run(time.Second)
 }
 
-// forget returns an event as an entry of an earlier version sends it.
-func forget(event runner.Event) runner.Event {
+// asEarlierVersion returns an event as an entry of an earlier version sends it.
+func asEarlierVersion(event runner.Event) runner.Event {
 	switch e := event.(type) {
 	case runner.SessionOpened:
 		e.Zone = ""
