--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -215,7 +215,8 @@
 	c.expect(StateReply{Waiter: 4, State: JobWaiting})
 }
 
-func TestAJobIsHandedOverOnce(t *testing.T) {
+// TestAJobOfAnotherEntryIsNotHandedOver submits a job of another entry for which there is no room here.
+func TestAJobOfAnotherEntryIsNotHandedOver(t *testing.T) {
 	c := newHandOverCase(t)
 	job := handOverJob("second")
 	job.IsHandedOver = true
--- a/internal/overload/fault_test.go
+++ b/internal/overload/fault_test.go
@@ -10,7 +10,7 @@
 	"sailhead/internal/worker"
 )
 
-// faultKind is how the runs go wrong that a fault hits.
+// faultKind is what happens to the runs that a fault concerns.
 type faultKind int
 
 const (
@@ -31,8 +31,10 @@
 type fault struct {
 	kind faultKind
 	// share is the part of the runs, 0 to 1, that go wrong.
-	share  float64
-	after  float64
+	share float64
+	// after is the part of its time, 0 to 1, after which a run fails.
+	after float64
+	// factor is by how many times a slow run takes longer.
 	factor float64
 }
 
--- a/internal/overload/learned_test.go
+++ b/internal/overload/learned_test.go
@@ -10,7 +10,7 @@
 	"sailhead/internal/dispatch"
 )
 
-// exchangeInterval is the time between two exchanges of an entry with another one, as in package entry.
+// exchangeInterval is the time between two exchanges of an entry with another one, a little more than timing.ExchangeInterval.
 const exchangeInterval = 500 * time.Millisecond
 
 // shareLearned lets all entries exchange what they learn of kinds.
--- a/internal/overload/seed_test.go
+++ b/internal/overload/seed_test.go
@@ -33,7 +33,7 @@
 	return starts
 }
 
-// TestASeedRepeatsItself plays one seed twice: what it has shown, it shows again.
+// TestASeedRepeatsItself plays one seed twice and compares all starts: a failure of a seed must show again.
 func TestASeedRepeatsItself(t *testing.T) {
 	first, again := playTroubles(1), playTroubles(1)
 	if len(first) == 0 {
--- a/internal/overload/shares_test.go
+++ b/internal/overload/shares_test.go
@@ -204,7 +204,7 @@
 // downgrade replaces the entry by one of an earlier version, and opens its sessions again.
 func (e *entry) downgrade() {
 	e.dispatcher = dispatch.New(dispatch.Limits{Jobs: 2000, NoShares: true}, rand.New(rand.NewPCG(1, 1)))
-	e.sent = asEarlierVersion
+	e.rewrite = asEarlierVersion
 	ids := slices.Sorted(maps.Keys(e.sessions))
 	e.handle(dispatch.AgentsRegistered{Agents: ids, Chosen: len(ids)})
 	for _, id := range ids {
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -298,8 +298,8 @@
 	payloads map[dispatch.AgentID]string
 	// refusedBy has when other entries refused a job of this one last.
 	refusedBy map[*entry]time.Time
-	// sent changes each event that is sent to an agent, unless it is nil.
-	sent func(runner.Event) runner.Event
+	// rewrite changes each event before it is sent to an agent, unless it is nil.
+	rewrite func(runner.Event) runner.Event
 }
 
 func (s *site) addEntry(number int) *entry {
@@ -399,8 +399,8 @@
 }
 
 func (e *entry) sendTo(a *agent, size int, event runner.Event) {
-	if e.sent != nil {
-		event = e.sent(event)
+	if e.rewrite != nil {
+		event = e.rewrite(event)
 	}
 	e.out.carry(e.site, size, func() { a.handle(event) })
 }
