--- a/internal/overload/crash_test.go
+++ b/internal/overload/crash_test.go
@@ -31,6 +31,7 @@
 // Grounds for its figures: one crash may have any cause, and the second one under the same task is enough to give it up. The
 // users allow five starts: two more after the third crash.
 func TestATaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	t.Parallel()
 	s := newSite(1, 4, 11, 11)
 	var answer dispatch.Answer
 	s.entries[0].submit(crashingJob("00000000000000ff"), func(a dispatch.Answer) { answer = a })
@@ -113,6 +114,7 @@
 // so by then most have heard of a crash, and all after two or three more exchanges. Each entry that has not costs two more
 // workers: twelve crash if crashes are known only where the agent has a session.
 func TestACrashIsKnownAtTheEntryOfTheNextSubmission(t *testing.T) {
+	t.Parallel()
 	const entries, agentsEach = 6, 4
 	s := newSite(1, entries, entries*agentsEach, 0)
 	for i, e := range s.entries {
--- a/internal/overload/ejection_test.go
+++ b/internal/overload/ejection_test.go
@@ -292,6 +292,7 @@
 //
 // Grounds for its figure: three failed jobs eject a worker, and some more run beside them.
 func TestARestartedAgentEjectsItsWorkerAgain(t *testing.T) {
+	t.Parallel()
 	s := newScarcity(*ejectionSeed, failureEntries, failureAgents, usualLoad)
 	s.attempts = failureAttempts
 	faulty := s.agentsInOrder()[0]
@@ -318,6 +319,7 @@
 // Grounds for its figures: the first two crashes say nothing yet. After that a worker gets a probe after the back-off and one more with each that is
 // done, so a few run when it crashes again, where ten run without ejection.
 func TestFlappingWorkersGetFewTasks(t *testing.T) {
+	t.Parallel()
 	const downTime, upTime, flapping = 700 * time.Millisecond, 300 * time.Millisecond, 4
 	s := newScarcity(*ejectionSeed, failureEntries, failureAgents, usualLoad, longKindBurst)
 	s.restartAfter = downTime
@@ -343,6 +345,7 @@
 //
 // Grounds for its figure: there is no other worker for which jobs could wait, so they are served as without ejection once runs end well.
 func TestAServiceOfOneWorkerIsServedAgain(t *testing.T) {
+	t.Parallel()
 	const entries, agents, cost = 3, 1, 0.05
 	const wellAgain, from, to = 3300 * time.Millisecond, 3500 * time.Millisecond, 5500 * time.Millisecond
 	play := func(withoutEjection bool) (served float64, jobs int) {
--- a/internal/overload/forecast_test.go
+++ b/internal/overload/forecast_test.go
@@ -196,6 +196,7 @@
 
 // TestAnEntryThatJoinsInABurstLearns lets an entry join in the burst. It knows no rate, and gets as many jobs as each of the others.
 func TestAnEntryThatJoinsInABurstLearns(t *testing.T) {
+	t.Parallel()
 	s := newScarce(1)
 	r := s.watch()
 	const joined = scarceEntries
@@ -222,6 +223,7 @@
 // TestForecastsHoldWithLoadsThatAreStale lets the messages to all entries take 5 ms longer than usual, as on VMs that are busy: several times as
 // long.
 func TestForecastsHoldWithLoadsThatAreStale(t *testing.T) {
+	t.Parallel()
 	s := newScarce(1)
 	for _, e := range s.entries {
 		e.in.delay = 5 * time.Millisecond
@@ -233,6 +235,7 @@
 
 // TestForecastsHoldWhenHalfOfTheAgentsAreLost crashes every second worker in the burst. None is back before its end.
 func TestForecastsHoldWhenHalfOfTheAgentsAreLost(t *testing.T) {
+	t.Parallel()
 	s := newScarce(1)
 	s.inBurst(func() {
 		for i, a := range s.agentsInOrder() {
@@ -249,6 +252,7 @@
 // TestAKindThatWasNeverSeenIsServed lets jobs of a new kind come in the burst, some of them at each entry. As many of them are served as of the
 // kind that it is a copy of.
 func TestAKindThatWasNeverSeenIsServed(t *testing.T) {
+	t.Parallel()
 	s := newScarce(1)
 	r := s.watch()
 	known := variedKinds[1]
--- a/internal/overload/handover_test.go
+++ b/internal/overload/handover_test.go
@@ -71,6 +71,7 @@
 // of twice the jobs must be in time, as the first half second passes before the entry knows; of five times, which do not fit, half again as many as
 // the entry serves alone.
 func TestAnEntryWithASmallLinkHandsJobsOver(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct{ jobsPerSecond, least float64 }{{160, 128}, {400, 120}} {
 		goodput, recovered := meanOfSeeds(test.jobsPerSecond, withHandOver)
 		t.Logf("%.0f jobs a second: %.1f on time, %.3f of those after the crowd", test.jobsPerSecond, goodput, recovered)
@@ -86,6 +87,7 @@
 // TestNobodyIsRefusedWhileAnEntryStops plays the planned stop of one of four entries at half of the load that fits: jobs that it could not
 // end are handed over.
 func TestNobodyIsRefusedWhileAnEntryStops(t *testing.T) {
+	t.Parallel()
 	s := newSite(1, 4, 24, 24, withHandOver)
 	jobs := &traffic{site: s, load: 0.5}
 	jobs.start(2500 * time.Millisecond)
@@ -129,6 +131,7 @@
 // TestEntriesThatAreAllLateServeAsManyAsWithoutHandOvers lets both of two entries get as many jobs as their links carry, and up to twice as many, so
 // that each hands jobs over to the other.
 func TestEntriesThatAreAllLateServeAsManyAsWithoutHandOvers(t *testing.T) {
+	t.Parallel()
 	for _, jobsPerSecond := range []float64{80, 100, 160} {
 		checkSmallEntries(t, jobsPerSecond)
 	}
@@ -136,5 +139,6 @@
 
 // TestEntriesThatAreAllFarTooLateServeAsManyAsWithoutHandOvers lets both of two entries get five times the jobs that their links carry.
 func TestEntriesThatAreAllFarTooLateServeAsManyAsWithoutHandOvers(t *testing.T) {
+	t.Parallel()
 	checkSmallEntries(t, 400)
 }
--- a/internal/overload/learned_test.go
+++ b/internal/overload/learned_test.go
@@ -37,6 +37,7 @@
 // time that they need, and are refused or late. An entry alone has seen too few of the long jobs after four seconds; together they have seen dozens
 // after one. Of the work that is not on time without exchanges, a tenth or more, a fifth must be with them.
 func TestEntriesThatSeeFewJobsLearnFromEachOther(t *testing.T) {
+	t.Parallel()
 	const length, seeds = 4 * time.Second, 8
 	play := func(prepare func(*scarcity)) float64 {
 		sum := 0.0
@@ -60,6 +61,7 @@
 
 // TestAnEntryThatStartsKnowsTheKindsWithinASecond plays an entry that starts on a site in use.
 func TestAnEntryThatStartsKnowsTheKindsWithinASecond(t *testing.T) {
+	t.Parallel()
 	s := newScarcity(1, 6, 24, 0.6)
 	s.shareLearned()
 	s.play(4 * time.Second)
--- a/internal/overload/link_test.go
+++ b/internal/overload/link_test.go
@@ -81,6 +81,7 @@
 // What it does without a limit of its own: pings, offers and loads wait behind starts and reservations in the link, so that sessions end and
 // starts go to workers that are full, which costs further messages. The link stays full long after the crowd has gone.
 func TestAnEntryWithASmallLinkServesWhatItCanCarry(t *testing.T) {
+	t.Parallel()
 	const carried = 80
 	best, _ := meanOfSeeds(carried)
 	t.Logf("%d jobs a second: %.1f on time", carried, best)
--- a/internal/overload/return_test.go
+++ b/internal/overload/return_test.go
@@ -18,6 +18,7 @@
 // Told a random time between one and two seconds instead, many return while the burst lasts: they are refused 1.4 times each, and
 // 0.957 of those who come after the burst are served on time, in place of 1.02 times and all.
 func TestCallersThatReturnAreServed(t *testing.T) {
+	t.Parallel()
 	const patience = 15 * time.Second
 	s := newSite(1, 12, 48, 48)
 	burst := &traffic{site: s, load: 1.5}
--- a/internal/overload/seed_test.go
+++ b/internal/overload/seed_test.go
@@ -35,6 +35,7 @@
 
 // TestASeedRepeatsItself plays one seed twice and compares all starts: a failure of a seed must show again.
 func TestASeedRepeatsItself(t *testing.T) {
+	t.Parallel()
 	first, again := playTroubles(1), playTroubles(1)
 	if len(first) == 0 {
 		t.Fatal("nothing was started")
--- a/internal/overload/shares_test.go
+++ b/internal/overload/shares_test.go
@@ -74,6 +74,7 @@
 
 // TestSharesCostLittleGoodput compares the work that is on time with that by urgency alone, in the pattern in which most room is left free.
 func TestSharesCostLittleGoodput(t *testing.T) {
+	t.Parallel()
 	longKind := burst{kind: "confirmation", factor: 6}
 	byUrgency := newBurstWith(largeSite, byUrgencyAlone, longKind)
 	byUrgency.play(sharesTo)
@@ -113,6 +114,7 @@
 // TestABurstOfAllIsPaidForByAll plays more work of all kinds in all zones than fits: 1.2, 2 and 5 times what the workers can do. Nobody is served
 // much worse than others.
 func TestABurstOfAllIsPaidForByAll(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{1.2, 2, 5} {
 		s := newBurst(smallSite, burst{factor: load / usualLoad})
 		s.play(sharesTo)
@@ -142,6 +144,7 @@
 // TestAgentsThatStartInABurstLearnShares restarts the processes of some agents while a zone bursts. The new ones know of nobody's use, and the
 // other zones keep theirs from a second later on.
 func TestAgentsThatStartInABurstLearnShares(t *testing.T) {
+	t.Parallel()
 	const at = sharesFrom + time.Second/2
 	s := newBurst(largeSite, burst{zone: "zone-a", factor: 3.5})
 	s.after(at, func() {
@@ -159,6 +162,7 @@
 // TestAnEntryThatJoinsInABurstTakesFromNobody lets an entry join while the long kind bursts. It takes over half of the callers of another one of
 // its zone, and refuses some jobs as it does not know yet how long they take. The short jobs of the other zones keep theirs.
 func TestAnEntryThatJoinsInABurstTakesFromNobody(t *testing.T) {
+	t.Parallel()
 	const at = sharesFrom + time.Second/2
 	s := newBurst(largeSite, burst{kind: "confirmation", factor: 6})
 	joined := s.entries[1]
@@ -183,6 +187,7 @@
 // TestEntriesOfAnEarlierVersionTakeFromNobody plays a burst of the long kind while the entries of one zone tell neither zone, kind nor estimate,
 // and use offers by urgency alone. Neither they nor the others are served worse than if all did so.
 func TestEntriesOfAnEarlierVersionTakeFromNobody(t *testing.T) {
+	t.Parallel()
 	const earlierZone = "zone-c"
 	longKind := burst{kind: "confirmation", factor: 6}
 	byUrgency := newBurstWith(largeSite, byUrgencyAlone, longKind)
