wire: one set of conversions of times, factors and counts

Cause: package handover had written the conversions of package session again (millis, duration, hundredths), and cluster and wire had them inline.

Change: they stand in internal/wire, which the four packages import; session, handover, cluster and wire call them. Messages are the same; a time of more than 49 days in an exchange is now the largest that fits in place of a remainder.

Measured: the tests of wire, session, handover, cluster and durable pass.

--- a/internal/cluster/learned.go
+++ b/internal/cluster/learned.go
@@ -4,10 +4,9 @@
 package cluster
 
 import (
-	"time"
-
 	"sailhead/internal/cluster/clusterpb"
 	"sailhead/internal/learned"
+	"sailhead/internal/wire"
 )
 
 // SetLearned replaces what exchanges tell other entries of the kinds of jobs.
@@ -21,10 +20,10 @@
 	var packed []*clusterpb.LearnedKind
 	for _, k := range kinds {
 		packed = append(packed, &clusterpb.LearnedKind{
-			Name: k.Name, Steps: uint32(k.RunTime.Steps), AgeMs: uint32(k.Age.Milliseconds()),
+			Name: k.Name, Steps: uint32(k.RunTime.Steps), AgeMs: wire.Millis(k.Age),
 			Guess: float32(k.RunTime.Guess), Actual: float32(k.RunTime.Actual), Variance: float32(k.RunTime.Variance),
 			Covariance: float32(k.RunTime.Covariance), Unevenness: float32(k.RunTime.Unevenness),
-			CallerMs: uint32(k.CallerTime.Usual.Milliseconds()),
+			CallerMs: wire.Millis(k.CallerTime.Usual),
 		})
 	}
 	return packed
@@ -35,7 +34,7 @@
 	var kinds []learned.Kind
 	for _, p := range packed[:min(len(packed), learned.MaxKinds)] {
 		k := learned.Kind{
-			Name: p.Name, Age: time.Duration(p.AgeMs) * time.Millisecond, CallerTime: learned.CallerTime{Usual: time.Duration(p.CallerMs) * time.Millisecond},
+			Name: p.Name, Age: wire.Duration(p.AgeMs), CallerTime: learned.CallerTime{Usual: wire.Duration(p.CallerMs)},
 			RunTime: learned.RunTime{
 				Steps: int(p.Steps), Guess: float64(p.Guess), Actual: float64(p.Actual), Variance: float64(p.Variance),
 				Covariance: float64(p.Covariance), Unevenness: float64(p.Unevenness),
--- a/internal/handover/convert.go
+++ b/internal/handover/convert.go
@@ -4,34 +4,25 @@
 package handover
 
 import (
-	"math"
 	"time"
 
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
 	"sailhead/internal/handover/handoverpb"
+	"sailhead/internal/wire"
 )
 
-// hundred converts a weight to and from the hundredths on the wire.
-const hundred = 100
-
-func millis(d time.Duration) uint32 {
-	return uint32(max(0, min(d.Milliseconds(), math.MaxUint32)))
-}
-
-func duration(millis uint32) time.Duration { return time.Duration(millis) * time.Millisecond }
-
 // packJob returns a job as it is on the wire at a time. The caller's zone is that of the sender unless the job names one.
 func packJob(now time.Time, number uint64, zone string, job dispatch.Job) *handoverpb.FromSender {
 	if job.Zone != "" {
 		zone = job.Zone
 	}
 	packed := &handoverpb.Job{
-		Number: number, Job: durable.PackJob(job), RemainingMs: millis(job.RemainingTime), Zone: zone,
-		TimeoutMs: millis(job.Kind.Timeout), Weight: uint32(math.Round(job.Kind.Weight * hundred)),
+		Number: number, Job: durable.PackJob(job), RemainingMs: wire.Millis(job.RemainingTime), Zone: zone,
+		TimeoutMs: wire.Millis(job.Kind.Timeout), Weight: wire.Hundredths(job.Kind.Weight),
 	}
 	if !job.Received.IsZero() {
-		packed.AgeMs = millis(now.Sub(job.Received))
+		packed.AgeMs = wire.Millis(now.Sub(job.Received))
 	}
 	return &handoverpb.FromSender{Message: &handoverpb.FromSender_Job{Job: packed}}
 }
@@ -40,11 +31,11 @@
 func unpackJob(now time.Time, packed *handoverpb.Job) dispatch.Job {
 	job := durable.UnpackJob(packed.Job)
 	job.IsHandedOver = true
-	job.Received = now.Add(-duration(packed.AgeMs))
-	job.RemainingTime = duration(packed.RemainingMs)
+	job.Received = now.Add(-wire.Duration(packed.AgeMs))
+	job.RemainingTime = wire.Duration(packed.RemainingMs)
 	job.Zone = packed.Zone
-	job.Kind.Timeout = duration(packed.TimeoutMs)
-	job.Kind.Weight = float64(packed.Weight) / hundred
+	job.Kind.Timeout = wire.Duration(packed.TimeoutMs)
+	job.Kind.Weight = wire.Fraction(packed.Weight)
 	return job
 }
 
@@ -56,7 +47,7 @@
 	case dispatch.Failed:
 		packed.Outcome, packed.Reason = handoverpb.Outcome_OUTCOME_FAILED, a.Reason
 	case dispatch.NotRun:
-		packed.Outcome, packed.Reason, packed.RetryAfterMs = handoverpb.Outcome_OUTCOME_NOT_RUN, a.Reason, millis(a.RetryAfter)
+		packed.Outcome, packed.Reason, packed.RetryAfterMs = handoverpb.Outcome_OUTCOME_NOT_RUN, a.Reason, wire.Millis(a.RetryAfter)
 		if a.IsElsewhere {
 			packed.Outcome = handoverpb.Outcome_OUTCOME_REFUSED
 		}
@@ -74,7 +65,7 @@
 	case handoverpb.Outcome_OUTCOME_FAILED:
 		return dispatch.HandOverAnswered{Answer: dispatch.Failed{Reason: packed.Reason}}
 	case handoverpb.Outcome_OUTCOME_NOT_RUN:
-		return dispatch.HandOverAnswered{Answer: dispatch.NotRun{Reason: packed.Reason, RetryAfter: duration(packed.RetryAfterMs)}}
+		return dispatch.HandOverAnswered{Answer: dispatch.NotRun{Reason: packed.Reason, RetryAfter: wire.Duration(packed.RetryAfterMs)}}
 	case handoverpb.Outcome_OUTCOME_REFUSED:
 		return dispatch.HandOverRefused{Reason: packed.Reason}
 	default:
--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -16,41 +16,17 @@
 	"sailhead/internal/worker"
 )
 
-// hundred converts a factor or share to and from the hundredths on the wire.
+// hundred converts what a worker measures of itself to hundredths, of which parts are dropped.
 const hundred = 100
 
-// count returns n as it is on the wire; a value out of range is set to the nearest one.
-func count(n int) uint32 {
-	return uint32(max(0, min(n, math.MaxUint32)))
-}
-
-// millis returns a duration as it is on the wire; parts of a millisecond are dropped.
-func millis(d time.Duration) uint32 {
-	return count(int(d.Milliseconds()))
-}
-
-func duration(millis uint32) time.Duration {
-	return time.Duration(millis) * time.Millisecond
-}
-
-// hundredths returns a factor or share as it is on the wire.
-func hundredths(factor float64) uint32 {
-	return count(int(math.Round(factor * hundred)))
-}
-
-// fraction is the inverse of hundredths.
-func fraction(hundredths uint32) float64 {
-	return float64(hundredths) / hundred
-}
-
 func packStart(number uint64, t runner.Task) *sessionpb.Start {
 	return &sessionpb.Start{
 		Number: number, Task: t.Name, Run: t.Run, Payload: t.Payload,
-		Cpu: count(t.Needs.CPU), Memory: count(t.Needs.Memory), Gpu: count(t.Needs.GPU),
-		Checkpoint: t.Checkpoint, WaitMs: millis(t.MaxWait), ExpectedMs: millis(t.Expected), Kept: t.IsDurable, Offer: uint64(t.Offer),
-		Priority: count(t.Urgency.Priority), Begun: t.Urgency.HasBegun, SlackMs: slack(t.Urgency),
+		Cpu: wire.Count(t.Needs.CPU), Memory: wire.Count(t.Needs.Memory), Gpu: wire.Count(t.Needs.GPU),
+		Checkpoint: t.Checkpoint, WaitMs: wire.Millis(t.MaxWait), ExpectedMs: wire.Millis(t.Expected), Kept: t.IsDurable, Offer: uint64(t.Offer),
+		Priority: wire.Count(t.Urgency.Priority), Begun: t.Urgency.HasBegun, SlackMs: slack(t.Urgency),
 		Suspect: t.IsSuspect, Kind: t.Kind, Contained: t.IsContained,
-		EstimateMs: millis(t.Estimate), Weight: hundredths(t.Weight), IgnoresEjection: t.IgnoresEjection, KindFailures: hundredths(t.KindFailureRate),
+		EstimateMs: wire.Millis(t.Estimate), Weight: wire.Hundredths(t.Weight), IgnoresEjection: t.IgnoresEjection, KindFailures: wire.Hundredths(t.KindFailureRate),
 	}
 }
 
@@ -58,10 +34,10 @@
 	return runner.Task{
 		Name: s.Task, Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint,
 		Needs:   worker.Resources{CPU: int(s.Cpu), Memory: int(s.Memory), GPU: int(s.Gpu)},
-		MaxWait: duration(s.WaitMs), Expected: duration(s.ExpectedMs), IsDurable: s.Kept, Offer: runner.OfferID(s.Offer),
+		MaxWait: wire.Duration(s.WaitMs), Expected: wire.Duration(s.ExpectedMs), IsDurable: s.Kept, Offer: runner.OfferID(s.Offer),
 		Urgency: urgency(s.Begun, s.Priority, s.SlackMs), IsSuspect: s.Suspect,
 		Kind: s.Kind, IsContained: s.Contained,
-		Estimate: duration(s.EstimateMs), Weight: fraction(s.Weight), IgnoresEjection: s.IgnoresEjection, KindFailureRate: fraction(s.KindFailures),
+		Estimate: wire.Duration(s.EstimateMs), Weight: wire.Fraction(s.Weight), IgnoresEjection: s.IgnoresEjection, KindFailureRate: wire.Fraction(s.KindFailures),
 	}
 }
 
@@ -78,9 +54,9 @@
 
 func packReservation(r runner.Reservation) *sessionpb.FromEntry {
 	return &sessionpb.FromEntry{Message: &sessionpb.FromEntry_Reserve{Reserve: &sessionpb.Reserve{
-		Job: r.Job, Cpu: count(r.Needs.CPU), Memory: count(r.Needs.Memory), Gpu: count(r.Needs.GPU), Count: count(r.Count),
-		Priority: count(r.Urgency.Priority), Begun: r.Urgency.HasBegun, SlackMs: slack(r.Urgency),
-		Kind: r.Kind, EstimateMs: millis(r.Estimate), Weight: hundredths(r.Weight),
+		Job: r.Job, Cpu: wire.Count(r.Needs.CPU), Memory: wire.Count(r.Needs.Memory), Gpu: wire.Count(r.Needs.GPU), Count: wire.Count(r.Count),
+		Priority: wire.Count(r.Urgency.Priority), Begun: r.Urgency.HasBegun, SlackMs: slack(r.Urgency),
+		Kind: r.Kind, EstimateMs: wire.Millis(r.Estimate), Weight: wire.Hundredths(r.Weight),
 	}}}
 }
 
@@ -88,14 +64,14 @@
 	return runner.Reservation{
 		Job: r.Job, Needs: worker.Resources{CPU: int(r.Cpu), Memory: int(r.Memory), GPU: int(r.Gpu)}, Count: int(r.Count),
 		Urgency: urgency(r.Begun, r.Priority, r.SlackMs),
-		Kind:    r.Kind, Estimate: duration(r.EstimateMs), Weight: fraction(r.Weight),
+		Kind:    r.Kind, Estimate: wire.Duration(r.EstimateMs), Weight: wire.Fraction(r.Weight),
 	}
 }
 
 func packOffer(o runner.Offer) *sessionpb.FromAgent {
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Offer{Offer: &sessionpb.Offer{
-		Offer: uint64(o.ID), Job: o.Job, Left: count(o.Left),
-		Cpu: count(o.Resources.CPU), Memory: count(o.Resources.Memory), Gpu: count(o.Resources.GPU),
+		Offer: uint64(o.ID), Job: o.Job, Left: wire.Count(o.Left),
+		Cpu: wire.Count(o.Resources.CPU), Memory: wire.Count(o.Resources.Memory), Gpu: wire.Count(o.Resources.GPU),
 		Kind: o.Kind, Probe: o.IsProbe,
 	}}}
 }
@@ -111,7 +87,7 @@
 func packWorker(r worker.Record) *sessionpb.FromAgent {
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Worker{Worker: &sessionpb.Worker{
 		Id: r.ID, StartedMs: r.StartedMillis, Service: r.Service, Zone: r.Zone, Labels: r.Labels,
-		Cpu: count(r.Capacity.CPU), Memory: count(r.Capacity.Memory), Gpu: count(r.Capacity.GPU),
+		Cpu: wire.Count(r.Capacity.CPU), Memory: wire.Count(r.Capacity.Memory), Gpu: wire.Count(r.Capacity.GPU),
 	}}}
 }
 
@@ -124,10 +100,10 @@
 
 func packLoad(handled uint64, l runner.Load) *sessionpb.FromAgent {
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Load{Load: &sessionpb.Load{
-		Handled: handled, Cpu: count(l.Used.CPU), Memory: count(l.Used.Memory), Gpu: count(l.Used.GPU),
+		Handled: handled, Cpu: wire.Count(l.Used.CPU), Memory: wire.Count(l.Used.Memory), Gpu: wire.Count(l.Used.GPU),
 		Accepts: l.Accepts, Leaving: l.ShuttingDown, Reserved: l.HasReservations, Heard: l.HasHeard,
-		Slowness: count(int(l.Slowness * hundred)), FailureRate: count(int(l.FailureRate * hundred)),
-		TimeFactor: count(int(l.TimeFactor * hundred)),
+		Slowness: wire.Count(int(l.Slowness * hundred)), FailureRate: wire.Count(int(l.FailureRate * hundred)),
+		TimeFactor: wire.Count(int(l.TimeFactor * hundred)),
 		Ejected:    l.IsEjected, Headroom: packHeadroom(l.Headroom),
 	}}}
 }
@@ -135,7 +111,7 @@
 func packHeadroom(headroom []shares.Bound) []*sessionpb.Headroom {
 	var packed []*sessionpb.Headroom
 	for _, h := range headroom {
-		packed = append(packed, &sessionpb.Headroom{LongerThanMs: millis(h.LongerThan), Cpu: count(h.CPU)})
+		packed = append(packed, &sessionpb.Headroom{LongerThanMs: wire.Millis(h.LongerThan), Cpu: wire.Count(h.CPU)})
 	}
 	return packed
 }
@@ -143,7 +119,7 @@
 func unpackHeadroom(packed []*sessionpb.Headroom) []shares.Bound {
 	var headroom []shares.Bound
 	for _, h := range packed {
-		headroom = append(headroom, shares.Bound{LongerThan: duration(h.LongerThanMs), CPU: int(h.Cpu)})
+		headroom = append(headroom, shares.Bound{LongerThan: wire.Duration(h.LongerThanMs), CPU: int(h.Cpu)})
 	}
 	return headroom
 }
@@ -152,7 +128,7 @@
 	return runner.Load{
 		Used:    worker.Resources{CPU: int(l.Cpu), Memory: int(l.Memory), GPU: int(l.Gpu)},
 		Accepts: l.Accepts, ShuttingDown: l.Leaving, HasReservations: l.Reserved, HasHeard: l.Heard,
-		Slowness: fraction(l.Slowness), FailureRate: fraction(l.FailureRate), TimeFactor: fraction(l.TimeFactor),
+		Slowness: wire.Fraction(l.Slowness), FailureRate: wire.Fraction(l.FailureRate), TimeFactor: wire.Fraction(l.TimeFactor),
 		IsEjected: l.Ejected, Headroom: unpackHeadroom(l.Headroom),
 	}
 }
@@ -173,14 +149,14 @@
 
 func packCrash(c runner.Crash) *sessionpb.FromAgent {
 	crash := &sessionpb.Crash{
-		Incarnation: c.Incarnation.ID, StartedMs: c.Incarnation.StartedMillis, AgeMs: millis(c.Age), Runs: wire.PackRuns(c.Runs),
+		Incarnation: c.Incarnation.ID, StartedMs: c.Incarnation.StartedMillis, AgeMs: wire.Millis(c.Age), Runs: wire.PackRuns(c.Runs),
 	}
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Crash{Crash: crash}}
 }
 
 func unpackCrash(c *sessionpb.Crash) runner.Crash {
 	incarnation := worker.Incarnation{ID: c.Incarnation, StartedMillis: c.StartedMs}
-	return runner.Crash{Incarnation: incarnation, Age: duration(c.AgeMs), Runs: wire.UnpackRuns(c.Runs)}
+	return runner.Crash{Incarnation: incarnation, Age: wire.Duration(c.AgeMs), Runs: wire.UnpackRuns(c.Runs)}
 }
 
 func packEvacuations(state evacuation.State) *sessionpb.FromEntry {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,8 +5,6 @@
 package wire
 
 import (
-	"time"
-
 	"sailhead/internal/evacuation"
 	"sailhead/internal/runner"
 	"sailhead/internal/wire/wirepb"
@@ -36,7 +34,7 @@
 	for _, run := range runs {
 		messages = append(messages, &wirepb.CrashedRun{
 			Task: run.Task, Run: run.Run, Kind: run.Kind, Running: run.WasRunning, Latest: run.IsLatest, Isolated: run.IsIsolated,
-			AgeMs: uint32(run.Age.Milliseconds()),
+			AgeMs: Millis(run.Age),
 		})
 	}
 	return messages
@@ -49,7 +47,7 @@
 		runs = append(runs, runner.CrashedRun{
 			RunID: runner.RunID{Task: m.GetTask(), Run: m.GetRun()}, Kind: m.GetKind(),
 			WasRunning: m.GetRunning(), IsLatest: m.GetLatest(), IsIsolated: m.GetIsolated(),
-			Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+			Age: Duration(m.GetAgeMs()),
 		})
 	}
 	return runs
