shares: accounts and kinds are kept in one kind of register

Cause: Accounts and Kinds each had the same bounded map, with the same removal of unused entries and the same mean use since the first one.

Change: register holds either. Rules and figures are the same.

--- a/internal/shares/account.go
+++ b/internal/shares/account.go
@@ -15,10 +15,6 @@
 	usualTime = 30 * time.Second
 	// creditTime bounds what a competitor that asks for less than its share can save: what it usually gets in that time.
 	creditTime = 250 * time.Millisecond
-	// maxCompetitors bounds the accounts, and the kinds. Their names come from entries.
-	maxCompetitors = 256
-	// negligibleUse is the usual use, in cores, below which an account may be closed.
-	negligibleUse = 1e-4
 	// milliCores is the number of thousandths of a core in one core.
 	milliCores = 1000
 )
@@ -40,9 +36,7 @@
 
 // Accounts holds the accounts of the competitors for one worker. The zero value is not usable; see NewAccounts.
 type Accounts struct {
-	accounts map[Competitor]*account
-	// began is when the first account was opened.
-	began time.Time
+	accounts register[Competitor, *account]
 }
 
 // account is what a competitor was given.
@@ -64,7 +58,7 @@
 
 // NewAccounts returns accounts without competitors.
 func NewAccounts() *Accounts {
-	return &Accounts{accounts: make(map[Competitor]*account)}
+	return &Accounts{accounts: newRegister[Competitor, *account]()}
 }
 
 // Charge adds work that a competitor was given, or takes it back if it is negative. The weight is that of the settings, zero for 1.
@@ -82,36 +76,13 @@
 
 // IsBelow reports whether a competitor was given its share or less: it has no debt.
 func (a *Accounts) IsBelow(now time.Time, c Competitor) bool {
-	each, ok := a.accounts[c]
+	each, ok := a.accounts.entries[c]
 	return !ok || each.debtAt(now) <= 0
 }
 
 // account returns the account of a competitor. It opens one if there is none, and keeps it unless there are too many.
 func (a *Accounts) account(now time.Time, c Competitor) *account {
-	if each, ok := a.accounts[c]; ok {
-		return each
-	}
-	if len(a.accounts) >= maxCompetitors {
-		a.closeUnused(now)
-	}
-	if len(a.accounts) == 0 {
-		a.began = now
-	}
-	opened := &account{opened: now, updated: now, weight: 1}
-	if len(a.accounts) < maxCompetitors {
-		a.accounts[c] = opened
-	}
-	return opened
-}
-
-// closeUnused closes the accounts of competitors that have used next to nothing for long.
-func (a *Accounts) closeUnused(now time.Time) {
-	for c, each := range a.accounts {
-		each.update(now)
-		if a.usualUse(now, each) < negligibleUse {
-			delete(a.accounts, c)
-		}
-	}
+	return a.accounts.get(now, c, func() *account { return &account{opened: now, updated: now, weight: 1} })
 }
 
 // update brings the sums up to now.
@@ -137,16 +108,8 @@
 	return float64(a.recent) / recentTime.Seconds()
 }
 
-// usualUse returns the cores that a competitor usually gets.
-func (a *Accounts) usualUse(now time.Time, each *account) float64 {
-	return usualCores(each.usual, now.Sub(a.began))
-}
-
-// usualCores returns the mean use, in cores, by a sum of work that decays with usualTime and began to be added up some time ago.
-func usualCores(sum Work, age time.Duration) float64 {
-	age = max(age, recentTime)
-	return float64(sum) / (usualTime.Seconds() * float64(1-decay(age, usualTime)))
-}
+// usualWork returns the sum of which the usual use is made.
+func (a *account) usualWork() Work { return a.usual }
 
 // decay returns the part, 0 to 1, that is left of a sum after a time.
 func decay(elapsed, toOneOverE time.Duration) Work {
--- a/internal/shares/divide.go
+++ b/internal/shares/divide.go
@@ -107,10 +107,10 @@
 // demands returns the demands of all competitors for a worker. Usual use is no more than the worker has, as a long task that has just begun is
 // charged for all of its time.
 func (a *Accounts) demands(now time.Time, cores float64, waiting []Competitor) []demand {
-	demands := make([]demand, 0, len(a.accounts))
-	for c, each := range a.accounts {
+	demands := make([]demand, 0, len(a.accounts.entries))
+	for c, each := range a.accounts.entries {
 		each.update(now)
-		usual := min(a.usualUse(now, each), cores)
+		usual := min(a.accounts.usualUse(now, each), cores)
 		demands = append(demands, demand{competitor: c, account: each, isOpen: slices.Contains(waiting, c), usual: usual})
 	}
 	return demands
--- a/internal/shares/headroom.go
+++ b/internal/shares/headroom.go
@@ -31,9 +31,7 @@
 
 // Kinds holds what is known of the kinds of jobs that use a worker. The zero value is not usable; see NewKinds.
 type Kinds struct {
-	kinds map[string]*kind
-	// began is when the first kind was noted.
-	began time.Time
+	kinds register[string, *kind]
 }
 
 // kind is what is known of one kind of job.
@@ -53,7 +51,7 @@
 
 // NewKinds returns what is known before the first task.
 func NewKinds() *Kinds {
-	return &Kinds{kinds: make(map[string]*kind)}
+	return &Kinds{kinds: newRegister[string, *kind]()}
 }
 
 // Arrived notes a task that asks for room: the CPU that it needs in thousandths of a core, its estimated time and how long it can wait.
@@ -79,31 +77,9 @@
 
 // kind returns what is known of a kind, which it keeps unless there are too many.
 func (k *Kinds) kind(now time.Time, name string) *kind {
-	if each, ok := k.kinds[name]; ok {
-		each.update(now)
-		return each
-	}
-	if len(k.kinds) >= maxCompetitors {
-		k.forgetUnused(now)
-	}
-	if len(k.kinds) == 0 {
-		k.began = now
-	}
-	added := &kind{name: name, updated: now}
-	if len(k.kinds) < maxCompetitors {
-		k.kinds[name] = added
-	}
-	return added
-}
-
-// forgetUnused forgets kinds that have used next to nothing for long.
-func (k *Kinds) forgetUnused(now time.Time) {
-	for name, each := range k.kinds {
-		each.update(now)
-		if usualCores(each.given, now.Sub(k.began)) < negligibleUse {
-			delete(k.kinds, name)
-		}
-	}
+	each := k.kinds.get(now, name, func() *kind { return &kind{name: name, updated: now} })
+	each.update(now)
+	return each
 }
 
 // update brings the sum up to now.
@@ -114,6 +90,9 @@
 	}
 }
 
+// usualWork returns the sum of which the usual use is made.
+func (k *kind) usualWork() Work { return k.given }
+
 // Headroom returns what tasks leave free for shorter ones, in the order of Bound.LongerThan. inUse is the CPU that tasks of each kind use now,
 // in thousandths of a core.
 //
@@ -129,7 +108,7 @@
 	left := 0
 	for _, each := range k.byLength() {
 		each.update(now)
-		usual := usualCores(each.given, now.Sub(k.began)) * milliCores
+		usual := k.kinds.usualUse(now, each) * milliCores
 		if room := each.wholeTasks(usual - float64(inUse[each.name])); room > 0 && !each.isAbsent(now) {
 			left += room
 			bounds = append(bounds, Bound{LongerThan: each.longerThan(), CPU: left})
@@ -140,8 +119,8 @@
 
 // byLength returns the kinds of which tasks were noted, in the order of longerThan.
 func (k *Kinds) byLength() []*kind {
-	known := make([]*kind, 0, len(k.kinds))
-	for _, each := range k.kinds {
+	known := make([]*kind, 0, len(k.kinds.entries))
+	for _, each := range k.kinds.entries {
 		if each.length > 0 {
 			known = append(known, each)
 		}
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -151,19 +151,19 @@
 // TestAccountsAreBounded opens more accounts, and notes more kinds, than are kept.
 func TestAccountsAreBounded(t *testing.T) {
 	a, k := NewAccounts(), NewKinds()
-	for i := range 2 * maxCompetitors {
+	for i := range 2 * maxEntries {
 		name, now := fmt.Sprint(i), began.Add(time.Duration(i)*time.Millisecond)
 		a.Charge(now, Competitor{Kind: name}, 0, 1)
 		k.Charge(now, name, 1)
 	}
-	if len(a.accounts) > maxCompetitors || len(k.kinds) > maxCompetitors {
-		t.Errorf("%d accounts and %d kinds are kept, want %d at most", len(a.accounts), len(k.kinds), maxCompetitors)
+	if len(a.accounts.entries) > maxEntries || len(k.kinds.entries) > maxEntries {
+		t.Errorf("%d accounts and %d kinds are kept, want %d at most", len(a.accounts.entries), len(k.kinds.entries), maxEntries)
 	}
 	later := began.Add(time.Hour)
 	a.Charge(later, Competitor{Kind: "new"}, 0, 1)
 	k.Charge(later, "new", 1)
-	if len(a.accounts) != 1 || len(k.kinds) != 1 {
-		t.Errorf("%d accounts and %d kinds are left after an hour, want 1", len(a.accounts), len(k.kinds))
+	if len(a.accounts.entries) != 1 || len(k.kinds.entries) != 1 {
+		t.Errorf("%d accounts and %d kinds are left after an hour, want 1", len(a.accounts.entries), len(k.kinds.entries))
 	}
 }
 
