--- a/internal/settings/option.go
+++ b/internal/settings/option.go
@@ -154,6 +154,14 @@
 	}
 }
 
+// yesOrNo returns an option of some roles that turns something off. It is Yes by default.
+func yesOrNo(name, help string, roles []Role, place func(*Settings) *string) Option {
+	return Option{
+		Name: name, Help: help, Roles: roles, Default: Yes, Choices: []string{Yes, No},
+		value: func(s *Settings) any { return place(s) },
+	}
+}
+
 // platformOptions returns the options of processes on the users' platform only.
 func platformOptions() []Option {
 	return []Option{
@@ -163,27 +171,21 @@
 			value: func(s *Settings) any { return &s.Jobs }},
 		{Name: "store_writes", Help: "Writes to the platform's store that all entries together may make in a second.", Roles: platformEntries, Default: 400, Min: 1, Max: 1_000_000,
 			value: func(s *Settings) any { return &s.StoreWrites }},
-		{Name: "contain_kinds", Help: "Whether a kind of which jobs crash workers is confined to some workers.", Roles: platformEntries,
-			Default: Yes, Choices: []string{Yes, No},
-			value: func(s *Settings) any { return &s.ContainKinds }},
+		yesOrNo("contain_kinds", "Whether a kind of which jobs crash workers is confined to some workers.", platformEntries,
+			func(s *Settings) *string { return &s.ContainKinds }),
 		{Name: "far_times", Help: "By how many times a task takes longer on a worker of another rack than that of its data; 1 if that does not matter.",
 			Roles: platformEntries, Default: 1.0, Min: 1.0, Max: 100.0,
 			value: func(s *Settings) any { return &s.FarTimes }},
-		{Name: "hand_over", Help: "Whether jobs are handed over to other entries while this one does not keep up or stops.", Roles: platformEntries,
-			Default: Yes, Choices: []string{Yes, No},
-			value: func(s *Settings) any { return &s.HandOver }},
-		{Name: "share_learned", Help: "Whether entries share what they learn of the run times and the callers of each kind.", Roles: platformEntries,
-			Default: Yes, Choices: []string{Yes, No},
-			value: func(s *Settings) any { return &s.ShareLearned }},
-		{Name: "eject_workers", Help: "Whether a worker on which too many runs fail gets no tasks but probes until it is well again.", Roles: onPlatform,
-			Default: Yes, Choices: []string{Yes, No},
-			value: func(s *Settings) any { return &s.EjectWorkers }},
-		{Name: "forecast_admission", Help: "Whether a job is refused on arrival if it would wait too long for a worker.", Roles: platformEntries,
-			Default: Yes, Choices: []string{Yes, No},
-			value: func(s *Settings) any { return &s.ForecastAdmission }},
-		{Name: "shares", Help: "Whether workers are divided between kinds of jobs and availability zones while there is too little room.", Roles: onPlatform,
-			Default: Yes, Choices: []string{Yes, No},
-			value: func(s *Settings) any { return &s.Shares }},
+		yesOrNo("hand_over", "Whether jobs are handed over to other entries while this one does not keep up or stops.", platformEntries,
+			func(s *Settings) *string { return &s.HandOver }),
+		yesOrNo("share_learned", "Whether entries share what they learn of the run times and the callers of each kind.", platformEntries,
+			func(s *Settings) *string { return &s.ShareLearned }),
+		yesOrNo("eject_workers", "Whether a worker on which too many runs fail gets no tasks but probes until it is well again.", onPlatform,
+			func(s *Settings) *string { return &s.EjectWorkers }),
+		yesOrNo("forecast_admission", "Whether a job is refused on arrival if it would wait too long for a worker.", platformEntries,
+			func(s *Settings) *string { return &s.ForecastAdmission }),
+		yesOrNo("shares", "Whether workers are divided between kinds of jobs and availability zones while there is too little room.", onPlatform,
+			func(s *Settings) *string { return &s.Shares }),
 		{Name: "share_weights", Help: "Weights of kinds in the shares, each as KIND=WEIGHT, 1 for others.", Roles: platformEntries, Default: []Weight(nil),
 			value: func(s *Settings) any { return &s.ShareWeights }},
 		{Name: "heartbeat_address", Help: "Address at which the worker beside the agent reports.", Roles: platformAgents, IsRequired: true, Default: Address(""),
