handover: the wait of the standby connections is a ticker, as the others of the package

Cause: Sender.pause was one more copy of a wait that ends with a context.

Change: keepStandby selects from a ticker and the context. Measured: the tests of handover pass.

--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -146,11 +146,17 @@
 
 // keepStandby keeps standbyLinks connections open until the sender is closed.
 func (s *Sender) keepStandby() {
-	for s.ctx.Err() == nil {
+	ticker := time.NewTicker(standbyInterval)
+	defer ticker.Stop()
+	for {
 		s.mu.Lock()
 		s.openLinks(standbyLinks)
 		s.mu.Unlock()
-		s.pause(standbyInterval)
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return
+		}
 	}
 }
 
@@ -296,16 +302,6 @@
 	}
 }
 
-// pause waits for a time, or until the sender is closed.
-func (s *Sender) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-s.ctx.Done():
-	}
-}
-
 // dial opens a connection to the server at an address.
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
