learned: records are compared as everywhere else

Cause: a comparison by a difference of durations, converted to int, in place of cmp.Compare. Change: cmp.Or. Measured: the tests of learned pass.

--- a/internal/learned/learned.go
+++ b/internal/learned/learned.go
@@ -10,9 +10,9 @@
 package learned
 
 import (
+	"cmp"
 	"math"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -149,10 +149,7 @@
 func Latest(kinds []Kind) []Kind {
 	kinds = slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool { return k.Age > maxAge })
 	slices.SortFunc(kinds, func(a, b Kind) int {
-		if a.Age != b.Age {
-			return int(a.Age - b.Age)
-		}
-		return strings.Compare(a.Name, b.Name)
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Name, b.Name))
 	})
 	return kinds[:min(len(kinds), MaxKinds)]
 }
