--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: Copyright The sailhead contributors
 // SPDX-License-Identifier: MIT
 
-// Package wire converts what sessions between entries and agents, and exchanges between entries, have in common.
+// Package wire converts what sessions between entries and agents, and exchanges and hand-overs between entries, have in common.
 package wire
 
 import (
