runner: a crash that overtakes the answer to a start counts

Cause: the refused connection that shows the crash can overtake the answer to a start. The agent left the run out of the crash report, as its start was in progress, and dropped the answer, as the incarnation had ended. So no crash counted although the agent knew that the run had been there.

If the answer accepts the start, the crash is reported again with the run; if there is no answer and the start was sent before the crash, with a possible run. Other answers show that there was none.

Why it works: an answer is applied to the incarnation that it names, so the order in which the agent handles answer and refusal decides nothing.

--- a/internal/cluster/crash.go
+++ b/internal/cluster/crash.go
@@ -4,6 +4,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"sailhead/internal/cluster/clusterpb"
@@ -48,19 +49,43 @@
 // crashes holds the recent crashes known to a process. The owner must initialise it and guard it against concurrent use.
 type crashes map[crashKey]receivedCrash
 
-// add stores a crash, and returns false if it was known. If there are maxCrashes already, it evicts the oldest.
+// add stores a crash, and returns false if it was known with all its runs. An agent may report a crash again with further runs. If there
+// are maxCrashes already, it evicts the oldest.
 func (c crashes) add(now time.Time, crash Crash) bool {
 	c.removeBefore(now.Add(-crashLifetime))
-	if _, ok := c[crash.key()]; ok {
+	known, isKnown := c[crash.key()]
+	if isKnown && known.crash.includes(crash) {
 		return false
 	}
-	if len(c) >= maxCrashes {
+	if !isKnown && len(c) >= maxCrashes {
 		c.evictOldest()
 	}
-	c[crash.key()] = receivedCrash{crash: crash, at: now}
+	c[crash.key()] = receivedCrash{crash: known.crash.merge(crash), at: now}
 	return true
 }
 
+// includes reports whether all runs of another report of the same crash are known.
+func (c Crash) includes(other Crash) bool {
+	return !slices.ContainsFunc(other.Runs, func(run runner.CrashedRun) bool { return !c.has(run.RunID) })
+}
+
+// merge returns a later report of the same crash, together with the runs that only this report has.
+func (c Crash) merge(later Crash) Crash {
+	merged := later
+	merged.Runs = slices.Clone(later.Runs)
+	for _, run := range c.Runs {
+		if !later.has(run.RunID) {
+			merged.Runs = append(merged.Runs, run)
+		}
+	}
+	return merged
+}
+
+// has reports whether a run was on the worker at the crash.
+func (c Crash) has(id runner.RunID) bool {
+	return slices.ContainsFunc(c.Runs, func(run runner.CrashedRun) bool { return run.RunID == id })
+}
+
 func (c crashes) removeBefore(limit time.Time) {
 	for key, received := range c {
 		if received.at.Before(limit) {
--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -73,3 +73,19 @@
 		t.Error("the oldest crash is kept")
 	}
 }
+
+func TestALaterReportOfACrashWithAFurtherRunIsNew(t *testing.T) {
+	known, now := make(crashes), time.Unix(1000, 0)
+	first, later := testCrash("w"), testCrash("w")
+	first.Runs, later.Runs = first.Runs[:1], later.Runs[1:]
+	known.add(now, first)
+	if !known.add(now, later) {
+		t.Error("a report with a further run is not reported as new")
+	}
+	if known.add(now, first) || known.add(now, testCrash("w")) {
+		t.Error("a report without a further run is reported as new")
+	}
+	if messages := known.messages(now); len(messages) != 1 || len(messages[0].Runs) != 2 {
+		t.Errorf("the propagated crashes are %v, want one with two runs", messages)
+	}
+}
--- a/internal/dispatch/crashhistory.go
+++ b/internal/dispatch/crashhistory.go
@@ -67,25 +67,32 @@
 // crashHistory holds the crashes of the last historyTime in the order in which they became known.
 type crashHistory struct{ crashes []pastCrash }
 
-// add records a crash unless it is already recorded.
+// add records a crash. A later report of the same crash may contain further tasks.
 func (h *crashHistory) add(now time.Time, agent AgentID, crash runner.Crash) {
 	h.removeBefore(now.Add(-historyTime))
-	if h.find(agent, crash.Incarnation) != nil {
-		return
+	recorded := h.find(agent, crash.Incarnation)
+	if recorded == nil {
+		recorded = h.append(pastCrash{agent: agent, incarnation: crash.Incarnation, at: now.Add(-crash.Age)})
 	}
-	added := pastCrash{agent: agent, incarnation: crash.Incarnation, at: now.Add(-crash.Age)}
 	for _, run := range crash.Runs {
-		added.tasks = append(added.tasks, run.Task)
+		if !slices.Contains(recorded.tasks, run.Task) {
+			recorded.tasks = append(recorded.tasks, run.Task)
+		}
 	}
 	for i := range h.crashes {
-		if earlier := &h.crashes[i]; earlier.sharesTask(added) {
-			earlier.isShared, added.isShared = true, true
+		if other := &h.crashes[i]; other != recorded && other.sharesTask(*recorded) {
+			other.isShared, recorded.isShared = true, true
 		}
 	}
+}
+
+// append appends a crash, and removes the oldest one if there are maxHistory already.
+func (h *crashHistory) append(crash pastCrash) *pastCrash {
 	if len(h.crashes) >= maxHistory {
 		h.crashes = h.crashes[1:]
 	}
-	h.crashes = append(h.crashes, added)
+	h.crashes = append(h.crashes, crash)
+	return &h.crashes[len(h.crashes)-1]
 }
 
 // find returns a crash, or nil if it is not in the history.
--- a/internal/dispatch/crashhistory_test.go
+++ b/internal/dispatch/crashhistory_test.go
@@ -175,3 +175,27 @@
 		t.Errorf("%d crashes are stored, want %d", count, maxHistory)
 	}
 }
+
+// A later report of a crash may contain a run whose start was not answered before. The crash then shares its task with an earlier one.
+func TestALaterReportOfACrashAddsItsTasks(t *testing.T) {
+	var history crashHistory
+	now := time.Unix(1000, 0)
+	crashUnderTasks := func(incarnation string, tasks ...string) runner.Crash {
+		crash := runner.Crash{Incarnation: worker.Incarnation{ID: incarnation}}
+		for _, task := range tasks {
+			crash.Runs = append(crash.Runs, runner.CrashedRun{RunID: runner.RunID{Task: task, Run: 1}})
+		}
+		return crash
+	}
+	history.add(now, "a", crashUnderTasks("w1", "j1.0.0.0"))
+	history.add(now, "b", crashUnderTasks("w2", "j2.0.0.0"))
+	history.add(now, "b", crashUnderTasks("w2", "j1.0.0.0", "j2.0.0.0"))
+	if len(history.crashes) != 2 {
+		t.Fatalf("%d crashes are recorded, want 2", len(history.crashes))
+	}
+	for _, crash := range history.crashes {
+		if !crash.isShared {
+			t.Errorf("the crash of %s is not shared", crash.incarnation)
+		}
+	}
+}
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -208,6 +208,10 @@
 	isEjected bool
 	// link, if not nil, carries the renewals instead of roundTrip and sees the effects of the runner.
 	link *endLink
+	// startAnswerDelay is how much longer than other answers the answer to a start takes to the agent. losesStartAnswers is set if the
+	// agent gets no answer, but learns after that time that the connection was closed.
+	startAnswerDelay  time.Duration
+	losesStartAnswers bool
 }
 
 func (s *site) addAgent(id dispatch.AgentID) *agent {
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -239,7 +239,7 @@
 		answer := func(result worker.StartResult) runner.Event {
 			return runner.StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Sent: sent, Ended: a.site.now, Result: result}
 		}
-		roundTrip(a, callTimeout, answer, func(back func(worker.StartResult)) { back(a.worker.start(e.Incarnation.ID, e.Start)) })
+		roundTrip(a, callTimeout, answer, func(back func(worker.StartResult)) { a.answerStart(a.worker.start(e.Incarnation.ID, e.Start), back) })
 	case runner.CallStop:
 		answer := func(result worker.StopResult) runner.Event {
 			return runner.StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: result}
@@ -260,6 +260,18 @@
 	}
 }
 
+// answerStart passes the result of a start on, after startAnswerDelay if that is set.
+func (a *agent) answerStart(result worker.StartResult, back func(worker.StartResult)) {
+	if a.losesStartAnswers {
+		result = closedConnection
+	}
+	if a.startAnswerDelay == 0 {
+		back(result)
+		return
+	}
+	a.site.after(a.startAnswerDelay, func() { back(result) })
+}
+
 // roundTrip carries a call to the worker, and the event made of its result back. The result is NoResponse after the
 // timeout.
 func roundTrip[Result any](a *agent, timeout time.Duration, event func(Result) runner.Event, call func(back func(Result))) {
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -17,8 +17,9 @@
 // Rule: an incarnation has crashed if the worker does not listen or another incarnation answers or sends a heartbeat,
 // and the worker was not draining. The crash is reported to every connected entry, and again on each session opened
 // within crashReportTime. The report contains the runs that may have been on the worker, except those with a start call
-// in progress: such a start has most likely not begun a run. A run is marked as the latest if it was certainly or likely
-// running and no start, including those in progress, was sent after its own, as a start in progress may have begun a run.
+// in progress: its answer decides, and the crash is reported again if there was a run (unanswered.go). A run is marked as the
+// latest if it was certainly or likely running and no start, including those in progress, was sent after its own, as a start in
+// progress may have begun a run.
 // Reason: any of these runs may have caused the crash and may crash the next worker. Every entry needs the report,
 // including one whose session was interrupted at that moment, because the job may be submitted again there.
 
@@ -71,8 +72,9 @@
 	at    time.Time
 }
 
-// mayHaveCausedCrash reports whether the run of an active task may have caused a crash. A start that is in progress, or
-// was when the previous worker process ended, has most likely not begun a run.
+// mayHaveCausedCrash reports whether the run of an active task may have caused a crash, by what is known when the crash is
+// detected. The answer to a start in progress is awaited (unanswered.go), and a task that was on the previous worker process has
+// not begun a run on the next one yet.
 func (t *task) mayHaveCausedCrash() bool {
 	return t.state != stateStarting && t.state != stateRestarted
 }
@@ -80,25 +82,36 @@
 // crashedRuns returns the runs of the active tasks that may have caused a crash. maxDelay is the longest delay with which
 // the agent may have handled its events.
 func (i *incarnation) crashedRuns(active []*task, evidence crashEvidence, maxDelay time.Duration) []CrashedRun {
-	var latest *task
+	latest := latestStart(active)
+	var runs []CrashedRun
 	for _, t := range active {
-		if latest == nil || t.startNumber > latest.startNumber {
-			latest = t
+		if t.mayHaveCausedCrash() {
+			runs = append(runs, i.crashedRun(t, evidence, maxDelay, t == latest))
 		}
 	}
-	var runs []CrashedRun
+	return runs
+}
+
+// crashedRun returns the run of an active task in the form in which it is reported. isLatest is set if no start was sent after that of
+// the task.
+func (i *incarnation) crashedRun(t *task, evidence crashEvidence, maxDelay time.Duration, isLatest bool) CrashedRun {
+	run := CrashedRun{
+		RunID: t.id(), Kind: t.Kind, Age: evidence.ageOf(t), AgeError: max(maxDelay, t.startTook),
+		WasRunning: evidence.wasRunning(t), WasLikelyRunning: evidence.wasLikelyRunning(t), IsIsolated: i.wasIsolated(t, evidence.estimatedAt),
+	}
+	run.IsLatest = isLatest && (run.WasRunning || run.WasLikelyRunning)
+	return run
+}
+
+// latestStart returns the active task that was started last, or nil if there is none.
+func latestStart(active []*task) *task {
+	var latest *task
 	for _, t := range active {
-		if !t.mayHaveCausedCrash() {
-			continue
-		}
-		run := CrashedRun{
-			RunID: t.id(), Kind: t.Kind, Age: evidence.ageOf(t), AgeError: max(maxDelay, t.startTook),
-			WasRunning: evidence.wasRunning(t), WasLikelyRunning: evidence.wasLikelyRunning(t), IsIsolated: i.wasIsolated(t, evidence.estimatedAt),
+		if latest == nil || t.startNumber > latest.startNumber {
+			latest = t
 		}
-		run.IsLatest = t == latest && (run.WasRunning || run.WasLikelyRunning)
-		runs = append(runs, run)
 	}
-	return runs
+	return latest
 }
 
 // reportCrash reports a crash to all entries, if any run may have caused it.
@@ -110,6 +123,11 @@
 	if len(r.crashes) > maxCrashReports {
 		r.crashes = r.crashes[1:]
 	}
+	r.sendCrash(crash)
+}
+
+// sendCrash sends a crash on all sessions.
+func (r *Runner) sendCrash(crash Crash) {
 	for _, s := range r.sessionsInOrder() {
 		r.emit(SendCrash{Session: s.id, Crash: crash})
 	}
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -52,6 +52,7 @@
 //	renew.go        how often the worker is called, and what its answers show
 //	listing.go      the runs and ends in the worker's listings
 //	crash.go        crashes of the worker, and the entries that are informed of them
+//	unanswered.go   answers to starts that arrive after a crash
 //	evidence.go     which runs were running when the worker crashed
 //	suspect.go      tasks beside which no other task is started
 //	lease.go        the worker's lease and its expiry
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -64,7 +64,8 @@
 	Offer   Offer
 }
 
-// SendCrash reports the crash of an incarnation of the worker to an entry. It precedes the outcomes of the runs.
+// SendCrash reports the crash of an incarnation of the worker to an entry. It precedes the outcomes of the runs, except of
+// those whose start was answered only after the crash.
 type SendCrash struct {
 	Session SessionID
 	Crash   Crash
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -269,7 +269,8 @@
 	evidence, active := ended.evidence(now, end), r.active()
 	r.observeIncarnationEnd(now, ended, isCrash)
 	if isCrash {
-		r.reportCrash(now, Crash{Incarnation: id, Runs: ended.crashedRuns(active, evidence, r.lateness.maxDelay(now.Sub(r.lastTick)))})
+		r.reportCrash(now, Crash{Incarnation: id, Runs: ended.crashedRuns(active, evidence, r.maxDelay(now))})
+		r.awaitStartAnswers(now, ended, active, evidence)
 	}
 	logged := IncarnationEnded{Incarnation: id, Reason: string(end), IsCrash: isCrash, Evidence: ended.describeEvidence(now)}
 	for _, t := range active {
--- a/internal/runner/lateness.go
+++ b/internal/runner/lateness.go
@@ -42,3 +42,8 @@
 func (l *lateness) maxDelay(waited time.Duration) time.Duration {
 	return max(l.longestCurrent, l.longestPrevious, waited-TickInterval)
 }
+
+// maxDelay returns the longest delay with which the agent may have handled recent events.
+func (r *Runner) maxDelay(now time.Time) time.Duration {
+	return r.lateness.maxDelay(now.Sub(r.lastTick))
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -63,7 +63,9 @@
 	earlierEnds []*unacknowledgedEnd
 	// unsettled are tasks of ended incarnations that are not reported as lost yet, oldest first.
 	unsettled []unsettledTask
-	sessions  map[SessionID]*session
+	// unansweredStarts are the starts without an answer when the worker crashed, oldest first.
+	unansweredStarts []unansweredStart
+	sessions         map[SessionID]*session
 	// orderedSessions are the same sessions in the order in which they were opened.
 	orderedSessions []*session
 	// tasks are the queued and active tasks by name, without the tasks that wait in supersededBy.
@@ -180,6 +182,7 @@
 	r.expireProbes(now)
 	r.resendEarlierEnds(now)
 	r.finishUnsettled(now)
+	r.expireUnansweredStarts(now)
 	if r.worker == nil {
 		return
 	}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -58,6 +58,7 @@
 }
 
 func (r *Runner) handleStartAnswer(now time.Time, e StartAnswered) {
+	r.handleLateStartAnswer(now, e)
 	t, ok := r.currentRun(e.Incarnation, e.Name, e.Run)
 	if !ok || t.state != stateStarting {
 		// The run has ended or is being stopped. The result of the start call does not change that.
