runner: a long poll that the agent has fenced is followed at once

Cause: a start that times out raises the fencing token, and the worker answers the waiting long poll "fenced". The agent then paused its long polls for 60 ms, a pause meant for workers that close each connection at once. A crash in this pause is dated by the next renewal.

Change: no pause if the token was raised since the long poll was sent. One that another agent has fenced keeps the pause, as its successor may be fenced at once, too; so do all that failed otherwise.

go test ./internal/runner passes.

--- a/internal/runner/renew.go
+++ b/internal/runner/renew.go
@@ -15,9 +15,9 @@
 // Inputs: whether tasks are active, whether a run waits for a listing or is a probe, whether ends are unacknowledged.
 // Rule: a renewal that the worker answers without waiting is sent every nextRenewInterval. While tasks are active, a
 // long poll runs in parallel and returns as soon as a run ends. There is no long poll while unacknowledged ends are
-// listed, as the worker would answer it at once.
+// listed, as the worker would answer it at once, and none for a pause after one that failed.
 // Reason: the short renewals extend the leases in time and show whether the worker responds. With the long poll, the
-// entry learns of an end without waiting for the next short renewal.
+// entry learns of an end, and the agent of a crash, without waiting for the next short renewal.
 
 const (
 	// idleRenewInterval is the time between two renewals while no task is active. These only show whether the worker responds: if an answer
@@ -25,7 +25,7 @@
 	idleRenewInterval = 200 * time.Millisecond
 	// longPollTimeout is how long the worker holds a long poll if no run ends.
 	longPollTimeout = 500 * time.Millisecond
-	// longPollBackoff is the pause after a long poll that returned no listing.
+	// longPollBackoff is the pause after a long poll that returned no listing, unless the agent itself has fenced it.
 	longPollBackoff = timing.RenewInterval
 )
 
@@ -135,7 +135,7 @@
 
 func (r *Runner) endLongPoll(now time.Time, e RenewAnswered) {
 	r.worker.longPolling = false
-	if _, isListing := e.Result.(worker.Listing); !isListing {
+	if r.needsBackoff(e) {
 		r.worker.longPollAfter = now.Add(longPollBackoff)
 	}
 	if endsWithProcess(e.Result) {
@@ -143,6 +143,19 @@
 	}
 }
 
+// needsBackoff reports whether the next long poll could end at once like this one. A long poll that was rejected for a lower fencing token
+// than the present one was fenced by a later call of this agent, and the next one is not.
+func (r *Runner) needsBackoff(e RenewAnswered) bool {
+	switch e.Result.(type) {
+	case worker.Listing:
+		return false
+	case worker.Fenced:
+		return e.Fence >= r.fence
+	default:
+		return true
+	}
+}
+
 // handleUnansweredRenewal handles a renewal without an answer. If the worker closed the connection, a listing is requested at once to find
 // out whether the worker still runs: if it does not, entries can run its tasks elsewhere sooner than after the next regular renewal.
 func (r *Runner) handleUnansweredRenewal(now time.Time, e RenewAnswered, result worker.NoResponse) {
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -133,6 +133,11 @@
 			Incarnation: incarnation, Sent: s.now, Took: s.took(t, d), Ended: s.now, LongPoll: d.HasArg("long_poll"),
 			Result: worker.NoResponse{IsClosed: d.HasArg("closed") || d.HasArg("reset"), IsReset: d.HasArg("reset")},
 		})
+	case "renew_fenced":
+		return s.handle(RenewAnswered{
+			Incarnation: incarnation, Sent: s.now, Took: s.took(t, d), Ended: s.now, Fence: uint64(intArg(t, d, "fence", 0)), LongPoll: d.HasArg("long_poll"),
+			Result: worker.Fenced{Reply: s.reply()},
+		})
 	case "renew_not_reached":
 		return s.handle(RenewAnswered{Incarnation: incarnation, Sent: s.now, Ended: s.now, Result: worker.Unreachable{}})
 	case "wait":
