runner, dispatch: the error of a run's age contains both of its delays

Cause: an age runs from the sending of the start to the moment at which the agent notices the crash. On a busy VM the run begins late, and the agent notices late. The error that goes with the age was the larger one of the two delays, not their sum. A start that was confirmed by a listing counted only until its call had timed out. Entries widened the tolerance by the larger error of the two ages, although the error of the lower age says nothing about the distance.

Change: the error is the sum; two ages are alike if their ranges, from age minus error to age, are no further apart than the tolerance. With exact ages nothing changes; where only the lower age was uncertain fewer are alike than before.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -60,7 +60,7 @@
 	// allow five starts if each of them crashes a worker.
 	maxPossibleCrashes = 5
 	// ageTolerance and ageShare bound the difference between the ages of two runs that count as about the same: ageTolerance, plus
-	// ageShare (0 to 1) of the lower age, plus the measuring error of busy agents.
+	// ageShare (0 to 1) of the lower age. The measuring error of the agents comes on top.
 	ageTolerance = 5 * time.Millisecond
 	// busyAgeTolerance replaces ageTolerance for maxBusyCrashes, as a busy worker crashes later than an idle one.
 	busyAgeTolerance = 50 * time.Millisecond
--- /dev/null
+++ b/internal/dispatch/crashage_test.go
@@ -0,0 +1,33 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestTheErrorOfAnAgeCountsDownwardsOnly covers ages that agents may have overestimated by up to their errors.
+func TestTheErrorOfAnAgeCountsDownwardsOnly(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		name  string
+		a, b  Crash
+		alike bool
+	}{
+		{"exact ages within the tolerance", Crash{Age: 10 * ms}, Crash{Age: 16 * ms}, true},
+		{"exact ages beyond it", Crash{Age: 10 * ms}, Crash{Age: 17 * ms}, false},
+		{"the higher age may be too high", Crash{Age: 12 * ms}, Crash{Age: 32 * ms, AgeError: 21 * ms}, true},
+		{"not by enough", Crash{Age: 12 * ms}, Crash{Age: 32 * ms, AgeError: 13 * ms}, false},
+		{"only the lower age may be too high", Crash{Age: 12 * ms, AgeError: 16 * ms}, Crash{Age: 32 * ms}, false},
+		{"both may be too high", Crash{Age: 24 * ms, AgeError: 10 * ms}, Crash{Age: 40 * ms, AgeError: 12 * ms}, true},
+	} {
+		if alike := haveSimilarAges(test.a, test.b); alike != test.alike {
+			t.Errorf("%s: similar ages = %t, want %t", test.name, alike, test.alike)
+		}
+		if alike := haveSimilarAges(test.b, test.a); alike != test.alike {
+			t.Errorf("%s, in the other order: similar ages = %t, want %t", test.name, alike, test.alike)
+		}
+	}
+}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -19,7 +19,7 @@
 	WasRunning       bool
 	WasLikelyRunning bool
 	IsLatest         bool
-	// Age is the time from sending the start until the crash of the worker. It may be too long by AgeError.
+	// Age is the time from sending the start until the crash of the worker was noticed. It may be too long by AgeError.
 	Age, AgeError time.Duration
 	// others is the level of crashes with causes other than tasks at that time (crashhistory.go).
 	others otherCauses
@@ -160,9 +160,12 @@
 // haveSimilarAges reports whether two runs had about the same age at the crashes of their workers.
 func haveSimilarAges(a, b Crash) bool { return haveSimilarAgesWithin(ageTolerance, a, b) }
 
-// haveSimilarAgesWithin reports whether the ages of two runs differ by no more than the tolerance, plus ageShare of the lower age, plus
-// the measuring error of the agents.
+// haveSimilarAgesWithin reports whether the ages of two runs differ by no more than the tolerance, plus ageShare of the lower age. Each
+// age lies between minAge and Age, so it suffices that the lowest age of one run is not too far above the highest of the other.
 func haveSimilarAgesWithin(tolerance time.Duration, a, b Crash) bool {
-	tolerance += time.Duration(ageShare*float64(min(a.Age, b.Age))) + max(a.AgeError, b.AgeError)
-	return (a.Age - b.Age).Abs() <= tolerance
+	tolerance += time.Duration(ageShare * float64(min(a.Age, b.Age)))
+	return a.minAge() <= b.Age+tolerance && b.minAge() <= a.Age+tolerance
 }
+
+// minAge returns the shortest time for which the run may have existed at the crash.
+func (c Crash) minAge() time.Duration { return max(c.Age-c.AgeError, 0) }
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -57,8 +57,8 @@
 	WasLikelyRunning bool
 	// IsLatest is set if the run was certainly or likely running and no start was sent after its own.
 	IsLatest bool
-	// Age is the time from sending the start until the worker crashed. The run itself was younger, by at most AgeError
-	// as far as the agent can tell.
+	// Age is the time from sending the start until the agent noticed the crash. The run itself was younger, by at most AgeError as far
+	// as the agent can tell: it began before the start was confirmed, and the agent may have noticed the crash late.
 	Age, AgeError time.Duration
 	// Kind is the kind of the task's job, or empty if it is unknown.
 	Kind string
@@ -96,7 +96,7 @@
 // the task.
 func (i *incarnation) crashedRun(t *task, evidence crashEvidence, maxDelay time.Duration, isLatest bool) CrashedRun {
 	run := CrashedRun{
-		RunID: t.id(), Kind: t.Kind, Age: evidence.ageOf(t), AgeError: max(maxDelay, t.startTook),
+		RunID: t.id(), Kind: t.Kind, Age: evidence.ageOf(t), AgeError: t.startTook + maxDelay,
 		WasRunning: evidence.wasRunning(t), WasLikelyRunning: evidence.wasLikelyRunning(t), IsIsolated: i.wasIsolated(t, evidence.estimatedAt),
 	}
 	run.IsLatest = isLatest && (run.WasRunning || run.WasLikelyRunning)
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -133,6 +133,7 @@
 // resolveStart resolves a start without an answer by a listing that was requested with a higher fencing token.
 func (r *Runner) resolveStart(now time.Time, t *task, listing worker.Listing, isListed bool) {
 	if isListed {
+		t.startTook = now.Sub(t.sent)
 		r.markStarted(now, t, listing.Clock)
 		return
 	}
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -53,7 +53,7 @@
 	// startNumber is the number of this start among all starts that were sent to the worker.
 	startNumber uint64
 	// sent is when the start call was made, or startEmittedAt until its answer arrives. The run started after sent. startTook is the
-	// duration of the call.
+	// time from sent until the answer, or until a listing showed the run.
 	sent      time.Time
 	startTook time.Duration
 	// hasStarted is set once it is certain that the current run has started.
