dispatch: the run that ends a failed job is not awaited

What callers saw: a job whose task had failed for the last time was answered as failed. Submitted again under its ID at the same entry, it did not start this task, and ended when its caller's time was over.

Cause: the task counted as sent when its job was dropped. The entry stopped the run, which had ended, and waited for a report of its end. No agent reports on a run that it does not know.

Change: the task is pending again before the job ends, as after each other failed run. The script failures_resubmitted failed before ("stop j1.0.0.0 at a", and no start after the second submission); the script failures contained the needless stop.

go test ./internal/dispatch passes.

--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -98,11 +98,10 @@
 func (d *Dispatcher) failTask(now time.Time, j *job, t *task) {
 	t.failures++
 	t.avoidAgent()
+	d.rerunAfter(now, j, t, 0)
 	if t.failures >= d.maxAttempts(j, t.agent) {
 		d.endJob(now, j, Failed{Reason: fmt.Sprintf("%d runs of task %s failed", t.failures, t.name)})
-		return
 	}
-	d.rerunAfter(now, j, t, 0)
 }
 
 // rerunAfter makes a task pending again after a delay.
