dispatch: a failed job is answered when its runs have ended

Cause: the entry answered while its stops of the job's other tasks were under way, up to 50 ms at the worker. It waits for their ends itself before it starts such a task again, but no other entry knows of them.

Change: the answer to a failed job is held until the ends of its runs are known, at most 150 ms: three times the longest stop. Requests for the job join it meanwhile. Completed, refused and interrupted jobs are answered as before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -27,7 +27,11 @@
 func (d *Dispatcher) submit(now time.Time, e Submitted) {
 	earlier, isKnown := d.jobs[e.Job.ID]
 	handedOver, isHandedOver := d.handedOver[e.Job.ID]
+	held := d.findHeld(e.Job.ID)
 	switch {
+	case held != nil:
+		held.waiters = append(held.waiters, e.Waiter)
+		d.emit(held.decisionMade(now, DecisionJoined{}))
 	case isHandedOver && e.Job.IsHandedOver:
 		answer := NotRun{Reason: reasonHandedOver, RetryAfter: d.jitteredRetryAfter(), IsLocal: true}
 		d.emit(Reply{Waiters: []Waiter{e.Waiter}, Answer: answer})
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -15,6 +15,7 @@
 		j = d.jobs[e.Job]
 	}
 	if j == nil {
+		d.heldCallerLeft(e)
 		return
 	}
 	j.waiters = slices.DeleteFunc(j.waiters, func(w Waiter) bool { return w == e.Waiter })
@@ -47,11 +48,14 @@
 }
 
 // stateOf returns the state of a job. Durable jobs are unknown here, as package durable tracks their state. A job that
-// was handed over counts as started, because the other entry may have started it.
+// was handed over counts as started, because the other entry may have started it, and so does one whose answer is held.
 func (d *Dispatcher) stateOf(id string) JobState {
 	if _, ok := d.handedOver[id]; ok {
 		return JobStarted
 	}
+	if d.findHeld(id) != nil {
+		return JobStarted
+	}
 	j, ok := d.jobs[id]
 	switch {
 	case !ok || j.isDurable:
@@ -63,13 +67,22 @@
 	}
 }
 
-// finish answers the waiters of a job and drops it.
+// finish drops a job and answers its waiters, at once unless the answer must be held.
 func (d *Dispatcher) finish(now time.Time, j *job, answer Answer) {
+	if mustHold(now, j, answer) {
+		d.hold(now, j, answer)
+		return
+	}
+	d.sendAnswer(now, j, answer)
+	d.drop(now, j)
+}
+
+// sendAnswer answers the waiters of a job.
+func (d *Dispatcher) sendAnswer(now time.Time, j *job, answer Answer) {
 	d.emit(Reply{Waiters: j.waiters, Answer: answer})
 	_, isNotRun := answer.(NotRun)
 	answered := DecisionAnswered{Answer: answer, Late: j.lateAnswer(now, answer), IsLateRefusal: isNotRun && now.After(j.refusalLateAt())}
 	d.emit(j.decisionMade(now, answered))
-	d.drop(now, j)
 }
 
 // drop removes a job and stops its runs. Runs that may not have ended stay in d.endingRuns.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,6 +64,8 @@
 	// endingRuns holds, by the task's name, the runs of dropped jobs that may not have ended. A job submitted again
 	// under the same ID waits for them.
 	endingRuns map[string]endingRun
+	// heldAnswers holds the answers to dropped jobs that are not sent yet; see heldanswer.go.
+	heldAnswers []heldAnswer
 	// suspects holds the tasks under which workers have crashed.
 	suspects suspects
 	// crashHistory is used to detect that workers currently crash for other causes than tasks.
@@ -130,6 +132,7 @@
 	for _, event := range events {
 		d.handleEvent(now, event)
 	}
+	d.sendHeldAnswers(now)
 	if d.isPlaceDue {
 		d.place(now)
 		d.isPlaceDue = false
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"maps"
@@ -29,8 +30,10 @@
 	run     uint32
 	started bool
 	stopped bool
-	due     time.Time
-	needs   worker.Resources
+	// stoppedAt is when the run was first stopped, zero if it was not.
+	stoppedAt time.Time
+	due       time.Time
+	needs     worker.Resources
 }
 
 // fakeAgent simulates an agent and its worker.
@@ -146,6 +149,7 @@
 		case StopTask:
 			if task, ok := s.agent(e.Agent).tasks[e.Name]; ok {
 				task.stopped = true
+				task.stoppedAt = cmp.Or(task.stoppedAt, s.now)
 			}
 		case Reserve:
 			s.reserve(e)
@@ -381,6 +385,9 @@
 		}
 		delete(s.waiting, waiter)
 		s.answers[waiter] = e.Answer
+		if _, isFailed := e.Answer.(Failed); isFailed {
+			s.checkNoRuns(job)
+		}
 		if answer, refused := e.Answer.(NotRun); refused {
 			if s.began[job] {
 				s.t.Fatalf("job %s was answered with NotRun although a task of it was started", job)
@@ -392,6 +399,18 @@
 	}
 }
 
+// checkNoRuns fails if a run of a failed job may not have ended, unless it was stopped maxHoldTime ago or earlier.
+func (s *schedule) checkNoRuns(job string) {
+	for _, a := range s.agents {
+		for name, task := range a.tasks {
+			isHeldLongEnough := task.stopped && s.now.Sub(task.stoppedAt) >= maxHoldTime
+			if jobOf(name) == job && !isHeldLongEnough {
+				s.t.Fatalf("job %s was answered as failed while %s runs at %s", job, name, a.id)
+			}
+		}
+	}
+}
+
 func (s *schedule) submit() {
 	s.lastWaiter++
 	id := fmt.Sprintf("%016x", s.lastWaiter)
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -80,6 +80,8 @@
 	restartAfter time.Duration
 	// crashAfter is the time from the start of a task of crashPayload to the crash of its worker.
 	crashAfter time.Duration
+	// stopTime is the time from a stop call to the end of the run.
+	stopTime time.Duration
 	// reportsStartTimes is set if the workers report the start times of their processes.
 	reportsStartTimes bool
 	// runTimes overrides the run time in the payload, by task.
--- a/internal/overload/worker_test.go
+++ b/internal/overload/worker_test.go
@@ -177,7 +177,11 @@
 	if failure := w.reject(incarnation); failure != nil {
 		return failure
 	}
-	w.end(incarnation, request.Name, request.Run, worker.EndingStopped)
+	if w.site.stopTime == 0 {
+		w.end(incarnation, request.Name, request.Run, worker.EndingStopped)
+	} else {
+		w.site.after(w.site.stopTime, func() { w.end(incarnation, request.Name, request.Run, worker.EndingStopped) })
+	}
 	return worker.Accepted{Reply: w.reply()}
 }
 
