dispatch, entry: a job is given up when the other entries know why

Cause: an entry gave the job up and answered as soon as it knew of the second crash. Other entries hear of a crash by themselves, some milliseconds later, or by an exchange within seconds. One that does not know of it yet accepts the job and starts the task.

Crashes are numbered, one round is under way at a time, and there is none if all crashes have been told.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -69,7 +69,7 @@
 
 // finish drops a job and answers its waiters, at once unless the answer must be held.
 func (d *Dispatcher) finish(now time.Time, j *job, answer Answer) {
-	if mustHold(now, j, answer) {
+	if d.mustHold(now, j, answer) {
 		d.hold(now, j, answer)
 		return
 	}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -91,7 +91,7 @@
 		isNew := d.suspects.add(now, run.Task, counted)
 		if isNew && !isPropagated {
 			isPropagated = true
-			d.emit(PropagateCrash{Agent: agent, Crash: crash})
+			d.propagateCrash(PropagateCrash{Agent: agent, Crash: crash})
 		}
 		if !isNew {
 			continue
@@ -127,6 +127,9 @@
 	d.emit(j.decisionMade(now, DecisionGivenUp{Crashes: crashes}).withRun(t.name, t.run, t.agent))
 	if j.isDurable {
 		d.emit(DurableGivenUp{Job: j.ID})
+	} else {
+		j.crashNumber = d.crashShare.propagated
+		d.shareCrashes()
 	}
 	d.endJob(now, j, Failed{Reason: fmt.Sprintf("%d workers crashed under task %s", len(crashes), t.name)})
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -68,6 +68,8 @@
 	heldAnswers []heldAnswer
 	// suspects holds the tasks under which workers have crashed.
 	suspects suspects
+	// crashShare is the progress of telling other entries of crashes.
+	crashShare crashShare
 	// crashHistory is used to detect that workers currently crash for other causes than tasks.
 	crashHistory crashHistory
 	// containment holds the kinds whose jobs have crashed workers.
@@ -183,6 +185,8 @@
 		d.updateRun(now, e)
 	case WorkerCrashed:
 		d.workerCrashed(now, e.Agent, e.Crash)
+	case CrashesShared:
+		d.crashesShared(e)
 	case HandOverAccepted:
 		d.handOverAccepted(now, e)
 	case HandOverEnded:
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -85,6 +85,13 @@
 	Crash runner.Crash
 }
 
+// ShareCrashes tells all other entries at once of the crashes that were passed on so far. CrashesShared must follow, also if an entry does not
+// answer.
+type ShareCrashes struct {
+	// Number is that of the latest of these crashes.
+	Number uint64
+}
+
 // DurableGivenUp reports to package durable that a job has failed because workers crashed under one of its tasks.
 type DurableGivenUp struct{ Job string }
 
@@ -105,6 +112,7 @@
 func (DurableStarted) isEffect()   {}
 func (DurableGivenUp) isEffect()   {}
 func (PropagateCrash) isEffect()   {}
+func (ShareCrashes) isEffect()     {}
 func (DecisionMade) isEffect()     {}
 
 // JobState is the state of a job that is not durable.
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -122,6 +122,9 @@
 	Crash runner.Crash
 }
 
+// CrashesShared reports that all other entries that answer were told of the crashes of a ShareCrashes with the same number.
+type CrashesShared struct{ Number uint64 }
+
 // HandOverAccepted reports that another entry has accepted a job that was handed over.
 type HandOverAccepted struct {
 	Job string
@@ -171,6 +174,7 @@
 func (RunUpdated) isEvent()         {}
 func (OfferReceived) isEvent()      {}
 func (WorkerCrashed) isEvent()      {}
+func (CrashesShared) isEvent()      {}
 func (HandOverAccepted) isEvent()   {}
 func (HandOverEnded) isEvent()      {}
 func (LearnedReceived) isEvent()    {}
--- a/internal/dispatch/heldanswer.go
+++ b/internal/dispatch/heldanswer.go
@@ -12,10 +12,12 @@
 
 // This file decides when the answer to a failed job is sent.
 //
-// Inputs: the runs of the job that may not have ended, and the reports of their ends.
+// Inputs: the runs of the job that may not have ended, and the reports of their ends; whether the job was given up because of crashes that
+// other entries may not know of.
 //
-// Rule: the answer is held until the ends of all runs of the job are known, but no longer than maxHoldTime. The answers to other jobs
-// are sent at once: a completed or refused job has no runs, and the callers of an interrupted one wait for timing.CallerRetryDelay.
+// Rule: the answer is held until the ends of all runs of the job are known and the other entries have been told of the crashes
+// (sharecrashes.go), but no longer than maxHoldTime. The answers to other jobs are sent at once: a completed or refused job has no runs,
+// and the callers of an interrupted one wait for timing.CallerRetryDelay.
 //
 // Reason: a caller may submit a failed job again as soon as it has the answer, at any entry. This entry waits for the runs itself
 // (endingRuns), but another one does not know of them and would start a second run of a task.
@@ -38,16 +40,21 @@
 	d.heldAnswers = append(d.heldAnswers, heldAnswer{job: j, answer: answer, expires: now.Add(maxHoldTime)})
 }
 
-// mustHold reports whether an answer must wait for the ends of runs of its job.
-func mustHold(now time.Time, j *job, answer Answer) bool {
+// mustHold reports whether an answer must wait for the ends of runs of its job, or for other entries.
+func (d *Dispatcher) mustHold(now time.Time, j *job, answer Answer) bool {
 	_, isFailed := answer.(Failed)
-	return isFailed && slices.ContainsFunc(j.tasks, func(t *task) bool { return t.mayRun(now) })
+	mayHaveRuns := slices.ContainsFunc(j.tasks, func(t *task) bool { return t.mayRun(now) || d.isEnding(t) })
+	return isFailed && (mayHaveRuns || d.awaitsShare(j))
 }
 
+// awaitsShare reports whether other entries may not know of a crash because of which the job was given up.
+func (d *Dispatcher) awaitsShare(j *job) bool { return j.crashNumber > d.crashShare.told }
+
 // sendHeldAnswers sends the held answers that need not wait any longer.
 func (d *Dispatcher) sendHeldAnswers(now time.Time) {
 	d.heldAnswers = slices.DeleteFunc(d.heldAnswers, func(h heldAnswer) bool {
-		isDue := !now.Before(h.expires) || !slices.ContainsFunc(h.job.tasks, d.isEnding)
+		isAwaited := d.awaitsShare(h.job) || slices.ContainsFunc(h.job.tasks, d.isEnding)
+		isDue := !isAwaited || !now.Before(h.expires)
 		if isDue {
 			d.sendAnswer(now, h.job, h.answer)
 		}
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -70,6 +70,8 @@
 		return s.describeWorker(AgentID(d.CmdArgs[0].Key), d)
 	case "crash":
 		return s.handle(WorkerCrashed{Agent: agent, Crash: s.crash(d)})
+	case "shared":
+		return s.handle(CrashesShared{Number: uint64(number(d, "number", 0))})
 	case "load":
 		return s.load(AgentID(d.CmdArgs[0].Key), d)
 	case "kind_failures":
@@ -268,6 +270,8 @@
 			fmt.Fprintf(&out, "close %s\n", e.Agent)
 		case AnswerOffer:
 			fmt.Fprintf(&out, "answer offer %d of %s\n", e.Offer, e.Agent)
+		case ShareCrashes:
+			fmt.Fprintf(&out, "share crashes up to %d\n", e.Number)
 		case Reply:
 			fmt.Fprintf(&out, "reply to %v: %s\n", e.Waiters, describe(e.Answer))
 		case DecisionMade:
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -168,6 +168,8 @@
 		e.handOvers.Withdraw(effect.Number)
 	case dispatch.PropagateCrash:
 		e.directory.AddCrash(clock.Now(), cluster.Crash{Agent: string(effect.Agent), Crash: effect.Crash})
+	case dispatch.ShareCrashes:
+		e.crashShares <- effect
 	case dispatch.DecisionMade:
 		e.log(effect)
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -85,7 +86,7 @@
 	interval := firstExchangeDelay
 	for e.pause(interval/2 + rand.N(interval)) {
 		if address, ok := e.randomPeer(); ok {
-			interval = nextExchangeDelay(interval, e.exchangeWith(address))
+			interval = nextExchangeDelay(interval, e.exchangeWith(e.context, address))
 		}
 	}
 }
@@ -99,9 +100,9 @@
 }
 
 // exchangeWith exchanges the directory with the entry at an address and reports whether that succeeded.
-func (e *Entry) exchangeWith(address string) bool {
+func (e *Entry) exchangeWith(ctx context.Context, address string) bool {
 	before, _ := e.directory.Configuration()
-	err := e.exchanger.ExchangeWith(e.context, address)
+	err := e.exchanger.ExchangeWith(ctx, address)
 	e.dependencies.observe("entry "+address, err)
 	if after, _ := e.directory.Configuration(); after > before {
 		_ = level.Info(e.logger).Log("msg", "configuration", "version", after, "from", address)
@@ -111,11 +112,7 @@
 
 // randomPeer returns the address of a random other entry or seed; ok is false if none is known.
 func (e *Entry) randomPeer() (address string, ok bool) {
-	var addresses []string
-	for _, m := range e.directory.Members(cluster.RoleEntry) {
-		addresses = append(addresses, m.Address)
-	}
-	addresses = append(addresses, *e.seeds.Load()...)
+	addresses := append(e.peerAddresses(), *e.seeds.Load()...)
 	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == e.self.Address })
 	if len(addresses) == 0 {
 		return "", false
@@ -123,6 +120,17 @@
 	return addresses[rand.IntN(len(addresses))], true
 }
 
+// peerAddresses returns the addresses of the other known entries.
+func (e *Entry) peerAddresses() []string {
+	var addresses []string
+	for _, m := range e.directory.Members(cluster.RoleEntry) {
+		if m.Address != e.self.Address {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 // pause waits for a duration. It returns false if the entry stops meanwhile.
 func (e *Entry) pause(d time.Duration) bool {
 	select {
--- a/internal/overload/resubmit_test.go
+++ b/internal/overload/resubmit_test.go
@@ -99,3 +99,19 @@
 		r.checkFailed(t)
 	})
 }
+
+// TestTheNextEntryKnowsOfTheCrashes covers a job of one task that crashes its workers, and that its caller submits again at another entry as
+// soon as it has the answer. The other entry has sessions with the same agents, but hears of crashes a little later.
+//
+// The failure: the second entry had not heard of the latest crash, started the task again, and a third worker crashed.
+func TestTheNextEntryKnowsOfTheCrashes(t *testing.T) {
+	t.Parallel()
+	job := crashingJob("00000000000000ff")
+	job.Steps[0].Count = 1
+	r := simulateResubmission(job, func(s *site) {
+		s.stopTime = slowStop
+		s.entries[1].in.delay = lateReport
+	})
+	r.checkFailed(t)
+	r.site.checkCrashes(t, 2)
+}
--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -341,6 +341,22 @@
 	}
 }
 
+// shareCrashes sends the crash records of the entry to all others.
+func (e *entry) shareCrashes(share dispatch.ShareCrashes) {
+	crashes := slices.Clone(e.crashes)
+	e.site.after(sessionDelay, func() {
+		for _, other := range e.site.entries {
+			if other == e {
+				continue
+			}
+			for _, crash := range crashes {
+				other.handle(crash)
+			}
+		}
+		e.site.after(sessionDelay, func() { e.handle(dispatch.CrashesShared(share)) })
+	})
+}
+
 func (e *entry) connect(a *agent) {
 	s := e.site
 	s.lastSession++
@@ -396,6 +412,8 @@
 		e.site.recordDecision(f)
 	case dispatch.PropagateCrash:
 		e.crashes = append(e.crashes, dispatch.WorkerCrashed(f))
+	case dispatch.ShareCrashes:
+		e.shareCrashes(f)
 	case dispatch.Reply:
 		for _, waiter := range f.Waiters {
 			e.onAnswer[waiter](f.Answer)
