runner, dispatch: early crashes on a busy VM may differ by more

Cause: ages of runs were alike within 5 ms and a tenth, whatever the task and however busy the VM. For a task of a second both crashes are in the first twentieth of its run, where two chance crashes are rarely found.

Change: agents report the task's usual run time and whether the VM was busy: events, the start call, another call or the detection of the crash took 2 ms or more. Two crashes in the first twentieth of the run are alike, if the VM of the one with the older run was busy.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -23,6 +23,8 @@
 //     unless workers crash for other causes (crashhistory.go);
 //   - after the third, if its run had about the same age as at two earlier crashes.
 //
+// Ages that differ by more also count as about the same if both crashes came early in the run, the one at which the run was older on a busy VM.
+//
 // Counting certain and likely crashes, it is also given up after the fourth in any case. Counting all crashes, it is also given up
 //
 //   - after the third, if two of the three are certain, its runs had about the same age at all three, with an allowance for the delay
@@ -38,7 +40,9 @@
 // report of an end was lost, the crash can be a likely one although the run had ended. The next run, whose report is lost in the same
 // way, has the same age, so similar ages of likely crashes show no common cause. Isolation excludes other tasks as the cause, but
 // not causes such as a killed process. Those occur at any age of a run, while a task that crashes its workers does so at about the
-// same age each time, which a busy agent overestimates. Crashes are counted by task and not by job in progress, as the job may be dropped and submitted again, at this or another
+// same age each time, which a busy agent overestimates. On a busy worker the same task crashes later, by some tens of milliseconds.
+// For a short task that is much of its run time, and any other crash is as likely to come then. For a long one it is still early in
+// the run. Crashes are counted by task and not by job in progress, as the job may be dropped and submitted again, at this or another
 // entry, or get another owner. Every entry learns of every crash, from its own agents or from another entry.
 
 const (
@@ -65,6 +69,9 @@
 	// busyAgeTolerance replaces ageTolerance for maxBusyCrashes, as a busy worker crashes later than an idle one.
 	busyAgeTolerance = 50 * time.Millisecond
 	ageShare         = 0.1
+	// earlyShare is the share of a task's usual run time, 0 to 1, within which a crash is early. A random moment of the run is that
+	// early once in twenty times, so two early crashes under one task are rarely a coincidence.
+	earlyShare = 0.05
 	// suspicionTime is how long a crash counts. The state of an ended job is kept as long (status_s, 120 on every site), and
 	// callers submit a job again within seconds.
 	suspicionTime = 2 * time.Minute
@@ -86,7 +93,7 @@
 	for _, run := range crash.Runs {
 		counted := Crash{
 			Agent: agent, Incarnation: crash.Incarnation, Run: run.Run, WasRunning: run.WasRunning, WasLikelyRunning: run.WasLikelyRunning,
-			IsLatest: run.IsLatest, Age: run.Age, AgeError: run.AgeError, others: others,
+			IsLatest: run.IsLatest, Age: run.Age, AgeError: run.AgeError, Expected: run.Expected, WasBusy: run.WasBusy, others: others,
 		}
 		isNew := d.suspects.add(now, run.Task, counted)
 		if isNew && !isPropagated {
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -21,6 +21,10 @@
 	IsLatest         bool
 	// Age is the time from sending the start until the crash of the worker was noticed. It may be too long by AgeError.
 	Age, AgeError time.Duration
+	// Expected is the usual run time of the task, or zero if it is unknown.
+	Expected time.Duration
+	// WasBusy is set if the VM of the worker was busy.
+	WasBusy bool
 	// others is the level of crashes with causes other than tasks at that time (crashhistory.go).
 	others otherCauses
 }
@@ -157,8 +161,24 @@
 	return false
 }
 
-// haveSimilarAges reports whether two runs had about the same age at the crashes of their workers.
-func haveSimilarAges(a, b Crash) bool { return haveSimilarAgesWithin(ageTolerance, a, b) }
+// haveSimilarAges reports whether two runs had about the same age at the crashes of their workers. Early in a run, a busy VM accounts for
+// a larger difference.
+func haveSimilarAges(a, b Crash) bool {
+	return haveSimilarAgesWithin(ageTolerance, a, b) || a.isEarly() && b.isEarly() && older(a, b).WasBusy
+}
+
+// isEarly reports whether the worker crashed early in the run.
+func (c Crash) isEarly() bool {
+	return c.minAge() <= time.Duration(earlyShare*float64(c.Expected))
+}
+
+// older returns the crash at which the run was older.
+func older(a, b Crash) Crash {
+	if a.Age > b.Age {
+		return a
+	}
+	return b
+}
 
 // haveSimilarAgesWithin reports whether the ages of two runs differ by no more than the tolerance, plus ageShare of the lower age. Each
 // age lies between minAge and Age, so it suffices that the lowest age of one run is not too far above the highest of the other.
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -31,6 +31,8 @@
 	// maxCrashReports bounds the crashes kept for new sessions. A worker is unavailable for some seconds after each
 	// crash, so few occur within crashReportTime.
 	maxCrashReports = 8
+	// minBusyDelay is the shortest delay that shows that the VM is busy. A call to a worker on the same VM takes less than a millisecond.
+	minBusyDelay = 2 * time.Millisecond
 )
 
 // RunID identifies a run by the name of its task and its number.
@@ -60,6 +62,10 @@
 	// Age is the time from sending the start until the agent noticed the crash. The run itself was younger, by at most AgeError as far
 	// as the agent can tell: it began before the start was confirmed, and the agent may have noticed the crash late.
 	Age, AgeError time.Duration
+	// Expected is the usual run time of the task, or zero if it is unknown.
+	Expected time.Duration
+	// WasBusy is set if the VM was so busy at the time of the crash that the worker, too, may have been late.
+	WasBusy bool
 	// Kind is the kind of the task's job, or empty if it is unknown.
 	Kind string
 	// IsIsolated is set if the kind of the job is contained and no other job was started since the job's first start.
@@ -97,12 +103,21 @@
 func (i *incarnation) crashedRun(t *task, evidence crashEvidence, maxDelay time.Duration, isLatest bool) CrashedRun {
 	run := CrashedRun{
 		RunID: t.id(), Kind: t.Kind, Age: evidence.ageOf(t), AgeError: t.startTook + maxDelay,
+		Expected: t.usualRunTime(), WasBusy: i.wasBusy(t, evidence, maxDelay),
 		WasRunning: evidence.wasRunning(t), WasLikelyRunning: evidence.wasLikelyRunning(t), IsIsolated: i.wasIsolated(t, evidence.estimatedAt),
 	}
 	run.IsLatest = isLatest && (run.WasRunning || run.WasLikelyRunning)
 	return run
 }
 
+// wasBusy reports whether one of the delays that the agent knows shows that the VM was busy at the time of the crash: that of its events,
+// the start call of the run, the latest other call, or the time from the closing of a connection until the crash was detected, which takes
+// one call.
+func (i *incarnation) wasBusy(t *task, evidence crashEvidence, maxDelay time.Duration) bool {
+	detection := evidence.detectedAt.Sub(evidence.estimatedAt)
+	return max(maxDelay, t.startTook, i.roundTrip, detection) >= minBusyDelay
+}
+
 // latestStart returns the active task that was started last, or nil if there is none.
 func latestStart(active []*task) *task {
 	var latest *task
--- a/internal/runner/crashage_test.go
+++ b/internal/runner/crashage_test.go
@@ -71,3 +71,43 @@
 	t.Fatalf("no report of a crash with one run in %v", effects)
 	return CrashedRun{}
 }
+
+// TestACrashOnABusyVMIsReportedAsSuch covers each delay by which an agent can tell that its VM is busy.
+func TestACrashOnABusyVMIsReportedAsSuch(t *testing.T) {
+	incarnation := worker.Incarnation{ID: "w"}
+	const idle, busy = minBusyDelay / 10, minBusyDelay
+	for _, test := range []struct {
+		name                             string
+		tickDelay, startTakes, callTakes time.Duration
+		sinceClosed                      time.Duration
+		wasBusy                          bool
+	}{
+		{"idle", idle, idle, idle, idle, false},
+		{"late ticks", busy, idle, idle, idle, true},
+		{"a slow start call", idle, busy, idle, idle, true},
+		{"a slow call after the crash", idle, idle, busy, idle, true},
+		{"a late detection", idle, idle, idle, busy, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, now := newRunnerWithKnownRuns()
+			r.Handle(now, SessionOpened{Session: 1, Entry: "e"})
+			r.Handle(now, Ticked{})
+			now = now.Add(TickInterval + test.tickDelay)
+			r.Handle(now, Ticked{})
+			r.Handle(now, StartRequested{Session: 1, Number: 1, Task: Task{Name: "t", Run: 1, Needs: worker.Resources{CPU: 1000}, Expected: time.Second}})
+			sent := now
+			now = now.Add(test.startTakes)
+			reply := worker.Reply{Clock: time.Hour, Received: now}
+			r.Handle(now, StartAnswered{Incarnation: incarnation, Name: "t", Run: 1, Sent: sent, Ended: now, Result: worker.Accepted{Reply: reply}})
+			now = now.Add(10 * time.Millisecond)
+			r.Handle(now, RenewAnswered{
+				Incarnation: incarnation, Sent: sent, Took: now.Sub(sent), Ended: now, LongPoll: true, Result: worker.NoResponse{IsClosed: true},
+			})
+			now = now.Add(test.sinceClosed)
+			refused := RenewAnswered{Incarnation: incarnation, Sent: now, Took: test.callTakes, Ended: now, Result: worker.Unreachable{}}
+			if run := crashedRunIn(t, r.Handle(now, refused)); run.WasBusy != test.wasBusy {
+				t.Errorf("the VM was busy: %t, want %t", run.WasBusy, test.wasBusy)
+			}
+		})
+	}
+}
--- a/internal/runner/evidence.go
+++ b/internal/runner/evidence.go
@@ -173,8 +173,8 @@
 
 // crashEvidence describes the crash of an incarnation.
 type crashEvidence struct {
-	// estimatedAt is when the worker most likely crashed, and latestAt the latest possible time.
-	estimatedAt, latestAt time.Time
+	// estimatedAt is when the worker most likely crashed, latestAt the latest possible time, and detectedAt when the crash was detected.
+	estimatedAt, latestAt, detectedAt time.Time
 	// pollAt is when a long poll that was waiting at the worker ended with the process, or zero if there was none. It has
 	// reported no end, but its answer may be lost.
 	pollAt time.Time
@@ -188,7 +188,7 @@
 
 // evidence returns the evidence about a crash of the incarnation that is detected now, with the given kind of end.
 func (i *incarnation) evidence(now time.Time, end incarnationEnd) crashEvidence {
-	evidence := crashEvidence{estimatedAt: now, latestAt: now, mayReuseID: i.hasStartTime() && end.mayReuseID(), lastSeenAlive: i.lastAnswered}
+	evidence := crashEvidence{estimatedAt: now, latestAt: now, detectedAt: now, mayReuseID: i.hasStartTime() && end.mayReuseID(), lastSeenAlive: i.lastAnswered}
 	if end == endNotListening {
 		evidence.refusedAt = i.refusedAt
 	}
--- a/internal/runner/unanswered.go
+++ b/internal/runner/unanswered.go
@@ -31,8 +31,6 @@
 	isLatest bool
 	// maxDelay is the longest delay with which the agent may have handled events at that time.
 	maxDelay time.Duration
-	// detectedAt is when the crash was detected.
-	detectedAt time.Time
 }
 
 // unansweredStartTime is how long an answer to such a start is awaited. It is longer than the time-out of the call.
@@ -46,14 +44,14 @@
 			continue
 		}
 		r.unansweredStarts = append(r.unansweredStarts, unansweredStart{
-			worker: ended, evidence: evidence, task: *t, isLatest: t == latest, maxDelay: r.maxDelay(now), detectedAt: now,
+			worker: ended, evidence: evidence, task: *t, isLatest: t == latest, maxDelay: r.maxDelay(now),
 		})
 	}
 }
 
 // expireUnansweredStarts drops the starts whose answer is no longer awaited.
 func (r *Runner) expireUnansweredStarts(now time.Time) {
-	r.unansweredStarts = slices.DeleteFunc(r.unansweredStarts, func(s unansweredStart) bool { return now.Sub(s.detectedAt) > unansweredStartTime })
+	r.unansweredStarts = slices.DeleteFunc(r.unansweredStarts, func(s unansweredStart) bool { return now.Sub(s.evidence.detectedAt) > unansweredStartTime })
 }
 
 // handleLateStartAnswer applies the answer to a start of an ended incarnation, if its worker has crashed.
@@ -97,7 +95,8 @@
 	incarnation := start.worker.record.Incarnation()
 	at := slices.IndexFunc(r.crashes, func(report crashReport) bool { return report.crash.Incarnation == incarnation })
 	if at < 0 {
-		r.reportCrash(start.detectedAt, Crash{Incarnation: incarnation, Age: now.Sub(start.detectedAt), Runs: []CrashedRun{run}})
+		detectedAt := start.evidence.detectedAt
+		r.reportCrash(detectedAt, Crash{Incarnation: incarnation, Age: now.Sub(detectedAt), Runs: []CrashedRun{run}})
 		return
 	}
 	report := &r.crashes[at]
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,7 +35,7 @@
 	for _, run := range runs {
 		messages = append(messages, &wirepb.CrashedRun{
 			Task: run.Task, Run: run.Run, Kind: run.Kind, Running: run.WasRunning, Likely: run.WasLikelyRunning, Latest: run.IsLatest, Isolated: run.IsIsolated,
-			AgeMs: Millis(run.Age), AgeErrorMs: Millis(run.AgeError),
+			AgeMs: Millis(run.Age), AgeErrorMs: Millis(run.AgeError), ExpectedMs: Millis(run.Expected), Busy: run.WasBusy,
 		})
 	}
 	return messages
@@ -48,7 +48,7 @@
 		runs = append(runs, runner.CrashedRun{
 			RunID: runner.RunID{Task: m.GetTask(), Run: m.GetRun()}, Kind: m.GetKind(),
 			WasRunning: m.GetRunning(), WasLikelyRunning: m.GetLikely(), IsLatest: m.GetLatest(), IsIsolated: m.GetIsolated(),
-			Age: Duration(m.GetAgeMs()), AgeError: Duration(m.GetAgeErrorMs()),
+			Age: Duration(m.GetAgeMs()), AgeError: Duration(m.GetAgeErrorMs()), Expected: Duration(m.GetExpectedMs()), WasBusy: m.GetBusy(),
 		})
 	}
 	return runs
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -28,7 +28,7 @@
 	for _, runs := range [][]runner.CrashedRun{nil, {
 		{RunID: runner.RunID{Task: "j.0.0.0", Run: 3}, Kind: "k", WasRunning: true},
 		{RunID: runner.RunID{Task: "j.0.0.0", Run: 4}, WasLikelyRunning: true},
-		{RunID: runner.RunID{Task: "j.0.0.1", Run: 1}, IsLatest: true, IsIsolated: true, Age: 12 * time.Millisecond, AgeError: 3 * time.Millisecond},
+		{RunID: runner.RunID{Task: "j.0.0.1", Run: 1}, IsLatest: true, IsIsolated: true, Age: 12 * time.Millisecond, AgeError: 3 * time.Millisecond, Expected: time.Second, WasBusy: true},
 	}} {
 		if got := UnpackRuns(PackRuns(runs)); !reflect.DeepEqual(got, runs) {
 			t.Errorf("got %+v, want %+v", got, runs)
