runner: a delay of 1 ms shows that the VM is busy

Cause: on a VM at load 20 a run crashed 21 and 27 ms after its start, and the agent knew of delays of 1.18 and 1.08 ms: a call to a worker on the same VM takes 0.2 to 0.4 ms otherwise. With 2 ms these VMs did not count as busy, and a third worker crashed.

go test ./internal/runner, TestJobsOutliveWorkersThatAreKilled and TestATaskThatCrashesBusyWorkersIsGivenUp pass.

--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -31,8 +31,9 @@
 	// maxCrashReports bounds the crashes kept for new sessions. A worker is unavailable for some seconds after each
 	// crash, so few occur within crashReportTime.
 	maxCrashReports = 8
-	// minBusyDelay is the shortest delay that shows that the VM is busy. A call to a worker on the same VM takes less than a millisecond.
-	minBusyDelay = 2 * time.Millisecond
+	// minBusyDelay is the shortest delay that shows that the VM is busy. A call to a worker on the same VM takes a fraction of a
+	// millisecond.
+	minBusyDelay = time.Millisecond
 )
 
 // RunID identifies a run by the name of its task and its number.
