--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -23,7 +23,8 @@
 //     unless workers crash for other causes (crashhistory.go);
 //   - after the third, if its run had about the same age as at two earlier crashes.
 //
-// Ages that differ by more also count as about the same if both crashes came early in the run, the one at which the run was older on a busy VM.
+// Ages that differ by more also count as about the same if both crashes came early in the run, and the VM was busy at the one at which
+// the run was older.
 //
 // Counting certain and likely crashes, it is also given up after the fourth in any case. Counting all crashes, it is also given up
 //
--- a/internal/dispatch/crashhistory.go
+++ b/internal/dispatch/crashhistory.go
@@ -72,7 +72,7 @@
 	h.removeBefore(now.Add(-historyTime))
 	recorded := h.find(agent, crash.Incarnation)
 	if recorded == nil {
-		recorded = h.append(pastCrash{agent: agent, incarnation: crash.Incarnation, at: now.Add(-crash.Age)})
+		recorded = h.addNew(pastCrash{agent: agent, incarnation: crash.Incarnation, at: now.Add(-crash.Age)})
 	}
 	for _, run := range crash.Runs {
 		if !slices.Contains(recorded.tasks, run.Task) {
@@ -86,8 +86,8 @@
 	}
 }
 
-// append appends a crash, and removes the oldest one if there are maxHistory already.
-func (h *crashHistory) append(crash pastCrash) *pastCrash {
+// addNew appends a crash, and removes the oldest one if there are maxHistory already.
+func (h *crashHistory) addNew(crash pastCrash) *pastCrash {
 	if len(h.crashes) >= maxHistory {
 		h.crashes = h.crashes[1:]
 	}
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -47,7 +47,7 @@
 	Incarnation worker.Incarnation
 	// Age is the time since the crash was detected.
 	Age time.Duration
-	// Runs are the runs that may have been on the worker, sorted by task name.
+	// Runs are the runs that may have been on the worker, sorted by task name. A later report of the same crash may have more.
 	Runs []CrashedRun
 }
 
