entry: the test of shared crashes does not depend on the time that calls take

The test is about which entries are told, so it gives them a minute; the time is a parameter of shareWithin.

--- a/internal/entry/sharecrashes.go
+++ b/internal/entry/sharecrashes.go
@@ -27,16 +27,22 @@
 		case <-e.context.Done():
 			return
 		case share := <-e.crashShares:
-			e.exchangeWithAll()
-			e.post(dispatch.CrashesShared(share))
+			e.shareWithin(crashShareTimeout, share)
 		}
 	}
 }
 
-// exchangeWithAll exchanges the directory with all other entries. It returns once each of them has answered, or after crashShareTimeout.
-func (e *Entry) exchangeWithAll() {
-	ctx, cancel := context.WithTimeout(e.context, crashShareTimeout)
+// shareWithin tells all other entries of the crashes in the directory, and reports it to the dispatcher once each of them has answered or
+// the time is over.
+func (e *Entry) shareWithin(timeout time.Duration, share dispatch.ShareCrashes) {
+	ctx, cancel := context.WithTimeout(e.context, timeout)
 	defer cancel()
+	e.exchangeWithAll(ctx)
+	e.post(dispatch.CrashesShared(share))
+}
+
+// exchangeWithAll exchanges the directory with all other entries. It returns once each of them has answered, or the context has ended.
+func (e *Entry) exchangeWithAll(ctx context.Context) {
 	addresses := e.peerAddresses()
 	next := make(chan string, len(addresses))
 	for _, address := range addresses {
