--- a/internal/entry/sharecrashes_test.go
+++ b/internal/entry/sharecrashes_test.go
@@ -89,3 +89,15 @@
 		t.Errorf("%d other entries know of the crash, want the one that answers", len(received))
 	}
 }
+
+// Calls must not go on once the time of a share is over.
+func TestSharingCrashesEndsWithItsTime(t *testing.T) {
+	e, received := newSharingEntry(t, 1, func(_ int, handler http.Handler) http.Handler { return handler })
+	e.shareWithin(0, dispatch.ShareCrashes{Number: 1})
+	if event := <-e.events; event != (dispatch.CrashesShared{Number: 1}) {
+		t.Errorf("got event %+v", event)
+	}
+	if len(received) > 0 {
+		t.Error("the other entry was called after the time was over")
+	}
+}
