--- /dev/null
+++ b/internal/runner/leasebound_test.go
@@ -0,0 +1,226 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"sailhead/internal/timing"
+	"sailhead/internal/worker"
+)
+
+const (
+	// latency is the time that a call to the worker or its answer takes in these tests.
+	latency = time.Millisecond
+	// tickInterval is the time between two ticks.
+	tickInterval = 20 * time.Millisecond
+	// neverEnds is a run time beyond the end of each test.
+	neverEnds = time.Hour
+	// observed is how long a test looks at the worker.
+	observed = 5 * time.Second
+)
+
+// selectiveWorker simulates an agent whose worker carries out and answers renewals and starts, but receives no stop.
+type selectiveWorker struct {
+	t      *testing.T
+	now    time.Time
+	runner *Runner
+	worker *fakeWorker
+	queue  []action
+	// process counts the processes of the agent. Answers to an earlier one are dropped.
+	process int
+	// silent are the sessions whose entries do not echo pings any more.
+	silent map[SessionID]bool
+	// clockRate is the speed of the worker's clock.
+	clockRate float64
+	outcomes  map[string]Outcome
+}
+
+func newSelectiveWorker(t *testing.T, clockRate float64) *selectiveWorker {
+	s := &selectiveWorker{t: t, now: time.Unix(1_000_000, 0), silent: make(map[SessionID]bool), clockRate: clockRate, outcomes: make(map[string]Outcome)}
+	s.worker = newFakeWorker("worker", s.now, worker.Resources{CPU: 4 * taskCPU}, needs)
+	s.worker.clockRate = clockRate
+	s.startProcess()
+	s.tick()
+	return s
+}
+
+// startProcess starts the next process of the agent.
+func (s *selectiveWorker) startProcess() {
+	s.process++
+	s.runner = New(DefaultLimits(time.Second, 50*time.Millisecond), uint64(s.process)<<20)
+	s.sendHeartbeat()
+}
+
+func (s *selectiveWorker) sendHeartbeat() {
+	s.handle(HeartbeatReceived{Record: worker.Record{
+		ID: s.worker.id, Service: "service", Zone: testZone, Capacity: s.worker.capacity, Sequence: uint64(s.process), Clock: s.worker.clock(s.now),
+	}})
+}
+
+func (s *selectiveWorker) after(d time.Duration, do func()) {
+	s.queue = append(s.queue, action{at: s.now.Add(d), do: do})
+}
+
+// pass carries out what is due within the given time.
+func (s *selectiveWorker) pass(length time.Duration) {
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(latency) {
+		due := s.queue
+		s.queue = nil
+		for _, a := range due {
+			if a.at.After(s.now) {
+				s.queue = append(s.queue, a)
+				continue
+			}
+			a.do()
+		}
+		s.worker.advance(s.now)
+	}
+}
+
+func (s *selectiveWorker) tick() {
+	s.handle(Ticked{})
+	s.after(tickInterval, s.tick)
+}
+
+func (s *selectiveWorker) handle(event Event) {
+	for _, effect := range s.runner.Handle(s.now, event) {
+		s.carryOut(effect)
+	}
+}
+
+func (s *selectiveWorker) carryOut(effect Effect) {
+	sent := s.now
+	switch e := effect.(type) {
+	case CallStart:
+		s.call(func() Event {
+			return StartAnswered{
+				Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Sent: sent, Ended: s.now,
+				Result: s.worker.start(s.now, e.Incarnation, e.Start, neverEnds, false),
+			}
+		})
+	case CallStop:
+		s.after(callTimeout, s.answer(StopAnswered{
+			Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: worker.NoResponse{Reason: "timeout"},
+		}))
+	case CallRenew:
+		s.call(func() Event {
+			return RenewAnswered{
+				Incarnation: e.Incarnation, Sent: sent, Ended: s.now, Fence: e.Renew.Fence, LongPoll: e.Renew.Wait > 0,
+				Result: s.worker.list(s.now, e.Incarnation, e.Renew),
+			}
+		})
+	case SendPing:
+		if !s.silent[e.Session] {
+			s.after(latency, s.answer(PongReceived{Session: e.Session, Sent: e.Time}))
+		}
+	case SendUpdate:
+		s.outcomes[e.Update.Name] = e.Update.Outcome
+	}
+}
+
+// call carries out a call and passes its answer to the agent.
+func (s *selectiveWorker) call(do func() Event) {
+	process := s.process
+	s.after(latency, func() {
+		event := do()
+		if process == s.process {
+			s.after(latency, s.answer(event))
+		}
+	})
+}
+
+// answer returns a function that passes an event to the present process of the agent.
+func (s *selectiveWorker) answer(event Event) func() {
+	process := s.process
+	return func() {
+		if process == s.process {
+			s.handle(event)
+		}
+	}
+}
+
+// start starts a task on a session and waits until its run has begun.
+func (s *selectiveWorker) start(id SessionID, name string) {
+	s.t.Helper()
+	s.handle(StartRequested{Session: id, Number: 1, Task: Task{Name: name, Run: 1, Needs: worker.Resources{CPU: taskCPU}, MaxWait: time.Second}})
+	s.pass(10 * latency)
+	if !s.runs(name) {
+		s.t.Fatalf("no run of %s has begun", name)
+	}
+}
+
+func (s *selectiveWorker) runs(name string) bool {
+	_, ok := s.worker.runs[name]
+	return ok
+}
+
+// checkEnds checks that the run of a task ends within a bound, from now on.
+func (s *selectiveWorker) checkEnds(name string, bound time.Duration) {
+	s.t.Helper()
+	begin := s.now
+	for s.now.Sub(begin) < observed {
+		if !s.runs(name) {
+			if took := s.now.Sub(begin); took > bound {
+				s.t.Errorf("the run of %s ended after %s, want at most %s", name, took, bound)
+			}
+			return
+		}
+		s.pass(latency)
+	}
+	s.t.Errorf("the run of %s goes on after %s, want its end within %s", name, observed, bound)
+}
+
+// The times by which an agent must have ended a run. Others start the task again after them.
+const (
+	// endAfterLoss is how long a run may continue after its entry received the last message of the session.
+	endAfterLoss = timing.RerunDelay
+	// endAfterStop is how long a run may continue after its entry requested a stop. An entry that runs a job for another one may hear
+	// timing.SessionCloseTimeout and a ping interval late that the caller has left.
+	endAfterStop = timing.CallerRetryDelay - timing.SessionCloseTimeout - timing.PingInterval
+)
+
+// TestARunWhoseStopIsNotAcceptedEndsBeforeItsTaskRunsElsewhere covers a worker that answers renewals but no stop, while tasks of another
+// entry run there.
+//
+// The failure: the agent went on extending the worker's lease for the other tasks, so the run went on when its task was started elsewhere.
+func TestARunWhoseStopIsNotAcceptedEndsBeforeItsTaskRunsElsewhere(t *testing.T) {
+	t.Parallel()
+	const lost, other = SessionID(1), SessionID(2)
+	for name, c := range map[string]struct {
+		clockRate float64
+		act       func(s *selectiveWorker)
+		bound     time.Duration
+	}{
+		"the session is closed": {1, func(s *selectiveWorker) { s.handle(SessionClosed{Session: lost}) }, endAfterLoss},
+		"the session is closed, slow clock": {
+			slowClock, func(s *selectiveWorker) { s.handle(SessionClosed{Session: lost}) }, endAfterLoss,
+		},
+		"the entry is silent":             {1, func(s *selectiveWorker) { s.silent[lost] = true }, endAfterLoss},
+		"the entry is silent, slow clock": {slowClock, func(s *selectiveWorker) { s.silent[lost] = true }, endAfterLoss},
+		"the entry opens another session": {1, func(s *selectiveWorker) { s.handle(SessionOpened{Session: 3, Entry: "lost"}) }, endAfterLoss},
+		"the entry stops the task":        {1, func(s *selectiveWorker) { s.handle(StopRequested{Session: lost, Name: "a"}) }, endAfterStop},
+		"the entry stops the task, slow clock": {
+			slowClock, func(s *selectiveWorker) { s.handle(StopRequested{Session: lost, Name: "a"}) }, endAfterStop,
+		},
+		"the agent restarts": {1, func(s *selectiveWorker) { s.startProcess() }, endAfterLoss},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSelectiveWorker(t, c.clockRate)
+			s.pass(200 * time.Millisecond)
+			s.handle(SessionOpened{Session: lost, Entry: "lost"})
+			s.handle(SessionOpened{Session: other, Entry: "other"})
+			s.start(lost, "a")
+			s.start(other, "b")
+			s.pass(700 * time.Millisecond)
+			c.act(s)
+			s.checkEnds("a", c.bound)
+		})
+	}
+}
+
+// slowClock is the lowest speed of a worker's clock.
+const slowClock = 1 - 1/float64(timing.ClockDriftDivisor)
