runner, agent: log runs that go on after their stop

Cause: an agent logged each stop without an answer, but not that a run went on, nor that the worker's lease was extended meanwhile. So the hypotheses of docs/incidents/two-runs-at-a-time.md looked the same in its log.

A stop that is not accepted has accepted=false and a growing leased_for (1), a run of an earlier process orphan=true (2), and an entry that hears late of its caller no line at all (3).

--- a/internal/agent/log.go
+++ b/internal/agent/log.go
@@ -91,6 +91,13 @@
 	_ = level.Warn(a.logger).Log("msg", "end dropped", "task", e.Name, "run", e.Run, "outcome", e.Outcome, "reason", e.Reason)
 }
 
+// stopOverdue logs and counts a run that goes on after its stop.
+func (a *Agent) stopOverdue(e runner.StopOverdue) {
+	a.metrics.Add(metric.StopsOverdue, 1)
+	_ = level.Warn(a.logger).Log("msg", "stop overdue", "task", e.Task, "run", e.Run, "accepted", e.IsAccepted, "orphan", e.IsOrphan,
+		"leased_for", e.LeasedFor.Round(time.Millisecond))
+}
+
 // maxLoggedRuns limits the runs listed in one line. Few workers have room for more.
 const maxLoggedRuns = 16
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -70,6 +70,8 @@
 		a.logDropped(e)
 	case runner.IncarnationEnded:
 		a.logIncarnationEnded(e)
+	case runner.StopOverdue:
+		a.stopOverdue(e)
 	case runner.EvacuationChanged:
 		a.evacuationChanged(e)
 	case runner.WorkerEjected:
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -38,6 +38,7 @@
 	Sessions            = "sessions"
 	RunsPrefix          = "runs_"
 	CallsUnanswered     = "calls_unanswered"
+	StopsOverdue        = "stops_overdue"
 	DurableJobsAccepted = "jobs_kept"
 	Commits             = "commits"
 	ActiveRuns          = "active_runs"
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -122,6 +122,15 @@
 	HasStarted, IsStopping, WasRunning, WasLikelyRunning bool
 }
 
+// StopOverdue reports that a run has not ended some time after its stop was first sent. It is for the log and metrics.
+type StopOverdue struct {
+	RunID
+	// IsAccepted is set if the worker has accepted the stop, and IsOrphan if an earlier process of the agent started the run.
+	IsAccepted, IsOrphan bool
+	// LeasedFor is the time from the first call of the stop until the worker's lease was last extended, negative if that was earlier.
+	LeasedFor time.Duration
+}
+
 // EvacuationChanged reports that the worker's availability zone was evacuated or that its evacuation was revoked. It is
 // for the log and metrics.
 type EvacuationChanged struct {
@@ -167,6 +176,7 @@
 func (CloseSession) isEffect()      {}
 func (EndDropped) isEffect()        {}
 func (IncarnationEnded) isEffect()  {}
+func (StopOverdue) isEffect()       {}
 func (EvacuationChanged) isEffect() {}
 func (WorkerEjected) isEffect()     {}
 func (ProbeEnded) isEffect()        {}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -187,6 +187,7 @@
 		return
 	}
 	r.retryStops(now)
+	r.reportOverdueStops(now)
 	r.expireIsolation(now)
 	r.updateHealth(now)
 	r.updateEjection(now)
--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -268,6 +268,8 @@
 			fmt.Fprintf(&out, "probe %s run=%d done=%t\n", e.Task, e.Run, e.IsDone)
 		case WorkerRestored:
 			fmt.Fprintf(&out, "restored after %s\n", e.After)
+		case StopOverdue:
+			fmt.Fprintf(&out, "overdue: stop of %s run=%d accepted=%t orphan=%t leased=%s\n", e.Task, e.Run, e.IsAccepted, e.IsOrphan, e.LeasedFor)
 		case EvacuationChanged:
 			fmt.Fprintf(&out, "zone %s evacuated=%t runs=%d\n", e.Zone, e.IsEvacuated, e.Runs)
 		}
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -23,6 +23,9 @@
 // during that time.
 
 const (
+	// overdueStopTime is the time from the first call of a stop after which it is reported as overdue: timing.MaxStopTime, and twice as long
+	// for the calls and a busy VM.
+	overdueStopTime = 3 * timing.MaxStopTime
 	// stopRetryInterval is the time between two stop calls for the same run: longer than the call's time-out of 25 ms.
 	stopRetryInterval = 40 * time.Millisecond
 	// minRetryInterval is the shortest time between an unanswered call and the next one. Without it, a worker that closes
@@ -74,6 +77,9 @@
 	// name is the name of the task.
 	name string
 	run  uint32
+	// begun is when the stop was first sent. isReported is set once StopOverdue was emitted for it.
+	begun      time.Time
+	isReported bool
 	// lastSent is when the stop was last sent, and fence the fencing token of that call.
 	lastSent time.Time
 	fence    uint64
@@ -94,7 +100,7 @@
 
 // newStop sends the first stop call for a run.
 func (r *Runner) newStop(now time.Time, name string, run uint32) *stop {
-	s := &stop{name: name, run: run}
+	s := &stop{name: name, run: run, begun: now}
 	r.callStop(now, s)
 	return s
 }
@@ -134,6 +140,21 @@
 	}
 }
 
+// reportOverdueStops reports each stop whose run has not ended within overdueStopTime.
+func (r *Runner) reportOverdueStops(now time.Time) {
+	for _, s := range r.stops() {
+		if s.isReported || now.Sub(s.begun) <= overdueStopTime {
+			continue
+		}
+		s.isReported = true
+		_, isOrphan := r.worker.orphans[s.name]
+		r.emit(StopOverdue{
+			RunID: RunID{Task: s.name, Run: s.run}, IsAccepted: !s.awaitsAnswer(), IsOrphan: isOrphan,
+			LeasedFor: r.worker.lastRenewal.Sub(s.begun),
+		})
+	}
+}
+
 // stopOf returns the stop to which an answer belongs, or nil if the run has ended or the answer comes from another
 // incarnation.
 func (r *Runner) stopOf(e StopAnswered) *stop {
