runner: the worker's lease is not extended beyond the rights of any of its runs

What callers saw: a task had two runs at the same time, as the first one went on after its entry or its caller had waited for its end.

Cause: a worker has one lease for all its runs. timing.RerunDelay and the callers' retry delay assume that a run ends by its stop or with that lease once its session is over or its stop was requested, but the agent went on requesting the lease for the worker's other runs, and for the run that was being stopped itself, as long as one renewal in 300 ms was answered (and for 300 ms without any answer). The class: a right that several share outlives the one for which it was to end.

Change: a lease, whether requested by a renewal, a long poll or a start, is counted from the first time at which a run on the worker may not be extended any more: the end of its session's lease, or the beginning of its stop if that is earlier, until the run has ended. A worker whose lease is held back for 300 ms gets no new tasks; the price is its other runs if a stop is not carried out for 550 ms.

TestOtherRunsGoOnIfAStopIsAcceptedLate shows that other runs outlive a stop that is accepted after 320 ms.

The fake worker has one lease for all runs, as the platform's workers do. The expired session of a start is named before other reasons for its rejection.

--- a/internal/runner/admission.go
+++ b/internal/runner/admission.go
@@ -29,6 +29,7 @@
 	reasonRunsUnknown        = "the runs on the worker are not known yet"
 	reasonUnhealthy          = "the worker is unhealthy"
 	reasonUnacknowledgedEnds = "too many ends are unacknowledged"
+	reasonLeaseHeldBack      = "stopped runs on the worker have not ended"
 	reasonOrphans            = "the worker still runs tasks of an earlier agent"
 	reasonEjected            = "the worker is ejected"
 	reasonSessionExpired     = "the session's lease has expired"
@@ -66,6 +67,8 @@
 		return reasonUnacknowledgedEnds
 	case len(r.worker.orphans) > 0:
 		return reasonOrphans
+	case r.isLeaseHeldBack(now):
+		return reasonLeaseHeldBack
 	default:
 		return ""
 	}
@@ -73,15 +76,15 @@
 
 // startRejectionReason returns why a task of a session is rejected, or "" if it is queued.
 func (r *Runner) startRejectionReason(now time.Time, id SessionID, t Task) string {
+	if !r.isSessionValid(now, id) {
+		return reasonSessionExpired
+	}
 	if reason := r.rejectionReason(now); reason != "" {
 		return reason
 	}
 	if reason := r.ejectedReason(id, t); reason != "" {
 		return reason
 	}
-	if !r.isSessionValid(now, id) {
-		return reasonSessionExpired
-	}
 	if len(r.queue) >= r.limits.Queue {
 		return reasonQueueFull
 	}
--- a/internal/runner/fakeworker_test.go
+++ b/internal/runner/fakeworker_test.go
@@ -17,8 +17,6 @@
 	fails bool
 	// stopsAt is when a stop takes effect, or zero if there is none.
 	stopsAt time.Time
-	// leaseUntil is the end of the lease on the worker's clock.
-	leaseUntil time.Duration
 }
 
 // fakeWorker implements the worker protocol of the platform's description in virtual time.
@@ -35,6 +33,8 @@
 	origin    time.Time
 	// clockRate is the speed of the worker's clock, zero for 1.
 	clockRate float64
+	// leaseUntil is the end of the lease on the worker's clock. It is one lease for all runs.
+	leaseUntil time.Duration
 	// maxLease is the longest lease that is granted.
 	maxLease time.Duration
 	stopTime time.Duration
@@ -102,11 +102,11 @@
 		switch {
 		case !r.stopsAt.IsZero() && !r.stopsAt.After(now):
 			w.end(name, r, worker.EndingStopped)
-		case !r.ends.After(now) && w.clock(r.ends) <= r.leaseUntil && r.fails:
+		case !r.ends.After(now) && w.clock(r.ends) <= w.leaseUntil && r.fails:
 			w.end(name, r, worker.EndingFailed)
-		case !r.ends.After(now) && w.clock(r.ends) <= r.leaseUntil:
+		case !r.ends.After(now) && w.clock(r.ends) <= w.leaseUntil:
 			w.end(name, r, worker.EndingDone)
-		case w.clock(now) > r.leaseUntil:
+		case w.clock(now) > w.leaseUntil:
 			w.end(name, r, worker.EndingLeaseExpired)
 		}
 	}
@@ -149,9 +149,7 @@
 
 func (w *fakeWorker) lease(now time.Time, until time.Duration) {
 	until = min(until, w.clock(now)+w.maxLease)
-	for _, r := range w.runs {
-		r.leaseUntil = max(r.leaseUntil, until)
-	}
+	w.leaseUntil = max(w.leaseUntil, until)
 }
 
 func (w *fakeWorker) start(now time.Time, incarnation worker.Incarnation, s worker.StartRequest, runTime time.Duration, fails bool) worker.StartResult {
@@ -181,7 +179,7 @@
 		}
 		w.overcommittedBy = s.Name
 	}
-	w.runs[s.Name] = &fakeRun{run: s.Run, ends: now.Add(runTime), fails: fails, leaseUntil: min(s.LeaseUntil, w.clock(now)+w.maxLease)}
+	w.runs[s.Name] = &fakeRun{run: s.Run, ends: now.Add(runTime), fails: fails}
 	w.begun[s.Name]++
 	return worker.Accepted{Reply: w.reply(now)}
 }
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -49,7 +49,7 @@
 	// roundTrip is the duration of the latest renewal that was refused or answered at once, or zero before the first
 	// one.
 	roundTrip time.Duration
-	// lastRenewal is when a start or a renewal last requested a lease, or zero before the first one.
+	// lastRenewal is the time from which the latest requested lease is counted, or zero before the first one.
 	lastRenewal time.Time
 	// lastRenewSent is when the latest renewal other than a long poll was sent, with or without a lease.
 	lastRenewSent time.Time
--- a/internal/runner/judge.go
+++ b/internal/runner/judge.go
@@ -82,7 +82,7 @@
 		r.observe(now, t, ejection.EndOverdue)
 		isWorkerFault := r.kindRate(t) < ejection.MaxProbeFailureRate
 		if r.isEjected() && isWorkerFault && !t.IgnoresEjection && !r.worker.isUnresponsive(now) {
-			r.beginStop(now, t)
+			r.beginStop(now, t, r.extendableUntil(t))
 		}
 	}
 }
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -11,7 +11,14 @@
 
 // The worker's lease and its expiry
 //
-// Inputs: when a lease was last requested, Limits.Lease and Limits.Stop, and the drift of the worker's clock.
+// Inputs: when a lease was last requested, Limits.Lease and Limits.Stop, the drift of the worker's clock, and until when each run on the
+// worker may be extended.
+// Rule: the worker has one lease for all its runs, so it is requested only for Limits.Lease after the first time at which one of them may not
+// be extended any more: the end of its session's lease, or the beginning of its stop if that is earlier. A worker whose lease has not been extended for
+// timing.WorkerUnresponsiveAfter gets no new tasks.
+// Reason: the entry of a run starts the task elsewhere when the run has ended for certain. A worker may answer renewals but not accept the
+// stop. Its other runs then end with it, as their worker cannot be relied on.
+//
 // Rule: a worker that has not answered a renewal for timing.WorkerUnresponsiveAfter, although one was sent at least
 // timing.RenewInterval ago, gets no new tasks and no new leases. Once its last lease, the clock drift and the time for
 // a stop have passed, its runs are reported as lost; those of durable tasks after another timing.DurableLossDelay. A
@@ -33,12 +40,52 @@
 // tolerates one lost answer.
 const maxClockAge = timing.WorkerUnresponsiveAfter
 
-// leaseUntil returns the end of a lease that begins now, on the worker's clock, or zero if that clock is unknown.
-func (r *Runner) leaseUntil(now time.Time) time.Duration {
-	if r.worker.clock == 0 || now.Sub(r.worker.clockRead) > maxClockAge {
+// leaseStart returns the time from which a lease that is requested now is counted: now, or earlier if a run on the worker may not be extended
+// any more.
+func (r *Runner) leaseStart(now time.Time) time.Time {
+	start := now
+	for _, t := range r.tasks {
+		if t.state != stateQueued {
+			start = earlier(start, r.extendableUntil(t))
+		}
+	}
+	return start
+}
+
+// extendableUntil returns the time until which the run of a task may be extended.
+func (r *Runner) extendableUntil(t *task) time.Time {
+	if t.state == stateStopping {
+		return t.stop.extendableUntil
+	}
+	return r.sessions[t.session].validUntil
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// isLeaseHeldBack reports whether a run that may not be extended has kept the lease from being extended for
+// timing.WorkerUnresponsiveAfter.
+func (r *Runner) isLeaseHeldBack(now time.Time) bool {
+	return now.Sub(r.leaseStart(now)) > timing.WorkerUnresponsiveAfter
+}
+
+// requestLease returns the end of the lease to request now, on the worker's clock, or zero if none may be requested, that clock is
+// unknown, or the lease would be over.
+func (r *Runner) requestLease(now time.Time) time.Duration {
+	start := r.leaseStart(now)
+	isClockKnown := r.worker.clock != 0 && now.Sub(r.worker.clockRead) <= maxClockAge
+	if !isClockKnown || now.Sub(start) >= r.limits.Lease {
 		return 0
 	}
-	return r.worker.clock + now.Sub(r.worker.clockRead) + r.limits.Lease
+	if start.After(r.worker.lastRenewal) {
+		r.worker.lastRenewal = start
+	}
+	return r.worker.clock + start.Sub(r.worker.clockRead) + r.limits.Lease
 }
 
 // leaseBound returns the longest time for which a run may continue after a lease was last requested, on this process's
@@ -79,6 +126,6 @@
 		if t.state == stateStarting || t.IsDurable && expiredFor <= timing.DurableLossDelay {
 			continue
 		}
-		r.finish(t, OutcomeLost, "the worker is unresponsive and the run's lease has expired")
+		r.finish(t, OutcomeLost, "the run's lease has expired")
 	}
 }
--- a/internal/runner/leasebound_test.go
+++ b/internal/runner/leasebound_test.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -18,11 +19,14 @@
 	tickInterval = 20 * time.Millisecond
 	// neverEnds is a run time beyond the end of each test.
 	neverEnds = time.Hour
+	// startInterval is the time between two tasks that the other entry starts.
+	startInterval = 10 * time.Millisecond
 	// observed is how long a test looks at the worker.
 	observed = 5 * time.Second
 )
 
-// selectiveWorker simulates an agent whose worker carries out and answers renewals and starts, but receives no stop.
+// selectiveWorker simulates an agent whose worker carries out and answers renewals and starts, but receives no stop unless acceptsStops is
+// set.
 type selectiveWorker struct {
 	t      *testing.T
 	now    time.Time
@@ -32,15 +36,16 @@
 	// process counts the processes of the agent. Answers to an earlier one are dropped.
 	process int
 	// silent are the sessions whose entries do not echo pings any more.
-	silent map[SessionID]bool
-	// clockRate is the speed of the worker's clock.
-	clockRate float64
-	outcomes  map[string]Outcome
+	silent       map[SessionID]bool
+	acceptsStops bool
+	// starts is the number of starts requested, and updates are the latest updates by task.
+	starts  uint64
+	updates map[string]Update
 }
 
 func newSelectiveWorker(t *testing.T, clockRate float64) *selectiveWorker {
-	s := &selectiveWorker{t: t, now: time.Unix(1_000_000, 0), silent: make(map[SessionID]bool), clockRate: clockRate, outcomes: make(map[string]Outcome)}
-	s.worker = newFakeWorker("worker", s.now, worker.Resources{CPU: 4 * taskCPU}, needs)
+	s := &selectiveWorker{t: t, now: time.Unix(1_000_000, 0), silent: make(map[SessionID]bool), updates: make(map[string]Update)}
+	s.worker = newFakeWorker("worker", s.now, worker.Resources{CPU: 100 * taskCPU}, needs)
 	s.worker.clockRate = clockRate
 	s.startProcess()
 	s.tick()
@@ -102,6 +107,14 @@
 			}
 		})
 	case CallStop:
+		if s.acceptsStops {
+			s.call(func() Event {
+				return StopAnswered{
+					Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: s.worker.stop(s.now, e.Incarnation, e.Stop),
+				}
+			})
+			return
+		}
 		s.after(callTimeout, s.answer(StopAnswered{
 			Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: worker.NoResponse{Reason: "timeout"},
 		}))
@@ -117,7 +130,7 @@
 			s.after(latency, s.answer(PongReceived{Session: e.Session, Sent: e.Time}))
 		}
 	case SendUpdate:
-		s.outcomes[e.Update.Name] = e.Update.Outcome
+		s.updates[e.Update.Name] = e.Update
 	}
 }
 
@@ -142,10 +155,30 @@
 	}
 }
 
+// request requests the start of a task on a session.
+func (s *selectiveWorker) request(id SessionID, name string) {
+	s.starts++
+	s.handle(StartRequested{Session: id, Number: s.starts, Task: Task{Name: name, Run: 1, Needs: worker.Resources{CPU: taskCPU}}})
+}
+
+// lostEntry is the session of the entry whose run must end, and otherEntry that of another one.
+const lostEntry, otherEntry = SessionID(1), SessionID(2)
+
+// openSessions opens the sessions of both entries and starts a task of each, some time before the test.
+func (s *selectiveWorker) openSessions() {
+	s.t.Helper()
+	s.pass(200 * time.Millisecond)
+	s.handle(SessionOpened{Session: lostEntry, Entry: "lost"})
+	s.handle(SessionOpened{Session: otherEntry, Entry: "other"})
+	s.start(lostEntry, "a")
+	s.start(otherEntry, "b")
+	s.pass(700 * time.Millisecond)
+}
+
 // start starts a task on a session and waits until its run has begun.
 func (s *selectiveWorker) start(id SessionID, name string) {
 	s.t.Helper()
-	s.handle(StartRequested{Session: id, Number: 1, Task: Task{Name: name, Run: 1, Needs: worker.Resources{CPU: taskCPU}, MaxWait: time.Second}})
+	s.request(id, name)
 	s.pass(10 * latency)
 	if !s.runs(name) {
 		s.t.Fatalf("no run of %s has begun", name)
@@ -157,7 +190,7 @@
 	return ok
 }
 
-// checkEnds checks that the run of a task ends within a bound, from now on.
+// checkEnds checks that the run of a task ends within a bound, from now on, while the other entry starts further tasks.
 func (s *selectiveWorker) checkEnds(name string, bound time.Duration) {
 	s.t.Helper()
 	begin := s.now
@@ -168,7 +201,8 @@
 			}
 			return
 		}
-		s.pass(latency)
+		s.pass(startInterval)
+		s.request(otherEntry, fmt.Sprintf("c%d", s.starts))
 	}
 	s.t.Errorf("the run of %s goes on after %s, want its end within %s", name, observed, bound)
 }
@@ -188,39 +222,58 @@
 // The failure: the agent went on extending the worker's lease for the other tasks, so the run went on when its task was started elsewhere.
 func TestARunWhoseStopIsNotAcceptedEndsBeforeItsTaskRunsElsewhere(t *testing.T) {
 	t.Parallel()
-	const lost, other = SessionID(1), SessionID(2)
 	for name, c := range map[string]struct {
 		clockRate float64
 		act       func(s *selectiveWorker)
 		bound     time.Duration
 	}{
-		"the session is closed": {1, func(s *selectiveWorker) { s.handle(SessionClosed{Session: lost}) }, endAfterLoss},
+		"the session is closed": {1, func(s *selectiveWorker) { s.handle(SessionClosed{Session: lostEntry}) }, endAfterLoss},
 		"the session is closed, slow clock": {
-			slowClock, func(s *selectiveWorker) { s.handle(SessionClosed{Session: lost}) }, endAfterLoss,
+			slowClock, func(s *selectiveWorker) { s.handle(SessionClosed{Session: lostEntry}) }, endAfterLoss,
 		},
-		"the entry is silent":             {1, func(s *selectiveWorker) { s.silent[lost] = true }, endAfterLoss},
-		"the entry is silent, slow clock": {slowClock, func(s *selectiveWorker) { s.silent[lost] = true }, endAfterLoss},
+		"the entry is silent":             {1, func(s *selectiveWorker) { s.silent[lostEntry] = true }, endAfterLoss},
+		"the entry is silent, slow clock": {slowClock, func(s *selectiveWorker) { s.silent[lostEntry] = true }, endAfterLoss},
 		"the entry opens another session": {1, func(s *selectiveWorker) { s.handle(SessionOpened{Session: 3, Entry: "lost"}) }, endAfterLoss},
-		"the entry stops the task":        {1, func(s *selectiveWorker) { s.handle(StopRequested{Session: lost, Name: "a"}) }, endAfterStop},
+		"the entry stops the task":        {1, func(s *selectiveWorker) { s.handle(StopRequested{Session: lostEntry, Name: "a"}) }, endAfterStop},
 		"the entry stops the task, slow clock": {
-			slowClock, func(s *selectiveWorker) { s.handle(StopRequested{Session: lost, Name: "a"}) }, endAfterStop,
+			slowClock, func(s *selectiveWorker) { s.handle(StopRequested{Session: lostEntry, Name: "a"}) }, endAfterStop,
 		},
 		"the agent restarts": {1, func(s *selectiveWorker) { s.startProcess() }, endAfterLoss},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newSelectiveWorker(t, c.clockRate)
-			s.pass(200 * time.Millisecond)
-			s.handle(SessionOpened{Session: lost, Entry: "lost"})
-			s.handle(SessionOpened{Session: other, Entry: "other"})
-			s.start(lost, "a")
-			s.start(other, "b")
-			s.pass(700 * time.Millisecond)
+			s.openSessions()
 			c.act(s)
 			s.checkEnds("a", c.bound)
 		})
 	}
 }
 
+// TestOtherRunsGoOnIfAStopIsAcceptedLate covers a stop that the worker accepts within its lease.
+//
+// The failure: the runs of other entries end with the lease that is held back, or the worker gets no tasks any more.
+func TestOtherRunsGoOnIfAStopIsAcceptedLate(t *testing.T) {
+	t.Parallel()
+	s := newSelectiveWorker(t, 1)
+	s.openSessions()
+	s.handle(SessionClosed{Session: lostEntry})
+	s.pass(timing.WorkerUnresponsiveAfter + tickInterval)
+	s.request(otherEntry, "c")
+	if update := s.updates["c"]; update.Outcome != OutcomeNotStarted || update.Reason != reasonLeaseHeldBack {
+		t.Errorf("a task that arrives while the lease is held back: %+v, want %s", update, reasonLeaseHeldBack)
+	}
+	s.acceptsStops = true
+	s.pass(200 * time.Millisecond)
+	if s.runs("a") {
+		t.Error("the stopped run goes on")
+	}
+	s.start(otherEntry, "d")
+	s.pass(observed)
+	if !s.runs("b") || !s.runs("d") {
+		t.Errorf("the other runs have ended: %+v, %+v", s.updates["b"], s.updates["d"])
+	}
+}
+
 // slowClock is the lowest speed of a worker's clock.
 const slowClock = 1 - 1/float64(timing.ClockDriftDivisor)
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -66,7 +66,7 @@
 	t.Run = max(t.Run, earlier.Run+1)
 	r.rejectSuperseding(earlier, "a newer session has the task")
 	earlier.supersededBy = t
-	r.stop(now, earlier)
+	r.stop(now, earlier, r.extendableUntil(earlier))
 }
 
 // rejectSuperseding reports the task that waits to supersede t, if there is one, as not started.
--- a/internal/runner/renew.go
+++ b/internal/runner/renew.go
@@ -96,10 +96,7 @@
 func (r *Runner) sendRenew(now time.Time, wait time.Duration) {
 	request := worker.RenewRequest{Fence: r.fence, AcknowledgedEnd: r.worker.acknowledgedUpTo(now), Wait: wait}
 	if !r.worker.isUnresponsive(now) {
-		request.LeaseUntil = r.leaseUntil(now)
-	}
-	if request.LeaseUntil > 0 {
-		r.worker.lastRenewal = now
+		request.LeaseUntil = r.requestLease(now)
 	}
 	r.emit(CallRenew{Incarnation: r.worker.record.Incarnation(), Renew: request})
 }
--- a/internal/runner/restart.go
+++ b/internal/runner/restart.go
@@ -78,7 +78,7 @@
 	t.hasStarted, t.isOnClock = false, false
 	r.allocate(now, t)
 	if t.state == stateStopping {
-		r.beginStop(now, t)
+		r.beginStop(now, t, r.extendableUntil(t))
 		return
 	}
 	t.state = stateRestarted
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -71,10 +71,14 @@
 
 // closeSession removes a session and stops its tasks.
 func (r *Runner) closeSession(now time.Time, id SessionID) {
+	ended, ok := r.sessions[id]
+	if !ok {
+		return
+	}
 	r.dropReservations(id)
 	delete(r.sessions, id)
 	r.sortSessions()
-	r.stopTasksOf(now, id)
+	r.stopTasksOf(now, ended)
 }
 
 // endSession closes the connection of a session and removes it.
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -45,14 +45,13 @@
 	t.fence = r.fence
 	r.allocate(now, t)
 	r.chargeStart(now, t)
-	r.worker.lastRenewal = now
 	r.markLoadDue()
 	r.emit(CallStart{
 		Incarnation: r.worker.record.Incarnation(),
 		Before:      r.sessions[t.session].validUntil,
 		Start: worker.StartRequest{
 			Name: t.Name, Run: t.Run, Payload: t.Payload, Checkpoint: t.Checkpoint,
-			LeaseUntil: r.leaseUntil(now), Fence: r.fence,
+			LeaseUntil: r.requestLease(now), Fence: r.fence,
 		},
 	})
 }
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -38,23 +38,24 @@
 	switch {
 	case !ok:
 	case t.session == e.Session:
-		r.stop(now, t)
+		r.stop(now, t, r.extendableUntil(t))
 	case t.supersededBy != nil && t.supersededBy.session == e.Session:
 		r.rejectSuperseding(t, reasonStoppedBeforeStart)
 	}
 }
 
 // stopTasksOf stops the tasks of a session that has ended.
-func (r *Runner) stopTasksOf(now time.Time, id SessionID) {
+func (r *Runner) stopTasksOf(now time.Time, ended *session) {
 	for _, name := range slices.Sorted(maps.Keys(r.tasks)) {
-		if t := r.tasks[name]; t.session == id {
-			r.stop(now, t)
+		if t := r.tasks[name]; t.session == ended.id {
+			r.stop(now, t, ended.validUntil)
 		}
 	}
 }
 
-// stop ends a task in any state. The task does not run again.
-func (r *Runner) stop(now time.Time, t *task) {
+// stop ends a task in any state. The task does not run again. extendableUntil is the time until which its run might be extended without the
+// stop.
+func (r *Runner) stop(now time.Time, t *task, extendableUntil time.Time) {
 	switch t.state {
 	case stateQueued:
 		r.removeFromQueue(t)
@@ -62,14 +63,15 @@
 	case stateStopping:
 	default:
 		r.observeStop(now, t)
-		r.beginStop(now, t)
+		r.beginStop(now, t, extendableUntil)
 	}
 }
 
-// beginStop starts to stop the run of an active task.
-func (r *Runner) beginStop(now time.Time, t *task) {
+// beginStop starts to stop the run of an active task. extendableUntil is the same as in stop.
+func (r *Runner) beginStop(now time.Time, t *task, extendableUntil time.Time) {
 	t.state = stateStopping
 	t.stop = r.newStop(now, t.Name, t.Run)
+	t.stop.extendableUntil = earlier(now, extendableUntil)
 }
 
 // stop is a stop of a run that was sent to the worker.
@@ -80,6 +82,9 @@
 	// begun is when the stop was first sent. isReported is set once StopOverdue was emitted for it.
 	begun      time.Time
 	isReported bool
+	// extendableUntil is the time until which the run might be extended: when the stop began, or when the lease of the task's session ended
+	// if that was earlier. It is not set for an orphan.
+	extendableUntil time.Time
 	// lastSent is when the stop was last sent, and fence the fencing token of that call.
 	lastSent time.Time
 	fence    uint64
