runner: no lease is requested for runs of an earlier process of the agent

Cause: the next process of the agent requested a lease with each renewal, first before it knew the runs on the worker, and then while it stopped those that the earlier process had started (orphans). Nothing there has a right to more time, as the worker gets no tasks before the orphans have ended, and their entries run the tasks elsewhere 1,200 ms after the earlier process has gone.

Change: no lease is requested while the runs on the worker are not known or orphans are left. So an orphan ends with the last lease that the earlier process requested. After a restart of the worker under its ID the time of the latest lease is that of the restart, as a delayed start may have begun a run.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -14,7 +14,8 @@
 // Inputs: when a lease was last requested, Limits.Lease and Limits.Stop, the drift of the worker's clock, and until when each run on the
 // worker may be extended.
 // Rule: the worker has one lease for all its runs, so it is requested only for Limits.Lease after the first time at which one of them may not
-// be extended any more: the end of its session's lease, or the beginning of its stop if that is earlier. A worker whose lease has not been extended for
+// be extended any more: the end of its session's lease, or the beginning of its stop if that is earlier. While there are orphans, or
+// while the runs on the worker are not known, no lease is requested. A worker whose lease has not been extended for
 // timing.WorkerUnresponsiveAfter gets no new tasks.
 // Reason: the entry of a run starts the task elsewhere when the run has ended for certain. A worker may answer renewals but not accept the
 // stop. Its other runs then end with it, as their worker cannot be relied on.
@@ -41,15 +42,18 @@
 const maxClockAge = timing.WorkerUnresponsiveAfter
 
 // leaseStart returns the time from which a lease that is requested now is counted: now, or earlier if a run on the worker may not be extended
-// any more.
-func (r *Runner) leaseStart(now time.Time) time.Time {
-	start := now
+// any more. ok is false if no lease may be requested.
+func (r *Runner) leaseStart(now time.Time) (start time.Time, ok bool) {
+	if !r.worker.knowsAllRuns || len(r.worker.orphans) > 0 {
+		return time.Time{}, false
+	}
+	start = now
 	for _, t := range r.tasks {
 		if t.state != stateQueued {
 			start = earlier(start, r.extendableUntil(t))
 		}
 	}
-	return start
+	return start, true
 }
 
 // extendableUntil returns the time until which the run of a task may be extended.
@@ -71,15 +75,16 @@
 // isLeaseHeldBack reports whether a run that may not be extended has kept the lease from being extended for
 // timing.WorkerUnresponsiveAfter.
 func (r *Runner) isLeaseHeldBack(now time.Time) bool {
-	return now.Sub(r.leaseStart(now)) > timing.WorkerUnresponsiveAfter
+	start, ok := r.leaseStart(now)
+	return ok && now.Sub(start) > timing.WorkerUnresponsiveAfter
 }
 
 // requestLease returns the end of the lease to request now, on the worker's clock, or zero if none may be requested, that clock is
 // unknown, or the lease would be over.
 func (r *Runner) requestLease(now time.Time) time.Duration {
-	start := r.leaseStart(now)
+	start, ok := r.leaseStart(now)
 	isClockKnown := r.worker.clock != 0 && now.Sub(r.worker.clockRead) <= maxClockAge
-	if !isClockKnown || now.Sub(start) >= r.limits.Lease {
+	if !ok || !isClockKnown || now.Sub(start) >= r.limits.Lease {
 		return 0
 	}
 	if start.After(r.worker.lastRenewal) {
--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sailhead/internal/evacuation"
+	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
 
@@ -63,6 +64,10 @@
 	ejections, probes, restored int
 	// connections are the connections to the worker if long polls wait there, or nil if they are answered at once.
 	connections *connections
+	// losesStops makes all stops get lost in every second phase of 3 s, while other calls are carried out.
+	losesStops bool
+	// endBy is the time by which the run of a task must have ended, as its entry or its caller then starts the task elsewhere.
+	endBy map[string]time.Time
 	// starts is the number of starts sent to the worker.
 	starts int
 	tasks  int
@@ -126,7 +131,7 @@
 	s := &schedule{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), callFaultRate: callFaultRate,
 		entries: make(map[SessionID]*fakeEntry), limits: DefaultLimits(time.Second, 50*time.Millisecond), fence: 10,
-		isUnguarded: isUnguarded,
+		isUnguarded: isUnguarded, endBy: make(map[string]time.Time),
 	}
 	if seed%4 != 3 {
 		s.restartRandom = rand.New(rand.NewPCG(seed, 5))
@@ -312,6 +317,9 @@
 		s.starts++
 		s.checkEjection(e)
 		takes, fails := s.randomDuration(20*time.Millisecond, 900*time.Millisecond), s.chance(s.failureRate())
+		if s.losesStops {
+			takes *= longRunFactor
+		}
 		if s.connections != nil {
 			takes = max(takes, shortestRun, s.runner.tasks[e.Start.Name].usualRunTime()/certainRunDivisor)
 		}
@@ -322,6 +330,10 @@
 			}
 		})
 	case CallStop:
+		if s.isLosingStops() {
+			s.loseCall(StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: worker.NoResponse{Reason: "lost"}})
+			return
+		}
 		s.call(func() worker.Result { return s.worker.stop(s.now, e.Incarnation, e.Stop) }, func(result worker.Result) Event {
 			return StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: result.(worker.StopResult)}
 		})
@@ -360,6 +372,25 @@
 	}
 }
 
+// longRunFactor makes runs of schedules with lost stops longer than timing.RerunDelay.
+const longRunFactor = 5
+
+// isLosingStops reports whether stops are lost at the current time.
+func (s *schedule) isLosingStops() bool {
+	const phase = 3 * time.Second
+	return s.losesStops && s.now.UnixNano()/int64(phase)%2 == 0
+}
+
+// loseCall passes the result of a call that is lost to the agent after the call's time-out.
+func (s *schedule) loseCall(result Event) {
+	epoch := s.epoch
+	s.after(callTimeout, func() {
+		if epoch == s.epoch {
+			s.handle(result)
+		}
+	})
+}
+
 // failureRate returns the fraction of runs that fail at the current time.
 func (s *schedule) failureRate() float64 {
 	const usual, faulty, phase = 0.05, 0.8, 3 * time.Second
@@ -582,6 +613,7 @@
 		if s.connections != nil {
 			s.connections.answerPolls()
 		}
+		s.checkEnds()
 		if s.worker.overcommittedBy != "" {
 			s.t.Fatalf("seed %d: the start of %s took the worker over its capacity", s.seed, s.worker.overcommittedBy)
 		}
@@ -589,6 +621,25 @@
 	s.now = end
 }
 
+// mustEnd records that the runs of an entry must have ended timing.RerunDelay from now.
+func (s *schedule) mustEnd(entry *fakeEntry) {
+	for name := range entry.open {
+		s.endBy[name] = s.now.Add(timing.RerunDelay)
+	}
+}
+
+// checkEnds checks that no run goes on after the time by which it must have ended. Tasks that are submitted again run again.
+func (s *schedule) checkEnds() {
+	if s.connections != nil {
+		return
+	}
+	for name := range s.worker.runs {
+		if by, ok := s.endBy[name]; ok && s.now.After(by) {
+			s.t.Fatalf("seed %d: a run of %s goes on %s after another one may have started elsewhere", s.seed, name, s.now.Sub(by))
+		}
+	}
+}
+
 // submit requests a start of a task on a random session, and sometimes its stop a little later.
 func (s *schedule) submit(name string) {
 	if len(s.entries) < 2 {
@@ -631,12 +682,14 @@
 	case 1:
 		for _, id := range s.sorted() {
 			s.entries[id].unresponsive = true
+			s.mustEnd(s.entries[id])
 			return
 		}
 	case 2:
 		s.frozenUntil = s.now.Add(s.randomDuration(100*time.Millisecond, 4*time.Second))
 	case 3:
 		for _, id := range s.sorted() {
+			s.mustEnd(s.entries[id])
 			delete(s.entries, id)
 			s.handle(SessionClosed{Session: id})
 			return
@@ -654,6 +707,9 @@
 	s.fence = s.nextFencingToken()
 	s.runner = New(s.limits, s.fence)
 	s.receivedEvacuations = evacuation.State{}
+	for _, entry := range s.entries {
+		s.mustEnd(entry)
+	}
 	s.entries = make(map[SessionID]*fakeEntry)
 }
 
@@ -812,6 +868,26 @@
 	}
 }
 
+// TestRandomSchedulesWithLostStopsEndRunsInTime loses all stops in every second phase of 3 s, while entries go silent or away and the agent
+// freezes and restarts. No run may go on when its task may have been started elsewhere.
+func TestRandomSchedulesWithLostStopsEndRunsInTime(t *testing.T) {
+	for seed := *first; seed < *first+uint64(*schedules); seed++ {
+		s := newSchedule(t, seed, []float64{0, 0.05, 0.3}[seed%3], seed%2 == 0)
+		s.losesStops = true
+		s.run(20*time.Second, true)
+		s.callFaultRate, s.losesStops = 0, false
+		s.run(16*time.Second, false)
+		for _, entry := range s.entries {
+			for name := range entry.open {
+				t.Fatalf("seed %d: %s has no outcome", seed, name)
+			}
+		}
+		if len(s.runner.tasks) > 0 || len(s.worker.runs) > 0 {
+			t.Fatalf("seed %d: %d tasks and %d runs are left", seed, len(s.runner.tasks), len(s.worker.runs))
+		}
+	}
+}
+
 func TestScheduleWithoutFaultsLosesNoTask(t *testing.T) {
 	s := newSchedule(t, 7, 0, false)
 	s.run(30*time.Second, false)
--- a/internal/runner/restart.go
+++ b/internal/runner/restart.go
@@ -28,6 +28,8 @@
 	r.retainEarlierEnds(earlier)
 	r.dropAllReservations()
 	r.reportEnd(now, earlier, endRestarted)
+	// A delayed start may have begun a run of the new process under the latest lease.
+	w.lastRenewal = now
 	r.beginWith(now, w)
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -83,7 +83,7 @@
 	begun      time.Time
 	isReported bool
 	// extendableUntil is the time until which the run might be extended: when the stop began, or when the lease of the task's session ended
-	// if that was earlier. It is not set for an orphan.
+	// if that was earlier. It is zero for an orphan.
 	extendableUntil time.Time
 	// lastSent is when the stop was last sent, and fence the fencing token of that call.
 	lastSent time.Time
