runner: entries are told when a worker gets no tasks as its lease is held back

Change: the load is due at the tick in which that changes. TestOtherRunsGoOnIfAStopIsAcceptedLate checks what the entry was told.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -70,6 +70,8 @@
 	reportsProgress bool
 	// wasUnresponsive is set if the worker was unresponsive at the latest tick.
 	wasUnresponsive bool
+	// wasLeaseHeldBack is set if the lease was held back at the latest tick; see lease.go.
+	wasLeaseHeldBack bool
 	// unhealthyUntil is when a worker that rejected a call as unhealthy is tried again.
 	unhealthyUntil time.Time
 	// fullUntil is when a worker that rejected a start for lack of resources is tried again.
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -79,6 +79,14 @@
 	return ok && now.Sub(start) > timing.WorkerUnresponsiveAfter
 }
 
+// updateLeaseHeldBack makes entries know whether new tasks are rejected because the lease is held back.
+func (r *Runner) updateLeaseHeldBack(now time.Time) {
+	if isHeldBack := r.isLeaseHeldBack(now); isHeldBack != r.worker.wasLeaseHeldBack {
+		r.worker.wasLeaseHeldBack = isHeldBack
+		r.markLoadDue()
+	}
+}
+
 // requestLease returns the end of the lease to request now, on the worker's clock, or zero if none may be requested, that clock is
 // unknown, or the lease would be over.
 func (r *Runner) requestLease(now time.Time) time.Duration {
--- a/internal/runner/leasebound_test.go
+++ b/internal/runner/leasebound_test.go
@@ -41,6 +41,8 @@
 	// starts is the number of starts requested, and updates are the latest updates by task.
 	starts  uint64
 	updates map[string]Update
+	// load is the latest load that the other entry got.
+	load Load
 }
 
 func newSelectiveWorker(t *testing.T, clockRate float64) *selectiveWorker {
@@ -129,6 +131,10 @@
 		if !s.silent[e.Session] {
 			s.after(latency, s.answer(PongReceived{Session: e.Session, Sent: e.Time}))
 		}
+	case SendLoad:
+		if e.Session == otherEntry {
+			s.load = e.Load
+		}
 	case SendUpdate:
 		s.updates[e.Update.Name] = e.Update
 	}
@@ -258,7 +264,10 @@
 	s := newSelectiveWorker(t, 1)
 	s.openSessions()
 	s.handle(SessionClosed{Session: lostEntry})
-	s.pass(timing.WorkerUnresponsiveAfter + tickInterval)
+	s.pass(timing.WorkerUnresponsiveAfter + 2*tickInterval)
+	if s.load.Accepts {
+		t.Error("the entry is not told that the worker accepts no tasks")
+	}
 	s.request(otherEntry, "c")
 	if update := s.updates["c"]; update.Outcome != OutcomeNotStarted || update.Reason != reasonLeaseHeldBack {
 		t.Errorf("a task that arrives while the lease is held back: %+v, want %s", update, reasonLeaseHeldBack)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -188,6 +188,7 @@
 	}
 	r.retryStops(now)
 	r.reportOverdueStops(now)
+	r.updateLeaseHeldBack(now)
 	r.expireIsolation(now)
 	r.updateHealth(now)
 	r.updateEjection(now)
