--- a/internal/overload/site_test.go
+++ b/internal/overload/site_test.go
@@ -56,12 +56,22 @@
 	return last
 }
 
-// site simulates entries and agents in virtual time.
-type site struct {
+// scheduler runs actions in virtual time.
+type scheduler struct {
 	now    time.Time
 	queue  actions
 	serial int
 	random *rand.Rand
+}
+
+// newScheduler returns a scheduler at origin whose random source has the given seed.
+func newScheduler(seed uint64) *scheduler {
+	return &scheduler{now: origin, random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// site simulates entries and agents in virtual time.
+type site struct {
+	*scheduler
 	// faults is the random source of worker faults. It is separate from random, so that the same jobs arrive with and
 	// without faults.
 	faults  *rand.Rand
@@ -134,7 +144,7 @@
 // accept tasks. options are applied before that.
 func newSite(seed uint64, entries, agents, subsetSize int, options ...func(*site)) *site {
 	s := &site{
-		now: origin, random: rand.New(rand.NewPCG(seed, 1)), faults: rand.New(rand.NewPCG(seed, 2)), agents: make(map[dispatch.AgentID]*agent),
+		scheduler: newScheduler(seed), faults: rand.New(rand.NewPCG(seed, 2)), agents: make(map[dispatch.AgentID]*agent),
 		restartAfter: restartAfter, crashAfter: crashAfter, runTimes: make(map[string]time.Duration), racks: make(map[string]string), failing: make(map[string]float64),
 		starts: make(map[string]int), crashes: make(map[string]int), startsAtThirdCrash: make(map[string]int),
 		limits: dispatch.Limits{Jobs: 2000, NoContainment: *noContainment, NoEjection: *noEjection, NoShares: *noShares},
@@ -169,13 +179,13 @@
 	s.run(time.Second)
 }
 
-func (s *site) after(d time.Duration, do func()) {
+func (s *scheduler) after(d time.Duration, do func()) {
 	s.serial++
 	heap.Push(&s.queue, action{at: s.now.Add(d), serial: s.serial, do: do})
 }
 
 // every calls do at regular intervals, the first time after a random part of one.
-func (s *site) every(interval time.Duration, do func()) {
+func (s *scheduler) every(interval time.Duration, do func()) {
 	var next func()
 	next = func() {
 		do()
@@ -184,7 +194,7 @@
 	s.after(time.Duration(s.random.Int64N(int64(interval))), next)
 }
 
-func (s *site) run(length time.Duration) {
+func (s *scheduler) run(length time.Duration) {
 	end := s.now.Add(length)
 	for len(s.queue) > 0 && s.queue[0].at.Before(end) {
 		next := heap.Pop(&s.queue).(action)
