overload: two runs of one task, with workers that follow the protocol

The simulated workers of the package carried out every call and knew neither leases nor fencing tokens, so no test could show a run that outlives its stop. Change: a cluster of real entries and agents with workers that have one lease for all runs, fencing tokens and refused run numbers, links that lose calls, and sessions whose path goes silent. Each begin of a run is checked against the runs of its task elsewhere.

--- /dev/null
+++ b/internal/overload/cluster_test.go
@@ -0,0 +1,278 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/runner"
+)
+
+const (
+	// heartbeatInterval is the interval of a worker's heartbeats to its agent.
+	heartbeatInterval = 250 * time.Millisecond
+	// dialInterval is the interval at which an entry opens missing sessions.
+	dialInterval = 100 * time.Millisecond
+)
+
+// cluster simulates entries and agents whose processes, network paths and workers fail. Unlike a site, it follows the protocol of the
+// workers to the letter, and records each run that begins while another run of its task goes on.
+type cluster struct {
+	*scheduler
+	entries     []*clusterEntry
+	agents      []*clusterAgent
+	paths       map[[2]int]*networkPath
+	lastSession runner.SessionID
+	// stopTime returns the time that a worker takes for a stop.
+	stopTime func() time.Duration
+	// begun counts the runs that have begun, and overlaps describes those that began beside another run of their task.
+	begun    int
+	overlaps []string
+	trace    eventTrace
+}
+
+// newCluster returns a cluster in which all sessions are open and all workers accept tasks.
+func newCluster(seed uint64, entries, agents int) *cluster {
+	c := &cluster{scheduler: newScheduler(seed), paths: make(map[[2]int]*networkPath)}
+	c.stopTime = func() time.Duration { return maxWorkerStop }
+	for i := range agents {
+		c.addAgent(i)
+	}
+	for i := range entries {
+		c.addEntry(i)
+	}
+	c.run(time.Second)
+	return c
+}
+
+// path returns the network path between an entry and an agent.
+func (c *cluster) path(e *clusterEntry, a *clusterAgent) *networkPath {
+	key := [2]int{e.number, a.number}
+	if c.paths[key] == nil {
+		c.paths[key] = &networkPath{clock: c.scheduler}
+	}
+	return c.paths[key]
+}
+
+// record adds an event to the trace.
+func (c *cluster) record(format string, arguments ...any) {
+	c.trace.add(c.now.Sub(origin), fmt.Sprintf(format, arguments...))
+}
+
+// checkBegin records a run that begins on a worker while another run of the task goes on on a worker that is up.
+func (c *cluster) checkBegin(w *leasedWorker, run *leasedRun) {
+	c.begun++
+	c.record("%s begins %s run %d", w.id, run.name, run.run)
+	for _, a := range c.agents {
+		other, isRunning := a.worker.runs[run.name]
+		if !isRunning || a.worker.isDown {
+			continue
+		}
+		overlap := fmt.Sprintf("%s begins run %d of %s while run %d goes on on %s", w.id, run.run, run.name, other.run, a.worker.id)
+		c.overlaps = append(c.overlaps, overlap)
+		c.record("OVERLAP: %s", overlap)
+		c.trace.close()
+	}
+}
+
+// checkNoOverlap fails the test with the trace if two runs of one task went on at a time.
+func (c *cluster) checkNoOverlap(t *testing.T) {
+	t.Helper()
+	if len(c.overlaps) > 0 {
+		t.Errorf("%s\n%s", strings.Join(c.overlaps, "\n"), &c.trace)
+	}
+}
+
+// runsOf returns the agents whose workers run a task.
+func (c *cluster) runsOf(task string) []*clusterAgent {
+	var running []*clusterAgent
+	for _, a := range c.agents {
+		if _, isRunning := a.worker.runs[task]; isRunning && !a.worker.isDown {
+			running = append(running, a)
+		}
+	}
+	return running
+}
+
+// clusterAgent is an agent with its worker.
+type clusterAgent struct {
+	process
+	cluster  *cluster
+	number   int
+	id       dispatch.AgentID
+	runner   *runner.Runner
+	worker   *leasedWorker
+	sessions map[runner.SessionID]*clusterSession
+	// fate decides what the link to the worker does to the calls.
+	fate fateRule
+}
+
+func (c *cluster) addAgent(number int) {
+	a := &clusterAgent{
+		process: process{clock: c.scheduler}, cluster: c, number: number, id: dispatch.AgentID(fmt.Sprintf("agent-%d", number)),
+		sessions: make(map[runner.SessionID]*clusterSession), fate: carryAll,
+	}
+	a.worker = newLeasedWorker(a)
+	a.startProcess()
+	c.agents = append(c.agents, a)
+	a.every(agentTick, func() { a.handle(runner.Ticked{}) })
+	c.every(heartbeatInterval, a.sendHeartbeat)
+}
+
+// startProcess starts a new process of the agent, with a higher fencing token than the earlier ones.
+func (a *clusterAgent) startProcess() {
+	a.isDown = false
+	a.runner = runner.New(runner.DefaultLimits(maxWorkerLease, maxWorkerStop), uint64(a.life+1)*10000)
+}
+
+func (a *clusterAgent) sendHeartbeat() {
+	if a.worker.isDown {
+		return
+	}
+	record := a.worker.record()
+	a.cluster.after(workerDelay, func() { a.do(func() { a.handle(runner.HeartbeatReceived{Record: record}) }) })
+}
+
+func (a *clusterAgent) handle(event runner.Event) {
+	for _, effect := range a.runner.Handle(a.cluster.now, event) {
+		a.apply(effect)
+	}
+}
+
+// handleLater handles an event of the current process when that process runs.
+func (a *clusterAgent) handleLater(event func() runner.Event) {
+	a.do(func() { a.handle(event()) })
+}
+
+// apply carries out an effect of the runner.
+func (a *clusterAgent) apply(effect runner.Effect) {
+	switch e := effect.(type) {
+	case runner.SendLoad:
+		a.send(e.Session, dispatch.LoadReceived{Agent: a.id, Handled: e.Handled, Load: e.Load})
+	case runner.SendUpdate:
+		a.cluster.record("%s reports %s run %d %s: %s", a.id, e.Update.Name, e.Update.Run, e.Update.Outcome, e.Update.Reason)
+		a.send(e.Session, dispatch.RunUpdated{Agent: a.id, Update: e.Update})
+	case runner.SendOffer:
+		a.send(e.Session, dispatch.OfferReceived{Agent: a.id, Offer: e.Offer})
+	case runner.SendCrash:
+		a.send(e.Session, dispatch.WorkerCrashed{Agent: a.id, Crash: e.Crash})
+	case runner.SendWorker:
+		a.send(e.Session, dispatch.WorkerDescribed{Agent: a.id, Record: e.Record})
+	case runner.SendPing:
+		if s := a.sessions[e.Session]; s != nil {
+			s.ping(e.Time)
+		}
+	case runner.CloseSession:
+		a.closeSession(e)
+	case runner.CallStart, runner.CallStop, runner.CallRenew:
+		a.cluster.after(0, a.inLife(func() { a.call(effect) }))
+	}
+}
+
+func (a *clusterAgent) send(id runner.SessionID, event dispatch.Event) {
+	if s := a.sessions[id]; s != nil {
+		s.sendToEntry(func() { s.entry.handle(event) })
+	}
+}
+
+// closeSession closes a session that the runner has ended.
+func (a *clusterAgent) closeSession(e runner.CloseSession) {
+	s := a.sessions[e.Session]
+	if s == nil {
+		return
+	}
+	a.cluster.record("%s closes session %d: %s", a.id, s.id, e.Reason)
+	a.cluster.after(0, a.inLife(s.closeAtAgent))
+}
+
+// clusterEntry is an entry with its callers.
+type clusterEntry struct {
+	process
+	cluster    *cluster
+	number     int
+	name       string
+	dispatcher *dispatch.Dispatcher
+	sessions   map[dispatch.AgentID]*clusterSession
+	lastWaiter dispatch.Waiter
+	// onAnswer is called with the answer to each request.
+	onAnswer map[dispatch.Waiter]func(dispatch.Answer)
+}
+
+func (c *cluster) addEntry(number int) {
+	e := &clusterEntry{process: process{clock: c.scheduler}, cluster: c, number: number, name: fmt.Sprintf("entry-%d", number)}
+	c.entries = append(c.entries, e)
+	e.startProcess()
+	e.every(entryTick, func() { e.handle(dispatch.Ticked{}) })
+	e.every(livenessInterval, e.checkLiveness)
+	e.every(dialInterval, e.dialAll)
+}
+
+// startProcess starts a new process of the entry, without jobs and sessions.
+func (e *clusterEntry) startProcess() {
+	e.isDown = false
+	e.sessions = make(map[dispatch.AgentID]*clusterSession)
+	e.onAnswer = make(map[dispatch.Waiter]func(dispatch.Answer))
+	e.dispatcher = dispatch.New(dispatch.Limits{Jobs: 2000}, rand.New(rand.NewPCG(e.cluster.random.Uint64(), 1)))
+	registered := dispatch.AgentsRegistered{Selected: len(e.cluster.agents)}
+	for _, a := range e.cluster.agents {
+		registered.Agents = append(registered.Agents, a.id)
+	}
+	e.handle(registered)
+}
+
+func (e *clusterEntry) dialAll() {
+	for _, a := range e.cluster.agents {
+		e.dial(a)
+	}
+}
+
+func (e *clusterEntry) handle(event dispatch.Event) {
+	for _, effect := range e.dispatcher.Handle(e.cluster.now, event) {
+		e.apply(effect)
+	}
+}
+
+// apply carries out an effect of the dispatcher.
+func (e *clusterEntry) apply(effect dispatch.Effect) {
+	switch f := effect.(type) {
+	case dispatch.StartTask:
+		e.cluster.record("%s sends the start of %s to %s", e.name, f.Task.Name, f.Agent)
+		e.send(f.Agent, func(id runner.SessionID) runner.Event {
+			return runner.StartRequested{Session: id, Number: f.Number, Task: f.Task}
+		})
+	case dispatch.StopTask:
+		e.cluster.record("%s sends the stop of %s to %s", e.name, f.Name, f.Agent)
+		e.send(f.Agent, func(id runner.SessionID) runner.Event { return runner.StopRequested{Session: id, Name: f.Name} })
+	case dispatch.Reserve:
+		e.send(f.Agent, func(id runner.SessionID) runner.Event {
+			return runner.ReservationRequested{Session: id, Reservation: f.Reservation}
+		})
+	case dispatch.AnswerOffer:
+		e.send(f.Agent, func(id runner.SessionID) runner.Event { return runner.OfferAnswered{Session: id, Offer: f.Offer} })
+	case dispatch.ShareCrashes:
+		e.cluster.after(sessionDelay, e.inLife(func() { e.handle(dispatch.CrashesShared(f)) }))
+	case dispatch.Reply:
+		e.reply(f)
+	}
+}
+
+func (e *clusterEntry) send(to dispatch.AgentID, event func(runner.SessionID) runner.Event) {
+	if s := e.sessions[to]; s != nil {
+		s.sendToAgent(event(s.id))
+	}
+}
+
+func (e *clusterEntry) reply(f dispatch.Reply) {
+	for _, waiter := range f.Waiters {
+		if answer, ok := e.onAnswer[waiter]; ok {
+			delete(e.onAnswer, waiter)
+			answer(f.Answer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/overload/leasedworker_test.go
@@ -0,0 +1,216 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sailhead/internal/worker"
+)
+
+const (
+	// maxWorkerLease is the longest lease that a worker grants, on its clock, and maxWorkerStop the longest time from the answer to a stop
+	// to the end of the run. Sources: hold_max_ms and stop_ms.
+	maxWorkerLease = time.Second
+	maxWorkerStop  = 50 * time.Millisecond
+)
+
+// leasedRun is a run on a leasedWorker.
+type leasedRun struct {
+	name       string
+	run        uint32
+	isStopping bool
+}
+
+// leasedWorker is a simulated worker that follows the users' protocol for running tasks: one lease for all runs, fencing tokens, and run
+// numbers that are refused once a run with that number or a higher one was stopped or has ended.
+type leasedWorker struct {
+	cluster *cluster
+	agent   *clusterAgent
+	// id is the current incarnation, lives the number of them so far, and isDown is set between two of them.
+	id     string
+	lives  int
+	isDown bool
+	// rate is the rate of the worker's clock: 1, or less if it is slow.
+	rate float64
+	// leaseUntil is the end of the lease on the worker's clock.
+	leaseUntil time.Duration
+	fence      uint64
+	runs       map[string]*leasedRun
+	// highest is the highest number of a run that was stopped or has ended, by task.
+	highest map[string]uint32
+	ends    []worker.End
+	lastEnd uint64
+	// polls are the pending long polls.
+	polls []*workerPoll
+	// heartbeats counts the heartbeats sent.
+	heartbeats uint64
+}
+
+// workerPoll is a long poll that waits on a leasedWorker.
+type workerPoll struct{ answer func(worker.RenewResult) }
+
+func newLeasedWorker(a *clusterAgent) *leasedWorker {
+	w := &leasedWorker{cluster: a.cluster, agent: a, rate: 1}
+	w.startLife()
+	return w
+}
+
+// startLife starts a new incarnation. It knows nothing of the earlier ones.
+func (w *leasedWorker) startLife() {
+	w.lives++
+	w.id = fmt.Sprintf("w%d-%d", w.agent.number, w.lives)
+	w.isDown, w.fence, w.leaseUntil, w.lastEnd = false, 0, 0, 0
+	w.runs, w.highest, w.ends, w.polls = make(map[string]*leasedRun), make(map[string]uint32), nil, nil
+}
+
+// clock returns the time on the worker's clock.
+func (w *leasedWorker) clock() time.Duration {
+	return time.Hour + time.Duration(w.rate*float64(w.cluster.now.Sub(origin)))
+}
+
+func (w *leasedWorker) reply() worker.Reply { return worker.Reply{Clock: w.clock()} }
+
+// record returns the content of the worker's next heartbeat.
+func (w *leasedWorker) record() worker.Record {
+	w.heartbeats++
+	capacity := worker.Resources{CPU: workerCPU, Memory: 128 << 10}
+	return worker.Record{ID: w.id, Service: service, Capacity: capacity, Sequence: w.heartbeats, Clock: w.clock()}
+}
+
+// reject returns why a call to an incarnation is not carried out, or nil if it is. A call that is carried out raises the fence.
+func (w *leasedWorker) reject(incarnation string, fence uint64) worker.Failure {
+	switch {
+	case w.isDown:
+		return worker.Unreachable{Reason: "connection refused"}
+	case incarnation != w.id:
+		return worker.WrongIncarnation{Reply: w.reply()}
+	case fence < w.fence:
+		return worker.Fenced{Reply: w.reply()}
+	default:
+		w.fence = fence
+		return nil
+	}
+}
+
+// start begins a run. A start that is too late by the lease that it carries is rejected, even if the worker has a longer one.
+func (w *leasedWorker) start(incarnation string, request worker.StartRequest) worker.StartResult {
+	if failure := w.reject(incarnation, request.Fence); failure != nil {
+		return failure
+	}
+	present, isPresent := w.runs[request.Name]
+	switch {
+	case isPresent && present.run == request.Run:
+		w.extendLease(request.LeaseUntil)
+		return worker.Accepted{Reply: w.reply()}
+	case isPresent, request.Run <= w.highest[request.Name]:
+		w.extendLease(request.LeaseUntil)
+		return worker.StaleRun{Reply: w.reply()}
+	case request.LeaseUntil <= w.clock():
+		return worker.TooLate{Reply: w.reply()}
+	case (len(w.runs)+1)*taskCPU > workerCPU:
+		w.extendLease(request.LeaseUntil)
+		return worker.InsufficientResources{Reply: w.reply()}
+	}
+	length, err := time.ParseDuration(request.Payload)
+	if err != nil {
+		return worker.Invalid{Reply: w.reply(), Reason: err.Error()}
+	}
+	w.begin(&leasedRun{name: request.Name, run: request.Run}, length)
+	w.extendLease(request.LeaseUntil)
+	return worker.Accepted{Reply: w.reply()}
+}
+
+func (w *leasedWorker) begin(run *leasedRun, length time.Duration) {
+	w.cluster.checkBegin(w, run)
+	w.runs[run.name] = run
+	w.cluster.after(length, func() { w.end(run, worker.EndingDone) })
+}
+
+// stop ends a run within maxWorkerStop, and makes the worker refuse it if it has not begun.
+func (w *leasedWorker) stop(incarnation string, request worker.StopRequest) worker.StopResult {
+	if failure := w.reject(incarnation, request.Fence); failure != nil {
+		return failure
+	}
+	w.highest[request.Name] = max(w.highest[request.Name], request.Run)
+	if run, ok := w.runs[request.Name]; ok && run.run <= request.Run && !run.isStopping {
+		run.isStopping = true
+		w.cluster.record("%s stops %s run %d", w.id, run.name, run.run)
+		w.cluster.after(w.cluster.stopTime(), func() { w.end(run, worker.EndingStopped) })
+	}
+	return worker.Accepted{Reply: w.reply()}
+}
+
+// renew extends the lease and answers with the listing: at once, or for a long poll when a run ends or the time of the poll is over.
+func (w *leasedWorker) renew(incarnation string, request worker.RenewRequest, answer func(worker.RenewResult)) {
+	if failure := w.reject(incarnation, request.Fence); failure != nil {
+		answer(failure)
+		return
+	}
+	w.extendLease(request.LeaseUntil)
+	w.ends = slices.DeleteFunc(w.ends, func(e worker.End) bool { return e.Number <= request.AcknowledgedEnd })
+	if request.Wait == 0 || len(w.ends) > 0 {
+		answer(w.list())
+		return
+	}
+	poll := &workerPoll{}
+	poll.answer = func(result worker.RenewResult) {
+		w.polls = slices.DeleteFunc(slices.Clone(w.polls), func(p *workerPoll) bool { return p == poll })
+		poll.answer = func(worker.RenewResult) {}
+		answer(result)
+	}
+	w.polls = append(w.polls, poll)
+	w.cluster.after(request.Wait, func() { poll.answer(w.list()) })
+}
+
+// extendLease extends the lease of all runs, and never shortens it.
+func (w *leasedWorker) extendLease(until time.Duration) {
+	until = min(until, w.clock()+maxWorkerLease)
+	if until <= w.leaseUntil {
+		return
+	}
+	w.leaseUntil = until
+	left := time.Duration(float64(until-w.clock())/w.rate) + time.Microsecond
+	id := w.id
+	w.cluster.after(left, func() { w.expireLease(id) })
+}
+
+// expireLease ends all runs if the lease is over.
+func (w *leasedWorker) expireLease(incarnation string) {
+	if w.id != incarnation || w.clock() < w.leaseUntil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(w.runs)) {
+		w.end(w.runs[name], worker.EndingLeaseExpired)
+	}
+}
+
+// end ends a run, unless it has already ended, and answers the pending long polls.
+func (w *leasedWorker) end(run *leasedRun, ending worker.Ending) {
+	if w.isDown || w.runs[run.name] != run {
+		return
+	}
+	if run.isStopping {
+		ending = worker.EndingStopped
+	}
+	w.cluster.record("%s: %s run %d ends (%d)", w.id, run.name, run.run, ending)
+	delete(w.runs, run.name)
+	w.highest[run.name] = max(w.highest[run.name], run.run)
+	w.lastEnd++
+	w.ends = append(w.ends, worker.End{Number: w.lastEnd, Name: run.name, Run: run.run, Ending: ending})
+	for _, poll := range w.polls {
+		poll.answer(w.list())
+	}
+}
+
+func (w *leasedWorker) list() worker.Listing {
+	listing := worker.Listing{Reply: w.reply(), Ended: slices.Clone(w.ends)}
+	for _, name := range slices.Sorted(maps.Keys(w.runs)) {
+		listing.Running = append(listing.Running, worker.Run{Name: name, Run: w.runs[name].run, Percent: 1})
+	}
+	return listing
+}
--- /dev/null
+++ b/internal/overload/unacceptedstop_test.go
@@ -0,0 +1,81 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/timing"
+)
+
+const (
+	longJobID   = "00000000000000dd"
+	longTask    = longJobID + ".0.0.0"
+	longJobTime = 10 * time.Second
+)
+
+func ignoreAnswer(dispatch.Answer) {}
+
+// startLongJob submits a job of one long task to the first of two entries, and returns the request and the agent that runs the task.
+func startLongJob(t *testing.T, c *cluster) (clusterRequest, *clusterAgent) {
+	t.Helper()
+	request := c.entries[0].submit(clusterJob(longJobID, 1, longJobTime), ignoreAnswer)
+	c.run(300 * time.Millisecond)
+	running := c.runsOf(longTask)
+	if len(running) != 1 {
+		t.Fatalf("%d runs of the task, want 1", len(running))
+	}
+	return request, running[0]
+}
+
+// unacceptedStopRules are the links of the tests below.
+var unacceptedStopRules = map[string]fateRule{"all carried": carryAll, "stops lost": loseStops}
+
+// TestAJobWhoseCallerLeftEndsBeforeItIsSubmittedAgain covers a caller that leaves while a task of its job runs on a worker that answers
+// renewals and gets no stop, and that submits the job again at another entry after timing.CallerRetryDelay.
+//
+// The failure: the agent went on extending the worker's lease, so the run outlived the delay, and the other entry started the task on
+// another worker.
+func TestAJobWhoseCallerLeftEndsBeforeItIsSubmittedAgain(t *testing.T) {
+	t.Parallel()
+	for name, rule := range unacceptedStopRules {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(620000, 2, 3)
+			request, a := startLongJob(t, c)
+			a.fate = rule
+			request.leave()
+			c.run(timing.CallerRetryDelay)
+			c.entries[1].submit(clusterJob(longJobID, 1, longJobTime), ignoreAnswer)
+			c.run(time.Second)
+			c.checkNoOverlap(t)
+			if c.begun != 2 {
+				t.Errorf("%d runs have begun, want 2", c.begun)
+			}
+		})
+	}
+}
+
+// TestARunOfALostSessionEndsBeforeItsTaskRunsAgain covers an entry that loses its session with an agent, while a task of it runs on a worker
+// that answers renewals and gets no stop.
+//
+// The failure: the agent went on extending the worker's lease, so the run outlived timing.RerunDelay, and the entry started the task on
+// another worker.
+func TestARunOfALostSessionEndsBeforeItsTaskRunsAgain(t *testing.T) {
+	t.Parallel()
+	for name, rule := range unacceptedStopRules {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(620000, 2, 3)
+			_, a := startLongJob(t, c)
+			a.fate = rule
+			c.path(c.entries[0], a).silence(4 * time.Second)
+			c.run(3 * time.Second)
+			c.checkNoOverlap(t)
+			if c.begun != 2 {
+				t.Errorf("%d runs have begun, want 2", c.begun)
+			}
+		})
+	}
+}
