--- a/internal/overload/cluster_test.go
+++ b/internal/overload/cluster_test.go
@@ -5,13 +5,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"sailhead/internal/dispatch"
 	"sailhead/internal/runner"
+	"sailhead/internal/worker"
 )
 
 const (
@@ -29,8 +32,6 @@
 	agents      []*clusterAgent
 	paths       map[[2]int]*networkPath
 	lastSession runner.SessionID
-	// stopTime returns the time that a worker takes for a stop.
-	stopTime func() time.Duration
 	// begun counts the runs that have begun, and overlaps describes those that began beside another run of their task.
 	begun    int
 	overlaps []string
@@ -40,7 +41,6 @@
 // newCluster returns a cluster in which all sessions are open and all workers accept tasks.
 func newCluster(seed uint64, entries, agents int) *cluster {
 	c := &cluster{scheduler: newScheduler(seed), paths: make(map[[2]int]*networkPath)}
-	c.stopTime = func() time.Duration { return maxWorkerStop }
 	for i := range agents {
 		c.addAgent(i)
 	}
@@ -74,7 +74,7 @@
 		if !isRunning || a.worker.isDown {
 			continue
 		}
-		overlap := fmt.Sprintf("%s begins run %d of %s while run %d goes on on %s", w.id, run.run, run.name, other.run, a.worker.id)
+		overlap := fmt.Sprintf("%s begins run %d of %s while run %d goes on on %s, %s", w.id, run.run, run.name, other.run, a.worker.id, other.describeStop(c.now))
 		c.overlaps = append(c.overlaps, overlap)
 		c.record("OVERLAP: %s", overlap)
 		c.trace.close()
@@ -89,6 +89,14 @@
 	}
 }
 
+// recordStopCall records that an agent calls its worker to stop a run.
+func (c *cluster) recordStopCall(w *leasedWorker, request worker.StopRequest) {
+	if run, ok := w.runs[request.Name]; ok && run.run == request.Run && run.stopCalled.IsZero() {
+		run.stopCalled = c.now
+		c.record("the agent of %s calls to stop %s run %d", w.id, run.name, run.run)
+	}
+}
+
 // runsOf returns the agents whose workers run a task.
 func (c *cluster) runsOf(task string) []*clusterAgent {
 	var running []*clusterAgent
@@ -109,14 +117,16 @@
 	runner   *runner.Runner
 	worker   *leasedWorker
 	sessions map[runner.SessionID]*clusterSession
-	// fate decides what the link to the worker does to the calls.
-	fate fateRule
+	// rules decide what the link to the worker does to the calls.
+	rules []*linkRule
+	// callDelay, if not nil, returns how late a call leaves the agent.
+	callDelay func() time.Duration
 }
 
 func (c *cluster) addAgent(number int) {
 	a := &clusterAgent{
 		process: process{clock: c.scheduler}, cluster: c, number: number, id: dispatch.AgentID(fmt.Sprintf("agent-%d", number)),
-		sessions: make(map[runner.SessionID]*clusterSession), fate: carryAll,
+		sessions: make(map[runner.SessionID]*clusterSession),
 	}
 	a.worker = newLeasedWorker(a)
 	a.startProcess()
@@ -131,6 +141,25 @@
 	a.runner = runner.New(runner.DefaultLimits(maxWorkerLease, maxWorkerStop), uint64(a.life+1)*10000)
 }
 
+// restart kills the process of the agent and starts a new one after a time. The kernel closes the connections of the killed process.
+func (a *clusterAgent) restart(downtime time.Duration) {
+	if a.isDown {
+		return
+	}
+	a.cluster.record("%s is killed", a.id)
+	a.kill()
+	for _, id := range slices.Sorted(maps.Keys(a.sessions)) {
+		s := a.sessions[id]
+		s.isAtAgent = false
+		s.toEntry.send(func() { s.entry.do(s.closeAtEntry) })
+	}
+	a.sessions = make(map[runner.SessionID]*clusterSession)
+	a.cluster.after(downtime, func() {
+		a.cluster.record("%s starts again", a.id)
+		a.startProcess()
+	})
+}
+
 func (a *clusterAgent) sendHeartbeat() {
 	if a.worker.isDown {
 		return
@@ -145,9 +174,16 @@
 	}
 }
 
-// handleLater handles an event of the current process when that process runs.
-func (a *clusterAgent) handleLater(event func() runner.Event) {
-	a.do(func() { a.handle(event()) })
+// poster returns a function that handles an event in the current process, unless it is killed before.
+func (a *clusterAgent) poster() func(event func() runner.Event) {
+	life := a.life
+	return func(event func() runner.Event) {
+		a.do(func() {
+			if a.life == life {
+				a.handle(event())
+			}
+		})
+	}
 }
 
 // apply carries out an effect of the runner.
@@ -156,8 +192,7 @@
 	case runner.SendLoad:
 		a.send(e.Session, dispatch.LoadReceived{Agent: a.id, Handled: e.Handled, Load: e.Load})
 	case runner.SendUpdate:
-		a.cluster.record("%s reports %s run %d %s: %s", a.id, e.Update.Name, e.Update.Run, e.Update.Outcome, e.Update.Reason)
-		a.send(e.Session, dispatch.RunUpdated{Agent: a.id, Update: e.Update})
+		a.sendUpdate(e)
 	case runner.SendOffer:
 		a.send(e.Session, dispatch.OfferReceived{Agent: a.id, Offer: e.Offer})
 	case runner.SendCrash:
@@ -171,16 +206,38 @@
 	case runner.CloseSession:
 		a.closeSession(e)
 	case runner.CallStart, runner.CallStop, runner.CallRenew:
-		a.cluster.after(0, a.inLife(func() { a.call(effect) }))
+		a.sendCall(effect)
 	}
 }
 
+// sendCall makes a call to the worker, after callDelay.
+func (a *clusterAgent) sendCall(effect runner.Effect) {
+	delay, emitted := time.Duration(0), a.cluster.now
+	if a.callDelay != nil {
+		delay = a.callDelay()
+	}
+	a.cluster.after(delay, a.inLife(func() { a.call(effect, emitted) }))
+}
+
 func (a *clusterAgent) send(id runner.SessionID, event dispatch.Event) {
 	if s := a.sessions[id]; s != nil {
 		s.sendToEntry(func() { s.entry.handle(event) })
 	}
 }
 
+// sendUpdate sends an update to an entry. As no job is durable, the entry acknowledges ends that are resent.
+func (a *clusterAgent) sendUpdate(e runner.SendUpdate) {
+	s := a.sessions[e.Session]
+	switch {
+	case s == nil:
+	case e.Update.Unacknowledged:
+		s.sendToEntry(func() { s.sendToAgent(runner.EndAcknowledged{Name: e.Update.Name, Run: e.Update.Run}) })
+	default:
+		a.cluster.record("%s reports %s run %d %s: %s", a.id, e.Update.Name, e.Update.Run, e.Update.Outcome, e.Update.Reason)
+		a.send(e.Session, dispatch.RunUpdated{Agent: a.id, Update: e.Update})
+	}
+}
+
 // closeSession closes a session that the runner has ended.
 func (a *clusterAgent) closeSession(e runner.CloseSession) {
 	s := a.sessions[e.Session]
@@ -200,7 +257,7 @@
 	dispatcher *dispatch.Dispatcher
 	sessions   map[dispatch.AgentID]*clusterSession
 	lastWaiter dispatch.Waiter
-	// onAnswer is called with the answer to each request.
+	// onAnswer is called with the answer to each request, or with nil if its connection breaks.
 	onAnswer map[dispatch.Waiter]func(dispatch.Answer)
 }
 
@@ -218,7 +275,7 @@
 	e.isDown = false
 	e.sessions = make(map[dispatch.AgentID]*clusterSession)
 	e.onAnswer = make(map[dispatch.Waiter]func(dispatch.Answer))
-	e.dispatcher = dispatch.New(dispatch.Limits{Jobs: 2000}, rand.New(rand.NewPCG(e.cluster.random.Uint64(), 1)))
+	e.dispatcher = dispatch.New(dispatch.Limits{Jobs: 2000}, rand.New(rand.NewPCG(uint64(e.number), uint64(e.life))))
 	registered := dispatch.AgentsRegistered{Selected: len(e.cluster.agents)}
 	for _, a := range e.cluster.agents {
 		registered.Agents = append(registered.Agents, a.id)
@@ -226,6 +283,29 @@
 	e.handle(registered)
 }
 
+// restart kills the process of the entry and starts a new one after a time. The kernel closes the connections of the killed process.
+func (e *clusterEntry) restart(downtime time.Duration) {
+	if e.isDown {
+		return
+	}
+	e.cluster.record("%s is killed", e.name)
+	e.kill()
+	for _, id := range slices.Sorted(maps.Keys(e.sessions)) {
+		s := e.sessions[id]
+		s.isAtEntry = false
+		s.toAgent.send(func() { s.agent.do(s.closeAtAgent) })
+	}
+	broken := e.onAnswer
+	e.sessions, e.onAnswer = nil, nil
+	for _, waiter := range slices.Sorted(maps.Keys(broken)) {
+		broken[waiter](nil)
+	}
+	e.cluster.after(downtime, func() {
+		e.cluster.record("%s starts again", e.name)
+		e.startProcess()
+	})
+}
+
 func (e *clusterEntry) dialAll() {
 	for _, a := range e.cluster.agents {
 		e.dial(a)
--- a/internal/overload/clustercaller_test.go
+++ b/internal/overload/clustercaller_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sailhead/internal/dispatch"
+	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
 
@@ -26,12 +27,12 @@
 	waiter dispatch.Waiter
 }
 
-// submit submits a job to the entry. answered is called with its answer.
+// submit submits a job to the entry, which is up. answered is called with its answer, or with nil if the connection breaks.
 func (e *clusterEntry) submit(job dispatch.Job, answered func(dispatch.Answer)) clusterRequest {
 	e.lastWaiter++
 	request := clusterRequest{entry: e, life: e.life, job: job.ID, waiter: e.lastWaiter}
 	e.onAnswer[request.waiter] = func(answer dispatch.Answer) {
-		e.cluster.record("%s answers %s with %T", e.name, job.ID, answer)
+		e.cluster.record("%s answers %s: %T", e.name, job.ID, answer)
 		answered(answer)
 	}
 	e.cluster.record("%s is submitted to %s", job.ID, e.name)
@@ -49,3 +50,40 @@
 	delete(r.entry.onAnswer, r.waiter)
 	r.entry.do(func() { r.entry.handle(dispatch.CallerLeft{Job: r.job, Waiter: r.waiter}) })
 }
+
+// follow submits a job at the entry of its submission, and again when its caller would.
+func (c *cluster) follow(job plannedJob, submission int) {
+	if submission == job.submissions {
+		return
+	}
+	again := func(delay time.Duration) { c.after(delay, func() { c.follow(job, submission+1) }) }
+	e := c.entries[(job.entry+submission)%len(c.entries)]
+	if e.isDown {
+		again(timing.CallerRetryDelay)
+		return
+	}
+	submitted := clusterJob(job.id, job.tasks, job.runTime)
+	submitted.RemainingTime = job.patience
+	isOver := false
+	request := e.submit(submitted, func(answer dispatch.Answer) {
+		isOver = true
+		again(retryDelayAfter(answer))
+	})
+	c.after(job.patience, func() {
+		if !isOver {
+			request.leave()
+			again(timing.CallerRetryDelay)
+		}
+	})
+}
+
+// retryDelayAfter returns when a caller submits its job again after an answer: at once if the answer says how the job has ended or that it
+// did not run, and after timing.CallerRetryDelay if it learns neither.
+func retryDelayAfter(answer dispatch.Answer) time.Duration {
+	switch answer.(type) {
+	case dispatch.Completed, dispatch.Failed, dispatch.NotRun:
+		return 0
+	default:
+		return timing.CallerRetryDelay
+	}
+}
--- a/internal/overload/leasedworker_test.go
+++ b/internal/overload/leasedworker_test.go
@@ -17,6 +17,8 @@
 	// to the end of the run. Sources: hold_max_ms and stop_ms.
 	maxWorkerLease = time.Second
 	maxWorkerStop  = 50 * time.Millisecond
+	// slowClock is the rate of the slowest clock that a worker may have.
+	slowClock = 0.98
 )
 
 // leasedRun is a run on a leasedWorker.
@@ -24,6 +26,17 @@
 	name       string
 	run        uint32
 	isStopping bool
+	// stopCalled is when the agent first called to stop the run, and lastLease when the worker's lease was last extended.
+	stopCalled, lastLease time.Time
+}
+
+// describeStop describes why the run still goes on.
+func (r *leasedRun) describeStop(now time.Time) string {
+	stop := "whose stop no agent has called for"
+	if !r.stopCalled.IsZero() {
+		stop = fmt.Sprintf("whose stop was first called for %s ago", now.Sub(r.stopCalled))
+	}
+	return fmt.Sprintf("%s (being stopped: %t), and whose lease was last extended %s ago", stop, r.isStopping, now.Sub(r.lastLease))
 }
 
 // leasedWorker is a simulated worker that follows the users' protocol for running tasks: one lease for all runs, fencing tokens, and run
@@ -35,6 +48,8 @@
 	id     string
 	lives  int
 	isDown bool
+	// stopTime returns how long the next stop takes.
+	stopTime func() time.Duration
 	// rate is the rate of the worker's clock: 1, or less if it is slow.
 	rate float64
 	// leaseUntil is the end of the lease on the worker's clock.
@@ -55,7 +70,7 @@
 type workerPoll struct{ answer func(worker.RenewResult) }
 
 func newLeasedWorker(a *clusterAgent) *leasedWorker {
-	w := &leasedWorker{cluster: a.cluster, agent: a, rate: 1}
+	w := &leasedWorker{cluster: a.cluster, agent: a, rate: 1, stopTime: func() time.Duration { return maxWorkerStop }}
 	w.startLife()
 	return w
 }
@@ -68,6 +83,19 @@
 	w.runs, w.highest, w.ends, w.polls = make(map[string]*leasedRun), make(map[string]uint32), nil, nil
 }
 
+// crash ends the incarnation with all its runs; the next one starts after the given time.
+func (w *leasedWorker) crash(downtime time.Duration) {
+	if w.isDown {
+		return
+	}
+	w.cluster.record("%s crashes", w.id)
+	w.isDown = true
+	for _, poll := range w.polls {
+		poll.answer(worker.NoResponse{Reason: "connection closed", IsClosed: true})
+	}
+	w.cluster.after(downtime, w.startLife)
+}
+
 // clock returns the time on the worker's clock.
 func (w *leasedWorker) clock() time.Duration {
 	return time.Hour + time.Duration(w.rate*float64(w.cluster.now.Sub(origin)))
@@ -140,7 +168,7 @@
 	if run, ok := w.runs[request.Name]; ok && run.run <= request.Run && !run.isStopping {
 		run.isStopping = true
 		w.cluster.record("%s stops %s run %d", w.id, run.name, run.run)
-		w.cluster.after(w.cluster.stopTime(), func() { w.end(run, worker.EndingStopped) })
+		w.cluster.after(w.stopTime(), func() { w.end(run, worker.EndingStopped) })
 	}
 	return worker.Accepted{Reply: w.reply()}
 }
@@ -174,6 +202,9 @@
 		return
 	}
 	w.leaseUntil = until
+	for _, run := range w.runs {
+		run.lastLease = w.cluster.now
+	}
 	left := time.Duration(float64(until-w.clock())/w.rate) + time.Microsecond
 	id := w.id
 	w.cluster.after(left, func() { w.expireLease(id) })
--- a/internal/overload/process_test.go
+++ b/internal/overload/process_test.go
@@ -3,7 +3,10 @@
 
 package overload
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // process is a simulated process that can be frozen, killed and replaced.
 type process struct {
@@ -13,8 +16,10 @@
 	isDown bool
 	// frozenUntil is the end of the current or the latest freeze.
 	frozenUntil time.Time
-	// pending are the actions that wait for the end of the freeze.
-	pending []func()
+	// pending are the actions that wait for the end of the freeze, and pendingTicks those of them that are periodic.
+	pending, pendingTicks []func()
+	// random decides what a thawed process handles first. It is nil if the ticks come first.
+	random *rand.Rand
 }
 
 func (p *process) isFrozen() bool { return p.clock.now.Before(p.frozenUntil) }
@@ -30,6 +35,26 @@
 	}
 }
 
+// freeze freezes the process for a time. What arrives during that time is handled in order after it.
+func (p *process) freeze(span time.Duration) {
+	p.frozenUntil = latest(p.frozenUntil, p.clock.now.Add(span))
+	p.clock.after(span, p.thaw)
+}
+
+func (p *process) thaw() {
+	if p.isFrozen() {
+		return
+	}
+	pending := append(p.pendingTicks, p.pending...)
+	if p.random != nil && p.random.IntN(2) == 0 {
+		pending = append(p.pending, p.pendingTicks...)
+	}
+	p.pending, p.pendingTicks = nil, nil
+	for _, action := range pending {
+		p.do(action)
+	}
+}
+
 // inLife returns an action that is dropped if the process is another one by then.
 func (p *process) inLife(action func()) func() {
 	life := p.life
@@ -40,17 +65,24 @@
 	}
 }
 
+// kill ends the process. start must follow it.
+func (p *process) kill() {
+	p.life++
+	p.isDown = true
+	p.pending, p.pendingTicks = nil, nil
+	p.frozenUntil = time.Time{}
+}
+
 // every runs an action at regular intervals, the first time after a random part of one. During a freeze one action at most waits.
 func (p *process) every(interval time.Duration, action func()) {
-	isWaiting := false
+	waitsSince := time.Time{}
 	p.clock.every(interval, func() {
-		if isWaiting && p.isFrozen() {
-			return
+		switch {
+		case !p.isFrozen():
+			p.do(action)
+		case waitsSince.Before(p.frozenUntil):
+			waitsSince = p.frozenUntil
+			p.pendingTicks = append(p.pendingTicks, action)
 		}
-		isWaiting = true
-		p.do(func() {
-			isWaiting = false
-			action()
-		})
 	})
 }
--- /dev/null
+++ b/internal/overload/schedulefault_test.go
@@ -0,0 +1,132 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// faultName is the name of a kind of fault in a schedule.
+type faultName string
+
+const (
+	// The faults of a worker's link apply to a share of the calls.
+	requestsLost   faultName = "requests lost"
+	answersLost    faultName = "answers lost"
+	closedBefore   faultName = "connections closed before the call"
+	closedAfter    faultName = "connections closed after the call"
+	requestsLate   faultName = "requests carried out late"
+	answersLate    faultName = "answers late"
+	stopsLost      faultName = "stops lost"
+	stopsClosed    faultName = "connections of stops closed"
+	startsLate     faultName = "starts carried out late"
+	callsSentLate  faultName = "calls leave late"
+	pathSilent     faultName = "path silent"
+	pathHalfSilent faultName = "path to the entry silent"
+	pathDeaf       faultName = "path to the agent silent"
+	entryFrozen    faultName = "entry frozen"
+	agentFrozen    faultName = "agent frozen"
+	entryKilled    faultName = "entry killed"
+	agentKilled    faultName = "agent killed"
+	workerCrashes  faultName = "worker crashes"
+)
+
+// allFaults are the faults of random schedules.
+var allFaults = []faultName{
+	requestsLost, answersLost, closedBefore, closedAfter, requestsLate, answersLate, stopsLost, stopsClosed, startsLate, callsSentLate,
+	pathSilent, pathHalfSilent, pathDeaf, entryFrozen, agentFrozen, entryKilled, agentKilled, workerCrashes,
+}
+
+const (
+	// longestRequestDelay is how late a request may be carried out, and longestAnswerDelay how late an answer may arrive.
+	longestRequestDelay = 4 * time.Second
+	longestAnswerDelay  = time.Second
+	// longestCallDelay is how late a call leaves a busy agent.
+	longestCallDelay = 100 * time.Millisecond
+	// closeTime is the time from a call until the agent learns that its connection was closed.
+	closeTime = time.Millisecond
+)
+
+// inject injects a fault.
+func (c *cluster) inject(f plannedFault) {
+	e, a := c.entries[f.entry], c.agents[f.agent]
+	path := c.path(e, a)
+	c.record("FAULT %s", f)
+	switch f.kind {
+	case callsSentLate:
+		random := rand.New(rand.NewPCG(f.seed, 0))
+		a.callDelay = func() time.Duration { return randomTime(random, 0, longestCallDelay) }
+		c.after(f.span, func() { a.callDelay = nil })
+	case pathSilent:
+		path.silence(f.span)
+	case pathHalfSilent:
+		path.toEntryFrom = latest(path.toEntryFrom, c.now.Add(f.span))
+	case pathDeaf:
+		path.toAgentFrom = latest(path.toAgentFrom, c.now.Add(f.span))
+	case entryFrozen:
+		e.freeze(f.span)
+	case agentFrozen:
+		a.freeze(f.span)
+	case entryKilled:
+		e.restart(f.span)
+	case agentKilled:
+		a.restart(f.span)
+	case workerCrashes:
+		a.worker.crash(f.span)
+	default:
+		a.addRule(f)
+	}
+}
+
+// addRule applies a fault to the link of an agent to its worker for a time.
+func (a *clusterAgent) addRule(f plannedFault) {
+	rule := &linkRule{decide: f.newRule()}
+	a.rules = append(a.rules, rule)
+	a.cluster.after(f.span, func() {
+		a.rules = slices.DeleteFunc(slices.Clone(a.rules), func(r *linkRule) bool { return r == rule })
+	})
+}
+
+// newRule returns the rule of a fault of a worker's link.
+func (f plannedFault) newRule() fateRule {
+	random := rand.New(rand.NewPCG(f.seed, 0))
+	return func(kind callKind) callFate {
+		isHit, delay := random.Float64() < f.share, randomTime(random, 0, longestRequestDelay)
+		if !isHit {
+			return callFate{}
+		}
+		return f.fateOf(kind, delay)
+	}
+}
+
+// fateOf returns the fate of a call to which the fault applies.
+func (f plannedFault) fateOf(kind callKind, delay time.Duration) callFate {
+	switch f.kind {
+	case requestsLost:
+		return callFate{isRequestLost: true}
+	case answersLost:
+		return callFate{isAnswerLost: true}
+	case closedBefore:
+		return callFate{isRequestLost: true, closesAfter: closeTime}
+	case closedAfter:
+		return callFate{isAnswerLost: true, closesAfter: closeTime}
+	case requestsLate:
+		return callFate{requestDelay: delay}
+	case answersLate:
+		return callFate{answerDelay: delay / (longestRequestDelay / longestAnswerDelay)}
+	case stopsLost:
+		return callFate{isRequestLost: kind == callStop}
+	case stopsClosed:
+		if kind == callStop {
+			return callFate{isRequestLost: true, closesAfter: closeTime}
+		}
+	case startsLate:
+		if kind == callStart {
+			return callFate{requestDelay: delay}
+		}
+	}
+	return callFate{}
+}
--- a/internal/overload/unacceptedstop_test.go
+++ b/internal/overload/unacceptedstop_test.go
@@ -35,7 +35,7 @@
 var unacceptedStopRules = map[string]fateRule{"all carried": carryAll, "stops lost": loseStops}
 
 // TestAJobWhoseCallerLeftEndsBeforeItIsSubmittedAgain covers a caller that leaves while a task of its job runs on a worker that answers
-// renewals and gets no stop, and that submits the job again at another entry after timing.CallerRetryDelay.
+// renewals and gets no stop, and that submits the job again after timing.CallerRetryDelay, at another entry that cannot reach that agent.
 //
 // The failure: the agent went on extending the worker's lease, so the run outlived the delay, and the other entry started the task on
 // another worker.
@@ -45,7 +45,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(620000, 2, 3)
 			request, a := startLongJob(t, c)
-			a.fate = rule
+			a.rules = []*linkRule{{decide: rule}}
+			c.path(c.entries[1], a).silence(time.Minute)
 			request.leave()
 			c.run(timing.CallerRetryDelay)
 			c.entries[1].submit(clusterJob(longJobID, 1, longJobTime), ignoreAnswer)
@@ -69,7 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(620000, 2, 3)
 			_, a := startLongJob(t, c)
-			a.fate = rule
+			a.rules = []*linkRule{{decide: rule}}
 			c.path(c.entries[0], a).silence(4 * time.Second)
 			c.run(3 * time.Second)
 			c.checkNoOverlap(t)
--- a/internal/overload/workerlink_test.go
+++ b/internal/overload/workerlink_test.go
@@ -27,8 +27,8 @@
 	// isRequestLost is set if the worker does not get the request, and isAnswerLost if the agent does not get the answer. Unless the
 	// connection is closed, the call times out.
 	isRequestLost, isAnswerLost bool
-	// requestDelay is how much later than usual the worker gets the request.
-	requestDelay time.Duration
+	// requestDelay is how much later than usual the worker gets the request, and answerDelay how much later the agent gets the answer.
+	requestDelay, answerDelay time.Duration
 	// closesAfter is when the agent learns that the connection was closed, zero if it stays open. No answer follows.
 	closesAfter time.Duration
 }
@@ -44,6 +44,9 @@
 	if f.requestDelay > 0 {
 		parts = append(parts, fmt.Sprintf("carried out %s later", f.requestDelay))
 	}
+	if f.answerDelay > 0 {
+		parts = append(parts, fmt.Sprintf("answered %s later", f.answerDelay))
+	}
 	if f.closesAfter > 0 {
 		parts = append(parts, fmt.Sprintf("connection closed after %s", f.closesAfter))
 	}
@@ -53,6 +56,19 @@
 // fateRule decides the fate of a call.
 type fateRule func(callKind) callFate
 
+// linkRule is a rule that a link follows at present.
+type linkRule struct{ decide fateRule }
+
+// fate returns the fate of a call to the worker, by the first rule that does something to it.
+func (a *clusterAgent) fate(kind callKind) callFate {
+	for _, rule := range a.rules {
+		if fate := rule.decide(kind); fate != (callFate{}) {
+			return fate
+		}
+	}
+	return callFate{}
+}
+
 // carryAll carries all calls.
 func carryAll(callKind) callFate { return callFate{} }
 
@@ -101,7 +117,7 @@
 			if fate.isAnswerLost {
 				return
 			}
-			c.after(workerDelay, func() {
+			c.after(workerDelay+fate.answerDelay, func() {
 				if !isAnswered && (!hasTimedOut || call.acceptsLate) {
 					isAnswered = true
 					call.finish(result)
@@ -111,23 +127,25 @@
 	})
 }
 
-// call carries out a call that the runner of an agent has requested.
-func (a *clusterAgent) call(effect runner.Effect) {
+// call carries out a call that the runner of an agent requested at the time emitted.
+func (a *clusterAgent) call(effect runner.Effect, emitted time.Time) {
 	switch e := effect.(type) {
 	case runner.CallStart:
 		a.callStart(e)
 	case runner.CallStop:
+		a.cluster.recordStopCall(a.worker, e.Stop)
 		a.callStop(e)
 	case runner.CallRenew:
-		a.callRenew(e)
+		a.callRenew(e, emitted)
 	}
 }
 
 // callStart starts a run. Like package agent, it does not send the call once the lease of the entry's session has expired.
 func (a *clusterAgent) callStart(e runner.CallStart) {
 	sent := a.cluster.now
+	post := a.poster()
 	finish := func(result worker.StartResult) {
-		a.handleLater(func() runner.Event {
+		post(func() runner.Event {
 			now := a.cluster.now
 			return runner.StartAnswered{Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Sent: sent, Ended: now, Result: received(now, result)}
 		})
@@ -141,8 +159,9 @@
 }
 
 func (a *clusterAgent) callStop(e runner.CallStop) {
+	post := a.poster()
 	finish := func(result worker.StopResult) {
-		a.handleLater(func() runner.Event {
+		post(func() runner.Event {
 			return runner.StopAnswered{Incarnation: e.Incarnation, Name: e.Stop.Name, Run: e.Stop.Run, Result: received(a.cluster.now, result)}
 		})
 	}
@@ -151,18 +170,18 @@
 }
 
 // callRenew renews the lease. Like package agent, it passes an answer on even after the call has timed out.
-func (a *clusterAgent) callRenew(e runner.CallRenew) {
+func (a *clusterAgent) callRenew(e runner.CallRenew, emitted time.Time) {
 	kind := callRenew
 	if e.Renew.Wait > 0 {
 		kind = callLongPoll
 	}
-	sent, wasAnswered := a.cluster.now, false
+	started, wasAnswered, post := a.cluster.now, false, a.poster()
 	finish := func(result worker.RenewResult) {
-		a.handleLater(func() runner.Event {
+		post(func() runner.Event {
 			now, isLate := a.cluster.now, wasAnswered
 			wasAnswered = true
 			return runner.RenewAnswered{
-				Incarnation: e.Incarnation, Sent: sent, Took: now.Sub(sent), Ended: now, Fence: e.Renew.Fence,
+				Incarnation: e.Incarnation, Sent: emitted, Took: now.Sub(started), Ended: now, Fence: e.Renew.Fence,
 				LongPoll: kind == callLongPoll && !isLate, Result: received(now, result),
 			}
 		})
