overload: many faults at few processes, and jobs that fail while a run goes on

Change: denser schedules, with tasks that fail or crash their workers and callers that leave unnoticed, and a forced order for the answer to a failed job.

--- a/internal/overload/clustercaller_test.go
+++ b/internal/overload/clustercaller_test.go
@@ -41,13 +41,16 @@
 	return request
 }
 
-// leave closes the request, which the entry notices at once.
-func (r clusterRequest) leave() {
+// leave closes the request. The entry may not notice it.
+func (r clusterRequest) leave(isNoticed bool) {
 	if r.entry.life != r.life {
 		return
 	}
 	r.entry.cluster.record("the caller of %s leaves %s", r.job, r.entry.name)
 	delete(r.entry.onAnswer, r.waiter)
+	if !isNoticed {
+		return
+	}
 	r.entry.do(func() { r.entry.handle(dispatch.CallerLeft{Job: r.job, Waiter: r.waiter}) })
 }
 
@@ -63,7 +66,8 @@
 		return
 	}
 	submitted := clusterJob(job.id, job.tasks, job.runTime)
-	submitted.RemainingTime = job.patience
+	submitted.RemainingTime = job.deadline
+	submitted.Payload = job.prefix + submitted.Payload
 	isOver := false
 	request := e.submit(submitted, func(answer dispatch.Answer) {
 		isOver = true
@@ -71,7 +75,8 @@
 	})
 	c.after(job.patience, func() {
 		if !isOver {
-			request.leave()
+			isOver = true
+			request.leave(!job.isSilent)
 			again(timing.CallerRetryDelay)
 		}
 	})
--- a/internal/overload/leasedworker_test.go
+++ b/internal/overload/leasedworker_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"sailhead/internal/worker"
@@ -19,6 +20,10 @@
 	maxWorkerStop  = 50 * time.Millisecond
 	// slowClock is the rate of the slowest clock that a worker may have.
 	slowClock = 0.98
+	// failPayload is the prefix of the run time in the payload of a job whose first task fails earlyEnd after its start. With crashPayload it
+	// crashes its worker then.
+	failPayload = "fail:"
+	earlyEnd    = 60 * time.Millisecond
 )
 
 // leasedRun is a run on a leasedWorker.
@@ -144,19 +149,33 @@
 		w.extendLease(request.LeaseUntil)
 		return worker.InsufficientResources{Reply: w.reply()}
 	}
-	length, err := time.ParseDuration(request.Payload)
-	if err != nil {
-		return worker.Invalid{Reply: w.reply(), Reason: err.Error()}
-	}
-	w.begin(&leasedRun{name: request.Name, run: request.Run}, length)
+	w.begin(&leasedRun{name: request.Name, run: request.Run}, request.Payload)
 	w.extendLease(request.LeaseUntil)
 	return worker.Accepted{Reply: w.reply()}
 }
 
-func (w *leasedWorker) begin(run *leasedRun, length time.Duration) {
+// begin begins a run. The payload is its run time; if it has a prefix, the first task of the job fails or crashes its worker early.
+func (w *leasedWorker) begin(run *leasedRun, payload string) {
 	w.cluster.checkBegin(w, run)
 	w.runs[run.name] = run
-	w.cluster.after(length, func() { w.end(run, worker.EndingDone) })
+	isFirst := strings.HasSuffix(run.name, ".0.0.0")
+	runTime, fails := strings.CutPrefix(payload, failPayload)
+	runTime, crashes := strings.CutPrefix(runTime, crashPayload)
+	length, err := time.ParseDuration(runTime)
+	switch {
+	case err != nil:
+		panic(err)
+	case fails && isFirst:
+		w.cluster.after(earlyEnd, func() { w.end(run, worker.EndingFailed) })
+	case crashes && isFirst:
+		w.cluster.after(earlyEnd, func() {
+			if w.runs[run.name] == run {
+				w.crash(time.Second)
+			}
+		})
+	default:
+		w.cluster.after(length, func() { w.end(run, worker.EndingDone) })
+	}
 }
 
 // stop ends a run within maxWorkerStop, and makes the worker refuse it if it has not begun.
--- a/internal/overload/schedule_test.go
+++ b/internal/overload/schedule_test.go
@@ -47,13 +47,18 @@
 	entry   int
 	tasks   int
 	runTime time.Duration
-	// patience is how long the caller waits for each answer.
-	patience    time.Duration
+	// patience is how long the caller waits for each answer, and deadline the time that it names.
+	patience, deadline time.Duration
+	// isSilent is set if no entry notices that the caller leaves.
+	isSilent    bool
 	submissions int
+	// prefix is the prefix of the payload.
+	prefix string
 }
 
 func (j plannedJob) String() string {
-	return fmt.Sprintf("%s at %s to entry-%d: %d tasks of %s, the caller waits %s and submits it up to %d times", j.id, j.at, j.entry, j.tasks, j.runTime, j.patience, j.submissions)
+	return fmt.Sprintf("%s at %s to entry-%d: %d tasks of %s%s, the caller names %s, waits %s (leaves unnoticed: %t), and submits it up to %d times",
+		j.id, j.at, j.entry, j.tasks, j.prefix, j.runTime, j.deadline, j.patience, j.isSilent, j.submissions)
 }
 
 // plannedFault is a fault of a process, a path or a link.
@@ -87,11 +92,13 @@
 }
 
 func (s schedule) randomJob(random *rand.Rand, number int) plannedJob {
-	return plannedJob{
+	job := plannedJob{
 		id: fmt.Sprintf("%016x", number+1), at: randomTime(random, 0, scheduleLength), entry: random.IntN(s.entries), tasks: 1 + random.IntN(3),
 		runTime: randomTime(random, 50*time.Millisecond, 5*time.Second), patience: randomTime(random, 100*time.Millisecond, 4*time.Second),
 		submissions: 2 + random.IntN(3),
 	}
+	job.deadline = job.patience
+	return job
 }
 
 func (s schedule) randomFault(random *rand.Rand, names []faultName) plannedFault {
--- a/internal/overload/scheduleoverlap_test.go
+++ b/internal/overload/scheduleoverlap_test.go
@@ -31,9 +31,22 @@
 // A failure shows the shortest schedule that still fails, and its events up to the second run.
 func TestNoTaskHasTwoRunsAtATimeWhateverFails(t *testing.T) {
 	t.Parallel()
+	checkSchedules(t, *overlapFirst, newSchedule)
+}
+
+// TestNoTaskHasTwoRunsAtATimeInManyFaults is the same with more and shorter faults at fewer processes, longer tasks, tasks that fail or crash
+// their workers, and callers that an entry does not notice to leave.
+func TestNoTaskHasTwoRunsAtATimeInManyFaults(t *testing.T) {
+	t.Parallel()
+	checkSchedules(t, *overlapFirst, newDenseSchedule)
+}
+
+// checkSchedules plays the schedules of -overlap.seeds seeds.
+func checkSchedules(t *testing.T, first uint64, create func(uint64, []faultName) schedule) {
+	t.Helper()
 	begun := 0
-	for seed := *overlapFirst; seed < *overlapFirst+*overlapSeeds; seed++ {
-		s := newSchedule(seed, faultsToInject())
+	for seed := first; seed < first+*overlapSeeds; seed++ {
+		s := create(seed, faultsToInject())
 		c := s.play()
 		begun += c.begun
 		if len(c.overlaps) > 0 {
--- a/internal/overload/unacceptedstop_test.go
+++ b/internal/overload/unacceptedstop_test.go
@@ -47,7 +47,7 @@
 			request, a := startLongJob(t, c)
 			a.rules = []*linkRule{{decide: rule}}
 			c.path(c.entries[1], a).silence(time.Minute)
-			request.leave()
+			request.leave(true)
 			c.run(timing.CallerRetryDelay)
 			c.entries[1].submit(clusterJob(longJobID, 1, longJobTime), ignoreAnswer)
 			c.run(time.Second)
@@ -80,3 +80,31 @@
 		})
 	}
 }
+
+// TestAJobIsNotAnsweredAsFailedBeforeItsRunsHaveEnded covers a job one of whose tasks fails while another one runs on a worker that answers
+// renewals and gets no stop. The caller submits the job again at another entry as soon as it has the answer.
+//
+// The failure: the entry held the answer for 150 ms at most, and the other one started the task on another worker.
+func TestAJobIsNotAnsweredAsFailedBeforeItsRunsHaveEnded(t *testing.T) {
+	t.Parallel()
+	for name, rule := range unacceptedStopRules {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(620000, 2, 3)
+			job := clusterJob(longJobID, 2, longJobTime)
+			job.Payload = failPayload + job.Payload
+			c.entries[0].submit(job, func(answer dispatch.Answer) {
+				if _, isFailed := answer.(dispatch.Failed); !isFailed {
+					t.Errorf("the answer is %T, want Failed", answer)
+				}
+				c.entries[1].submit(job, ignoreAnswer)
+			})
+			c.run(50 * time.Millisecond)
+			for _, a := range c.runsOf(dispatch.TaskName(longJobID, 0, 1)) {
+				a.rules = []*linkRule{{decide: rule}}
+				c.path(c.entries[1], a).silence(time.Minute)
+			}
+			c.run(2 * time.Second)
+			c.checkNoOverlap(t)
+		})
+	}
+}
