--- a/internal/overload/cluster_test.go
+++ b/internal/overload/cluster_test.go
@@ -28,9 +28,13 @@
 // workers to the letter, and records each run that begins while another run of its task goes on.
 type cluster struct {
 	*scheduler
-	entries     []*clusterEntry
-	agents      []*clusterAgent
-	paths       map[[2]int]*networkPath
+	entries []*clusterEntry
+	agents  []*clusterAgent
+	paths   map[[2]int]*networkPath
+	// peerPaths are the paths from an entry that hands jobs over to another one.
+	peerPaths map[[2]int]*networkPath
+	// limits are those of all entries.
+	limits      dispatch.Limits
 	lastSession runner.SessionID
 	// begun counts the runs that have begun, and overlaps describes those that began beside another run of their task.
 	begun    int
@@ -39,8 +43,14 @@
 }
 
 // newCluster returns a cluster in which all sessions are open and all workers accept tasks.
-func newCluster(seed uint64, entries, agents int) *cluster {
-	c := &cluster{scheduler: newScheduler(seed), paths: make(map[[2]int]*networkPath)}
+func newCluster(seed uint64, entries, agents int, options ...func(*cluster)) *cluster {
+	c := &cluster{
+		scheduler: newScheduler(seed), paths: make(map[[2]int]*networkPath), peerPaths: make(map[[2]int]*networkPath),
+		limits: dispatch.Limits{Jobs: 2000},
+	}
+	for _, option := range options {
+		option(c)
+	}
 	for i := range agents {
 		c.addAgent(i)
 	}
@@ -53,11 +63,20 @@
 
 // path returns the network path between an entry and an agent.
 func (c *cluster) path(e *clusterEntry, a *clusterAgent) *networkPath {
-	key := [2]int{e.number, a.number}
-	if c.paths[key] == nil {
-		c.paths[key] = &networkPath{clock: c.scheduler}
+	return c.findPath(c.paths, e.number, a.number)
+}
+
+// peerPath returns the network path on which an entry hands jobs over to another one.
+func (c *cluster) peerPath(e, to *clusterEntry) *networkPath {
+	return c.findPath(c.peerPaths, e.number, to.number)
+}
+
+func (c *cluster) findPath(paths map[[2]int]*networkPath, from, to int) *networkPath {
+	key := [2]int{from, to}
+	if paths[key] == nil {
+		paths[key] = &networkPath{clock: c.scheduler}
 	}
-	return c.paths[key]
+	return paths[key]
 }
 
 // record adds an event to the trace.
@@ -259,6 +278,8 @@
 	lastWaiter dispatch.Waiter
 	// onAnswer is called with the answer to each request, or with nil if its connection breaks.
 	onAnswer map[dispatch.Waiter]func(dispatch.Answer)
+	// handOvers are the jobs that the entry has handed over, or received from others, that have not ended.
+	handOvers []*clusterHandOver
 }
 
 func (c *cluster) addEntry(number int) {
@@ -275,7 +296,7 @@
 	e.isDown = false
 	e.sessions = make(map[dispatch.AgentID]*clusterSession)
 	e.onAnswer = make(map[dispatch.Waiter]func(dispatch.Answer))
-	e.dispatcher = dispatch.New(dispatch.Limits{Jobs: 2000}, rand.New(rand.NewPCG(uint64(e.number), uint64(e.life))))
+	e.dispatcher = dispatch.New(e.cluster.limits, rand.New(rand.NewPCG(uint64(e.number), uint64(e.life))))
 	registered := dispatch.AgentsRegistered{Selected: len(e.cluster.agents)}
 	for _, a := range e.cluster.agents {
 		registered.Agents = append(registered.Agents, a.id)
@@ -295,6 +316,7 @@
 		s.isAtEntry = false
 		s.toAgent.send(func() { s.agent.do(s.closeAtAgent) })
 	}
+	e.closeHandOvers()
 	broken := e.onAnswer
 	e.sessions, e.onAnswer = nil, nil
 	for _, waiter := range slices.Sorted(maps.Keys(broken)) {
@@ -337,6 +359,10 @@
 		e.send(f.Agent, func(id runner.SessionID) runner.Event { return runner.OfferAnswered{Session: id, Offer: f.Offer} })
 	case dispatch.ShareCrashes:
 		e.cluster.after(sessionDelay, e.inLife(func() { e.handle(dispatch.CrashesShared(f)) }))
+	case dispatch.HandOver:
+		e.handOver(f)
+	case dispatch.WithdrawHandOver:
+		e.withdrawHandOver(f)
 	case dispatch.Reply:
 		e.reply(f)
 	}
--- a/internal/overload/clustercaller_test.go
+++ b/internal/overload/clustercaller_test.go
@@ -71,7 +71,9 @@
 	isOver := false
 	request := e.submit(submitted, func(answer dispatch.Answer) {
 		isOver = true
-		again(retryDelayAfter(answer))
+		if _, isFailed := answer.(dispatch.Failed); !isFailed || !*noFailedAgain {
+			again(retryDelayAfter(answer))
+		}
 	})
 	c.after(job.patience, func() {
 		if !isOver {
--- /dev/null
+++ b/internal/overload/clusterhandover_test.go
@@ -0,0 +1,191 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"slices"
+	"time"
+
+	"sailhead/internal/dispatch"
+	"sailhead/internal/timing"
+)
+
+// clusterHandOver is a job that an entry has handed over to another one, with a connection of its own. As in package handover, both ends send
+// pings, and an end that receives nothing closes the connection.
+type clusterHandOver struct {
+	cluster              *cluster
+	sender, receiver     *clusterEntry
+	job                  dispatch.Job
+	number               uint64
+	toReceiver, toSender stream
+	// isAtSender and isAtReceiver are set while the job is outstanding at each end.
+	isAtSender, isAtReceiver bool
+	// lastAtSender and lastAtReceiver are when each end received the latest message.
+	lastAtSender, lastAtReceiver time.Time
+	request                      clusterRequest
+}
+
+// handOver hands a job over to the next entry that is up.
+func (e *clusterEntry) handOver(f dispatch.HandOver) {
+	c := e.cluster
+	for i := 1; i < len(c.entries); i++ {
+		to := c.entries[(e.number+i)%len(c.entries)]
+		if to.isDown || c.peerPath(e, to).isSilent() {
+			continue
+		}
+		c.sendHandOver(e, to, f)
+		return
+	}
+	c.after(0, e.inLife(func() {
+		e.handle(dispatch.HandOverEnded{Job: f.Job.ID, Number: f.Number, Result: dispatch.HandOverNotSent{Reason: "no other entry"}})
+	}))
+}
+
+func (c *cluster) sendHandOver(from, to *clusterEntry, f dispatch.HandOver) {
+	path := c.peerPath(from, to)
+	h := &clusterHandOver{cluster: c, sender: from, receiver: to, job: f.Job, number: f.Number, isAtSender: true, lastAtSender: c.now}
+	h.toReceiver, h.toSender = stream{clock: c.scheduler, from: &path.forthFrom}, stream{clock: c.scheduler, from: &path.backFrom}
+	from.handOvers = append(from.handOvers, h)
+	c.record("%s hands %s over to %s", from.name, f.Job.ID, to.name)
+	h.toReceiver.send(to.inLife(h.take))
+	c.after(h.randomPhase(), h.watchSender)
+}
+
+// handOverPing is the interval of the pings of a hand-over, at which each end also checks for silence, as in package handover.
+const handOverPing = timing.IdlePingInterval
+
+func (h *clusterHandOver) randomPhase() time.Duration {
+	return time.Duration(h.cluster.random.Int64N(int64(handOverPing)))
+}
+
+// take submits the job at the receiver.
+func (h *clusterHandOver) take() {
+	h.isAtReceiver, h.lastAtReceiver = true, h.cluster.now
+	h.receiver.handOvers = append(h.receiver.handOvers, h)
+	h.reportToSender(func() {
+		h.sender.handle(dispatch.HandOverAccepted{Job: h.job.ID, Number: h.number, Entry: h.receiver.name})
+	})
+	job := h.job
+	job.IsHandedOver = true
+	job.RemainingTime -= h.cluster.now.Sub(job.Received)
+	h.cluster.after(h.randomPhase(), h.watchReceiver)
+	h.request = h.receiver.submit(job, h.answer)
+}
+
+// answer returns the answer to the sender. It is nil if the receiver was killed.
+func (h *clusterHandOver) answer(answer dispatch.Answer) {
+	if !h.isAtReceiver || answer == nil {
+		return
+	}
+	h.isAtReceiver = false
+	var result dispatch.HandOverResult = dispatch.HandOverAnswered{Answer: answer}
+	if refused, ok := answer.(dispatch.NotRun); ok && refused.IsLocal {
+		result = dispatch.HandOverRefused{Reason: refused.Reason}
+	}
+	h.reportToSender(func() { h.end(result) })
+}
+
+// reportToSender makes the sender handle a message, unless the job has ended there.
+func (h *clusterHandOver) reportToSender(handle func()) {
+	h.toSender.send(func() {
+		h.sender.do(func() {
+			if h.isAtSender {
+				h.lastAtSender = h.cluster.now
+				handle()
+			}
+		})
+	})
+}
+
+// reportToReceiver makes the receiver handle a message, unless the job has ended there.
+func (h *clusterHandOver) reportToReceiver(handle func()) {
+	h.toReceiver.send(func() {
+		h.receiver.do(func() {
+			if h.isAtReceiver {
+				h.lastAtReceiver = h.cluster.now
+				handle()
+			}
+		})
+	})
+}
+
+// end ends the hand-over at the sender with a result.
+func (h *clusterHandOver) end(result dispatch.HandOverResult) {
+	h.isAtSender = false
+	h.sender.handle(dispatch.HandOverEnded{Job: h.job.ID, Number: h.number, Result: result})
+}
+
+// cancel ends the hand-over at the receiver, which drops the job.
+func (h *clusterHandOver) cancel() {
+	h.isAtReceiver = false
+	h.cluster.record("%s cancels %s of %s", h.receiver.name, h.job.ID, h.sender.name)
+	h.request.leave(true)
+}
+
+// lose ends the hand-over at the sender, whose connection has ended.
+func (h *clusterHandOver) lose() {
+	h.cluster.record("%s loses the connection for %s to %s", h.sender.name, h.job.ID, h.receiver.name)
+	h.end(dispatch.HandOverLost{Reason: "the connection has ended"})
+}
+
+// watchSender sends pings to the receiver, and closes the connection if that is silent.
+func (h *clusterHandOver) watchSender() {
+	if !h.isAtSender {
+		return
+	}
+	h.cluster.after(handOverPing, h.watchSender)
+	h.sender.do(func() {
+		switch {
+		case !h.isAtSender:
+		case h.cluster.now.Sub(h.lastAtSender) > timing.SessionCloseTimeout:
+			h.reportToReceiver(h.cancel)
+			h.lose()
+		default:
+			h.reportToReceiver(func() {})
+		}
+	})
+}
+
+// watchReceiver sends pings to the sender, and closes the connection if that is silent.
+func (h *clusterHandOver) watchReceiver() {
+	if !h.isAtReceiver {
+		return
+	}
+	h.cluster.after(handOverPing, h.watchReceiver)
+	h.receiver.do(func() {
+		switch {
+		case !h.isAtReceiver:
+		case h.cluster.now.Sub(h.lastAtReceiver) > timing.SessionCloseTimeout:
+			h.reportToSender(h.lose)
+			h.cancel()
+		default:
+			h.reportToSender(func() {})
+		}
+	})
+}
+
+// withdrawHandOver tells the receiver that the job is not needed any more.
+func (e *clusterEntry) withdrawHandOver(f dispatch.WithdrawHandOver) {
+	for _, h := range slices.Clone(e.handOvers) {
+		if h.sender == e && h.isAtSender && h.number == f.Number && h.job.ID == f.Job {
+			h.isAtSender = false
+			h.reportToReceiver(h.cancel)
+		}
+	}
+}
+
+// closeHandOvers closes the connections of a killed entry. The other ends learn of it as soon as the path is not silent.
+func (e *clusterEntry) closeHandOvers() {
+	for _, h := range e.handOvers {
+		switch {
+		case h.sender == e && h.isAtSender:
+			h.isAtSender = false
+			h.reportToReceiver(h.cancel)
+		case h.receiver == e && h.isAtReceiver:
+			h.isAtReceiver = false
+			h.reportToSender(h.lose)
+		}
+	}
+	e.handOvers = nil
+}
--- a/internal/overload/schedulefault_test.go
+++ b/internal/overload/schedulefault_test.go
@@ -63,9 +63,9 @@
 	case pathSilent:
 		path.silence(f.span)
 	case pathHalfSilent:
-		path.toEntryFrom = latest(path.toEntryFrom, c.now.Add(f.span))
+		path.backFrom = latest(path.backFrom, c.now.Add(f.span))
 	case pathDeaf:
-		path.toAgentFrom = latest(path.toAgentFrom, c.now.Add(f.span))
+		path.forthFrom = latest(path.forthFrom, c.now.Add(f.span))
 	case entryFrozen:
 		e.freeze(f.span)
 	case agentFrozen:
--- a/internal/overload/scheduleoverlap_test.go
+++ b/internal/overload/scheduleoverlap_test.go
@@ -17,6 +17,8 @@
 	overlapFirst = flag.Uint64("overlap.first", 620001, "seed of the first random schedule of faults")
 	// overlapWithout leaves faults out of the schedules.
 	overlapWithout = flag.String("overlap.without", "", "names of faults to leave out, separated by commas")
+	// noFailedAgain makes callers not submit a job again that has failed.
+	noFailedAgain = flag.Bool("overlap.nofailedagain", false, "let no caller submit a job again that has failed")
 )
 
 // faultsToInject returns the faults that -overlap.without does not name.
--- a/internal/overload/sessionlink_test.go
+++ b/internal/overload/sessionlink_test.go
@@ -14,21 +14,22 @@
 // livenessInterval is the interval at which an entry checks its sessions, as in package entry.
 const livenessInterval = 50 * time.Millisecond
 
-// networkPath is the network path between an entry and an agent. While it is silent, nothing gets through, and what was sent arrives later.
+// networkPath is the network path from an entry to an agent or to another entry. While it is silent, nothing gets through, and what was sent
+// arrives later.
 type networkPath struct {
 	clock *scheduler
-	// toAgentFrom and toEntryFrom are when each direction carries messages again.
-	toAgentFrom, toEntryFrom time.Time
+	// forthFrom and backFrom are when each direction carries messages again. Those of an entry to an agent go forth.
+	forthFrom, backFrom time.Time
 }
 
 // silence makes both directions silent for a time.
 func (p *networkPath) silence(span time.Duration) {
-	p.toAgentFrom = latest(p.toAgentFrom, p.clock.now.Add(span))
-	p.toEntryFrom = latest(p.toEntryFrom, p.clock.now.Add(span))
+	p.forthFrom = latest(p.forthFrom, p.clock.now.Add(span))
+	p.backFrom = latest(p.backFrom, p.clock.now.Add(span))
 }
 
 func (p *networkPath) isSilent() bool {
-	return p.clock.now.Before(p.toAgentFrom) || p.clock.now.Before(p.toEntryFrom)
+	return p.clock.now.Before(p.forthFrom) || p.clock.now.Before(p.backFrom)
 }
 
 // stream is one direction of a connection. It delivers messages in their order.
@@ -88,7 +89,7 @@
 	}
 	c.lastSession++
 	s := &clusterSession{id: c.lastSession, entry: e, agent: a, isAtEntry: true, lastMessage: c.now}
-	s.toAgent, s.toEntry = stream{clock: c.scheduler, from: &path.toAgentFrom}, stream{clock: c.scheduler, from: &path.toEntryFrom}
+	s.toAgent, s.toEntry = stream{clock: c.scheduler, from: &path.forthFrom}, stream{clock: c.scheduler, from: &path.backFrom}
 	e.sessions[a.id] = s
 	c.record("session %d between %s and %s opens", s.id, e.name, a.id)
 	s.toAgent.send(a.inLife(func() {
