spec: stops are lost, and a lease is extended only while every session with a run there is valid

Cause: the model of sessions stopped the clock until a stop had been made and never lost one, and extended the lease only in valid sessions, which the program did not do. So it proved another program, and the unaccepted stop could not show.

Change: time passes whether or not the stop has been made, so it may come late or never.

--- a/spec/session.pml
+++ b/spec/session.pml
@@ -2,13 +2,14 @@
  *
  * One task, the entry that owns it, two agents and their workers, on discrete time. The entry places the task on agent 0.
  * At any moment it may lose that session; it then waits and places the task on agent 1. Start requests, pongs and calls
- * to the worker are late or lost; agent 0 freezes, thaws and dies.
+ * to the worker, stops included, are late or lost; agent 0 freezes, thaws and dies.
  *
  * Asserted: two runs of the task never overlap.
  *
  * Rules, each with the mutant that leaves it out:
  *   EARLY      the entry places the task again only after RERUN_DELAY
- *   NOSTOP     an agent stops the runs of a session whose lease has expired
+ *   NOSTOP     an agent neither stops the runs of a session whose lease has expired nor extends the worker's lease for them
+ *   EXTEND     an agent extends the worker's lease, which is one for all runs there, only while the session of each run is valid
  *   NOCHECK    an agent checks the session's lease right before a start
  *   STALE      a pong extends the session's lease from when its ping was sent, not from when the pong arrived
  *   NOFENCE    the listing that decides on a start without an answer makes the worker reject that start
@@ -48,13 +49,6 @@
 #define awake(g) (!dead[g] && !frozen[g])
 #define valid(g) (now < session[g])
 
-/* While true, time does not advance: a running agent stops the runs of an expired session at once. */
-#ifdef NOSTOP
-#define must_stop(g) false
-#else
-#define must_stop(g) (awake(g) && !valid(g) && may_run[g])
-#endif
-
 inline begin_run(g) {
   runs[g]++;
   assert(runs[0] + runs[1] <= 1)
@@ -76,7 +70,7 @@
 
 active proctype Time() {
   do
-  :: atomic { now < END && !must_stop(0) && !must_stop(1) ->
+  :: atomic { now < END ->
        now++;
        end_run_if_over(0);
        end_run_if_over(1) }
@@ -116,9 +110,13 @@
   /* a renewal of the worker's lease */
 #ifdef NOSTOP
   :: atomic { awake(g) && may_run[g] && runs[g] > 0 -> lease[g] = now + WORKER_LEASE }
+#else
+#ifdef EXTEND
+  :: atomic { awake(g) && may_run[g] && runs[g] > 0 -> lease[g] = now + WORKER_LEASE }
 #else
   :: atomic { awake(g) && may_run[g] && valid(g) && runs[g] > 0 -> lease[g] = now + WORKER_LEASE }
-  /* the session has expired: a stop ends the run and makes the worker reject a start that is under way */
+#endif
+  /* the session has expired: a stop, unless it is lost, ends the run and makes the worker reject a start that is under way */
   :: atomic { awake(g) && may_run[g] && !valid(g) -> may_run[g] = false; stop_run(g) }
 #endif
   /* the start was not answered and the listing does not contain a run: run the task again, once. The listing carries a
