runner: a start without an answer is fenced also if its task is being stopped

What callers could see: a second run of a task.

Cause: the runner raises its fencing token for a start without an answer only while the task still waits for that answer. If its session had ended or it was stopped in the 25 ms before, nothing fenced the start, and if the stop did not reach the worker either, a late start began a run.

Change: the token is raised, and a listing requested that carries it, whatever the state of the task.

Evidence: TestALateStartOfAStoppedTaskBeginsNoRun (start carried out 100 ms late, no stop arrives) had one run before and has none now.

--- a/internal/runner/leasebound_test.go
+++ b/internal/runner/leasebound_test.go
@@ -38,6 +38,8 @@
 	// silent are the sessions whose entries do not echo pings any more.
 	silent       map[SessionID]bool
 	acceptsStops bool
+	// startDelay is how late the worker carries out starts, without an answer. Zero is for a worker that answers them.
+	startDelay time.Duration
 	// starts is the number of starts requested, and updates are the latest updates by task.
 	starts  uint64
 	updates map[string]Update
@@ -102,6 +104,14 @@
 	sent := s.now
 	switch e := effect.(type) {
 	case CallStart:
+		if s.startDelay > 0 {
+			s.after(s.startDelay, func() { s.worker.start(s.now, e.Incarnation, e.Start, neverEnds, false) })
+			s.after(callTimeout, s.answer(StartAnswered{
+				Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Sent: sent, Ended: sent.Add(callTimeout),
+				Result: worker.NoResponse{Reason: "timeout"},
+			}))
+			return
+		}
 		s.call(func() Event {
 			return StartAnswered{
 				Incarnation: e.Incarnation, Name: e.Start.Name, Run: e.Start.Run, Sent: sent, Ended: s.now,
@@ -284,5 +294,23 @@
 	}
 }
 
+// TestALateStartOfAStoppedTaskBeginsNoRun covers a start without an answer that the worker carries out late, while no stop reaches the
+// worker and its task was stopped before the time-out of the start.
+//
+// The failure: the fencing token was not raised, so the start began a run of a task that might already run elsewhere.
+func TestALateStartOfAStoppedTaskBeginsNoRun(t *testing.T) {
+	t.Parallel()
+	s := newSelectiveWorker(t, 1)
+	s.openSessions()
+	s.startDelay = 100 * time.Millisecond
+	s.request(lostEntry, "late")
+	s.pass(5 * latency)
+	s.handle(SessionClosed{Session: lostEntry})
+	s.pass(timing.RerunDelay)
+	if begun := s.worker.begun["late"]; begun != 0 {
+		t.Errorf("%d runs have begun, want 0", begun)
+	}
+}
+
 // slowClock is the lowest speed of a worker's clock.
 const slowClock = 1 - 1/float64(timing.ClockDriftDivisor)
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -17,7 +17,8 @@
 // the task is reported as not started, so that the entry places it elsewhere. A start without an answer may have started
 // a run, or may do so later: the runner requests a listing with a higher fencing token, which makes the worker reject the
 // start from then on. If the run is neither listed nor has ended, it never started, and the task is queued again at once.
-// Other pending starts are also rejected for their lower token, and are sent again.
+// Other pending starts are also rejected for their lower token, and are sent again. The start of a task that is being stopped is fenced in
+// the same way, as its stop may not reach the worker.
 // Reason: two runs of a task must not overlap, and a task of 60 ms cannot wait for the 50 ms that a stop may take.
 
 const (
@@ -62,6 +63,7 @@
 	if !ok || t.state != stateStarting {
 		// The run has ended or is being stopped. The result of the start call does not change that.
 		r.handleWorkerState(now, e.Incarnation, e.Sent, e.Result)
+		r.fenceStart(now, e)
 		return
 	}
 	t.sent, t.startTook = e.Sent, e.Ended.Sub(e.Sent)
@@ -129,6 +131,19 @@
 	r.requestListing(now)
 }
 
+// fenceStart fences a start without an answer whose task has ended or is being stopped.
+func (r *Runner) fenceStart(now time.Time, e StartAnswered) {
+	if _, isUnanswered := e.Result.(worker.NoResponse); !isUnanswered || !r.isCurrent(e.Incarnation) {
+		return
+	}
+	sent := r.fence
+	if t, ok := r.activeRun(e.Name, e.Run); ok {
+		sent = t.fence
+	}
+	r.raiseFence(sent, checkStep)
+	r.requestListing(now)
+}
+
 // resolveStart resolves a start without an answer by a listing that was requested with a higher fencing token.
 func (r *Runner) resolveStart(now time.Time, t *task, listing worker.Listing, isListed bool) {
 	if isListed {
