handover: a silent peer is noticed when its time is over, not at the next ping

What callers could see: a second run of a task, if the link between two entries goes silent, the job's caller comes again, and the worker accepts no stop.

Cause: the silence of a connection was checked with each ping, every 200 ms, so it was noticed up to 760 ms after the last message. With the lease of a worker that accepts no stop (561 ms) the runs ended after 1,321 ms; the sender waits for 1,200 and callers for 1,300 ms. The test of that relation added the time of one stop only.

Change: the next check is at the end of the allowed silence, if that is earlier than the next ping. So it is noticed after 560 ms.

Evidence: TestARunOfALostEntryEndsBeforeItsCallerRetries, now with the lease and with the checks as they are made, fails with a check each 200 ms and passes. It is stricter than before: more time and two bounds.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -407,11 +407,33 @@
 	t.Logf("noticed after %s", time.Since(silenced))
 }
 
-// TestARunOfALostEntryEndsBeforeItsCallerRetries checks that the worst-case time until the receiver of a job has stopped its runs is shorter
-// than the callers' retry delay. Otherwise a retry could run beside the first attempt.
+// TestARunOfALostEntryEndsBeforeItsCallerRetries checks that the worst-case time until the runs of the receiver of a job have ended, if their
+// workers accept no stop, is shorter than the callers' retry delay and timing.RerunDelay, for which the sender waits. Otherwise a retry
+// could run beside the first attempt.
+//
+// The failure: silence was checked each pingInterval only, so it was noticed up to 200 ms late, and the runs ended 1,321 ms after the last
+// message.
 func TestARunOfALostEntryEndsBeforeItsCallerRetries(t *testing.T) {
-	if noticed := timing.SessionCloseTimeout + pingInterval; noticed+timing.MaxStopTime >= timing.CallerRetryDelay {
-		t.Errorf("a silent connection is detected after %s, and callers retry after %s", noticed, timing.CallerRetryDelay)
+	now := time.Unix(1_000_000, 0)
+	withDrift := timing.WorkerLease + timing.WorkerLease/timing.ClockDriftDivisor
+	for offset := time.Duration(0); offset < pingInterval; offset += time.Millisecond {
+		var l liveness
+		l.began(now)
+		noticed := timeUntilSilent(&l, now, offset)
+		if ended := noticed + withDrift; ended >= min(timing.RerunDelay, timing.CallerRetryDelay) {
+			t.Errorf("a silent connection is detected after %s, and its runs end after %s", noticed, ended)
+		}
+	}
+}
+
+// timeUntilSilent returns the time from the last message until checks, the first one after a given time, find that the peer is silent.
+func timeUntilSilent(l *liveness, lastMessage time.Time, first time.Duration) time.Duration {
+	for at := first; ; {
+		_, isSilent, next := l.check(lastMessage.Add(at))
+		if isSilent {
+			return at
+		}
+		at += next
 	}
 }
 
--- a/internal/handover/liveness.go
+++ b/internal/handover/liveness.go
@@ -52,10 +52,15 @@
 	l.lastReceived = now
 }
 
-// check reports whether jobs are outstanding and, if so, whether the peer has been silent for timing.SessionCloseTimeout.
-func (l *liveness) check(now time.Time) (isActive, isSilent bool) {
+// check reports whether jobs are outstanding and, if so, whether the peer has been silent for timing.SessionCloseTimeout, and when to check
+// again: after pingInterval, or when the peer will have been silent for that long if that is earlier.
+func (l *liveness) check(now time.Time) (isActive, isSilent bool, next time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	isActive = l.jobs > 0
-	return isActive, isActive && now.Sub(l.lastReceived) > timing.SessionCloseTimeout
+	if !isActive {
+		return false, false, pingInterval
+	}
+	remaining := timing.SessionCloseTimeout - now.Sub(l.lastReceived)
+	return true, remaining <= 0, min(pingInterval, remaining)
 }
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -256,15 +256,16 @@
 
 // watch sends pings while jobs are outstanding on a connection, closes it if its peer is silent, and returns once it has ended.
 func watch(conn *stream.Connection, alive *liveness, ping proto.Message) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(pingInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-conn.Closed():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		isActive, isSilent := alive.check(clock.Now())
+		isActive, isSilent, next := alive.check(clock.Now())
+		timer.Reset(next)
 		switch {
 		case isSilent:
 			conn.Close(errSilent)
