overload: a handed-over job whose silence is noticed late outlives its caller

The two ends of a hand-over check for silence once per ping interval (200 ms), so they notice it 560 to 760 ms after the last ping; with the worker's lease and a slow clock that is up to 1,321 ms.

--- /dev/null
+++ b/internal/overload/silenthandover_test.go
@@ -0,0 +1,48 @@
+// SPDX-FileCopyrightText: Copyright The sailhead contributors
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"testing"
+	"time"
+)
+
+// TestARunOfAHandedOverJobEndsInTimeIfTheSilenceIsNoticedLate covers a job that was handed over, whose caller leaves right after a ping reached
+// the other entry, while nothing reaches that entry any more. It notices the silence after 760 ms at the latest, as it checks for it
+// once per ping interval. The agent is killed at any time until then.
+//
+// The failure: the agent renewed the worker's lease just before it was killed, 740 ms or more after the caller had left. The run outlived
+// timing.CallerRetryDelay, and the third entry started the task on another worker.
+func TestARunOfAHandedOverJobEndsInTimeIfTheSilenceIsNoticedLate(t *testing.T) {
+	t.Parallel()
+	for _, first := range []string{
+		"the caller leaves while nothing reaches the other entry", "the caller leaves an entry that stays frozen", "the entry is cut off and killed",
+	} {
+		t.Run(first, func(t *testing.T) {
+			for _, seed := range []uint64{620088, 620212, 620300} {
+				for after := 600 * time.Millisecond; after < 800*time.Millisecond; after += 5 * time.Millisecond {
+					r := newHandedOverJobAfterPing(t, seed)
+					firstFaultsOfHandOvers[first](r)
+					r.cluster.after(after, func() { r.agent.restart(time.Minute) })
+					r.cluster.run(3 * time.Second)
+					r.cluster.checkNoOverlap(t)
+					if t.Failed() {
+						t.Fatalf("seed %d, the agent is killed after %s", seed, after)
+					}
+				}
+			}
+		})
+	}
+}
+
+// newHandedOverJobAfterPing is newHandedOverJob at the time when the second entry has just received a ping.
+func newHandedOverJobAfterPing(t *testing.T, seed uint64) *runningJob {
+	t.Helper()
+	r := newHandedOverJob(t, seed)
+	h := r.entry.handOvers[0]
+	for last := h.lastAtReceiver; h.lastAtReceiver.Equal(last); {
+		r.cluster.run(100 * time.Microsecond)
+	}
+	return r
+}
--- a/internal/overload/twofaults_test.go
+++ b/internal/overload/twofaults_test.go
@@ -12,8 +12,11 @@
 	"sailhead/internal/timing"
 )
 
-// twoFaultsStep is the step of the times of the second fault.
-var twoFaultsStep = flag.Duration("twofaults.step", 40*time.Millisecond, "step of the times of the second fault")
+var (
+	// twoFaultsStep is the step of the times of the second fault, and twoFaultsSeeds the number of seeds from 620000 on.
+	twoFaultsStep  = flag.Duration("twofaults.step", 40*time.Millisecond, "step of the times of the second fault")
+	twoFaultsSeeds = flag.Uint64("twofaults.seeds", 3, "number of seeds of each pair of faults")
+)
 
 // runningJob is a job whose only task runs, and the processes that it depends on.
 type runningJob struct {
@@ -97,7 +100,7 @@
 func sweepSecondFault(t *testing.T, start func(*testing.T, uint64) *runningJob, first, second func(*runningJob)) {
 	t.Helper()
 	plays, failures, again := 0, 0, 0
-	for seed := uint64(620000); seed < 620003; seed++ {
+	for seed := uint64(620000); seed < 620000+*twoFaultsSeeds; seed++ {
 		for after := time.Duration(0); after < timing.CallerRetryDelay+timing.SessionLease; after += *twoFaultsStep {
 			r := start(t, seed)
 			r.cluster.record("the first fault; the second one follows after %s", after)
