overload: random schedules of faults for jobs that are handed over

Change: dense schedules for entries that may have one job each, and a fault of the paths between entries.

--- a/internal/overload/denseschedule_test.go
+++ b/internal/overload/denseschedule_test.go
@@ -12,7 +12,17 @@
 // newDenseSchedule returns a random schedule of a seed with few jobs of long tasks, and many faults, most of them at one entry and one agent.
 func newDenseSchedule(seed uint64, names []faultName) schedule {
 	random := rand.New(rand.NewPCG(seed, 4))
-	s := schedule{seed: seed, entries: 2 + random.IntN(2), agents: 2 + random.IntN(2)}
+	return fillDenseSchedule(schedule{seed: seed, entries: 2 + random.IntN(2), agents: 2 + random.IntN(2)}, random, names)
+}
+
+// newHandOverSchedule is newDenseSchedule for three entries that hand most jobs over.
+func newHandOverSchedule(seed uint64, names []faultName) schedule {
+	random := rand.New(rand.NewPCG(seed, 5))
+	return fillDenseSchedule(schedule{seed: seed, entries: 3, agents: 2 + random.IntN(2), handsOver: true}, random, append(names, peerPathSilent))
+}
+
+// fillDenseSchedule adds jobs and faults to a schedule.
+func fillDenseSchedule(s schedule, random *rand.Rand, names []faultName) schedule {
 	for range s.agents {
 		s.clockRates = append(s.clockRates, slowClock+(1-slowClock)*float64(random.IntN(3))/2)
 	}
--- a/internal/overload/schedule_test.go
+++ b/internal/overload/schedule_test.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"strings"
 	"time"
+
+	"sailhead/internal/dispatch"
 )
 
 const (
@@ -26,6 +28,8 @@
 	clockRates []float64
 	jobs       []plannedJob
 	faults     []plannedFault
+	// handsOver is set if each entry may have one job, and hands others over.
+	handsOver bool
 }
 
 func (s schedule) String() string {
@@ -122,9 +126,15 @@
 	return randomTime(random, 10*time.Millisecond, longestFault)
 }
 
+func (s schedule) setLimits(c *cluster) {
+	if s.handsOver {
+		c.limits = dispatch.Limits{Jobs: 1, HandOver: true}
+	}
+}
+
 // play simulates the schedule.
 func (s schedule) play() *cluster {
-	c := newCluster(s.seed, s.entries, s.agents)
+	c := newCluster(s.seed, s.entries, s.agents, s.setLimits)
 	for i, a := range c.agents {
 		a.worker.rate = s.clockRates[i]
 		a.random = rand.New(rand.NewPCG(s.seed, uint64(10+i)))
--- a/internal/overload/schedulefault_test.go
+++ b/internal/overload/schedulefault_test.go
@@ -32,6 +32,8 @@
 	entryKilled    faultName = "entry killed"
 	agentKilled    faultName = "agent killed"
 	workerCrashes  faultName = "worker crashes"
+	// peerPathSilent is a fault of the paths on which an entry hands jobs over.
+	peerPathSilent faultName = "paths to other entries silent"
 )
 
 // allFaults are the faults of random schedules.
@@ -66,6 +68,10 @@
 		path.backFrom = latest(path.backFrom, c.now.Add(f.span))
 	case pathDeaf:
 		path.forthFrom = latest(path.forthFrom, c.now.Add(f.span))
+	case peerPathSilent:
+		for _, other := range c.entries {
+			c.peerPath(e, other).silence(f.span)
+		}
 	case entryFrozen:
 		e.freeze(f.span)
 	case agentFrozen:
--- a/internal/overload/scheduleoverlap_test.go
+++ b/internal/overload/scheduleoverlap_test.go
@@ -43,6 +43,12 @@
 	checkSchedules(t, *overlapFirst, newDenseSchedule)
 }
 
+// TestNoHandedOverTaskHasTwoRunsAtATimeInManyFaults is the same for entries that hand most jobs over.
+func TestNoHandedOverTaskHasTwoRunsAtATimeInManyFaults(t *testing.T) {
+	t.Parallel()
+	checkSchedules(t, *overlapFirst, newHandOverSchedule)
+}
+
 // checkSchedules plays the schedules of -overlap.seeds seeds.
 func checkSchedules(t *testing.T, first uint64, create func(uint64, []faultName) schedule) {
 	t.Helper()
