runner: a task whose session ended while it waited for an earlier run is dropped

What callers could see: an agent that crashes, and all its runs with it.

Cause: a task that waits for the end of an earlier run of itself is not among the runner's tasks, so the end of its session passed it over. It was queued later, and if a third session requested the same task meanwhile, the agent looked up the lease of the session that had ended.

Change: the end of a session drops such tasks, and a task without a session may not be extended.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -56,12 +56,16 @@
 	return start, true
 }
 
-// extendableUntil returns the time until which the run of a task may be extended.
+// extendableUntil returns the time until which the run of a task may be extended. It is zero if the session has ended.
 func (r *Runner) extendableUntil(t *task) time.Time {
 	if t.state == stateStopping {
 		return t.stop.extendableUntil
 	}
-	return r.sessions[t.session].validUntil
+	s, ok := r.sessions[t.session]
+	if !ok {
+		return time.Time{}
+	}
+	return s.validUntil
 }
 
 // earlier returns the earlier of two times.
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -47,7 +47,11 @@
 // stopTasksOf stops the tasks of a session that has ended.
 func (r *Runner) stopTasksOf(now time.Time, ended *session) {
 	for _, name := range slices.Sorted(maps.Keys(r.tasks)) {
-		if t := r.tasks[name]; t.session == ended.id {
+		t := r.tasks[name]
+		if t.supersededBy != nil && t.supersededBy.session == ended.id {
+			t.supersededBy = nil
+		}
+		if t.session == ended.id {
 			r.stop(now, t, ended.validUntil)
 		}
 	}
