runner: only a listing ends the runs of a worker that responds

What callers could see: a second run of a task.

Cause: the agent's clock decided that a lease had expired although the worker answered renewals and listed the run.

Change: the agent's clock decides only for a worker that is unresponsive. A run that is being stopped has ended, too, if a listing that was requested after its lease lacks it, so a stop that is never accepted and whose run never began holds the lease back no longer than that.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -130,13 +130,20 @@
 	}
 }
 
-// expireLease reports the runs as lost whose lease must have expired on the worker.
-func (r *Runner) expireLease(now time.Time) {
+// hasLeaseExpired reports whether the worker's lease must have expired at a time, and for how long.
+func (r *Runner) hasLeaseExpired(at time.Time) (since time.Duration, ok bool) {
 	if r.worker.lastRenewal.IsZero() {
-		return
+		return 0, false
 	}
-	expiredFor := now.Sub(r.worker.lastRenewal) - r.leaseBound()
-	if expiredFor <= 0 {
+	since = at.Sub(r.worker.lastRenewal) - r.leaseBound()
+	return since, since > 0
+}
+
+// expireLease reports the runs of an unresponsive worker as lost whose lease must have expired there. A worker that responds lists the ends of
+// its runs.
+func (r *Runner) expireLease(now time.Time) {
+	expiredFor, ok := r.hasLeaseExpired(now)
+	if !ok || !r.worker.isUnresponsive(now) {
 		return
 	}
 	for _, t := range r.active() {
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -109,8 +109,13 @@
 			r.resolveRestarted(now, t, listing, isListed)
 		}
 	case stateStopping:
-		if !isListed && t.stop.hasEnded(e.Sent, r.stopBound()) {
+		_, hasExpired := r.hasLeaseExpired(e.Sent)
+		switch {
+		case isListed:
+		case t.stop.hasEnded(e.Sent, r.stopBound()):
 			r.finish(t, OutcomeStopped, reasonStopped)
+		case hasExpired:
+			r.finish(t, OutcomeLost, "the run's lease has expired")
 		}
 	}
 }
