--- a/internal/overload/leasedworker_test.go
+++ b/internal/overload/leasedworker_test.go
@@ -57,6 +57,8 @@
 	stopTime func() time.Duration
 	// rate is the rate of the worker's clock: 1, or less if it is slow.
 	rate float64
+	// suspended is the time for which the worker's clock has stood still.
+	suspended time.Duration
 	// leaseUntil is the end of the lease on the worker's clock.
 	leaseUntil time.Duration
 	fence      uint64
@@ -103,7 +105,7 @@
 
 // clock returns the time on the worker's clock.
 func (w *leasedWorker) clock() time.Duration {
-	return time.Hour + time.Duration(w.rate*float64(w.cluster.now.Sub(origin)))
+	return time.Hour + time.Duration(w.rate*float64(w.cluster.now.Sub(origin)-w.suspended))
 }
 
 func (w *leasedWorker) reply() worker.Reply { return worker.Reply{Clock: w.clock()} }
