--- a/internal/runner/supersededsession_test.go
+++ b/internal/runner/supersededsession_test.go
@@ -37,6 +37,36 @@
 	if !s.runs("c") || s.runs("a") {
 		t.Fatal("the waiting task has not got the resources of the stopped run")
 	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			t.Fatalf("the agent panics: %v", cause)
+		}
+	}()
 	s.requestWaiting(third, "a", 0)
 	s.pass(latency)
 }
+
+// TestAQueuedTaskOfAnEndedSessionCanBeStopped covers the same task if the stop of its session is handled after the session's end.
+func TestAQueuedTaskOfAnEndedSessionCanBeStopped(t *testing.T) {
+	t.Parallel()
+	const second = SessionID(3)
+	s := newSelectiveWorker(t, 1)
+	s.acceptsStops = true
+	s.worker.capacity = worker.Resources{CPU: 2 * taskCPU}
+	s.startProcess()
+	s.openSessions()
+	s.handle(SessionOpened{Session: second, Entry: "second"})
+	s.requestWaiting(otherEntry, "c", time.Second)
+	s.requestWaiting(second, "a", 0)
+	s.runner.endSession(s.now, second, "ended by the agent, which has not read all messages of the session yet")
+	s.pass(150 * time.Millisecond)
+	if !s.runs("c") || s.runs("a") {
+		t.Fatal("the waiting task has not got the resources of the stopped run")
+	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			t.Fatalf("the agent panics: %v", cause)
+		}
+	}()
+	s.handle(StopRequested{Session: second, Name: "a"})
+}
