runner: a start that is rejected ends the stop of its task

What callers could see: runs of others end.

Cause: the answer to a start was not used if its task was being stopped. If the worker had rejected the start, and accepted no stop, the lease was held back for a run that never was there, and the runs of others ended after 552 ms.

Change: a start that is rejected for room, as invalid or as the worker is unhealthy has begun no run, so its task has ended.

Evidence: TestRunsGoOnBesideAStopWhoseStartWasRejected failed for best-effort and durable tasks and passes.

--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -61,9 +61,12 @@
 	r.handleLateStartAnswer(now, e)
 	t, ok := r.currentRun(e.Incarnation, e.Name, e.Run)
 	if !ok || t.state != stateStarting {
-		// The run has ended or is being stopped. The result of the start call does not change that.
+		// The run has ended or is being stopped.
 		r.handleWorkerState(now, e.Incarnation, e.Sent, e.Result)
 		r.fenceStart(now, e)
+		if ok && t.state == stateStopping {
+			r.resolveStopped(t, e.Result)
+		}
 		return
 	}
 	t.sent, t.startTook = e.Sent, e.Ended.Sub(e.Sent)
@@ -131,6 +134,14 @@
 	r.requestListing(now)
 }
 
+// resolveStopped finishes a task that was stopped before the worker rejected its start.
+func (r *Runner) resolveStopped(t *task, result worker.StartResult) {
+	switch result.(type) {
+	case worker.InsufficientResources, worker.Invalid, worker.Unhealthy:
+		r.finish(t, OutcomeNotStarted, reasonStoppedBeforeStart)
+	}
+}
+
 // fenceStart fences a start without an answer whose task has ended or is being stopped.
 func (r *Runner) fenceStart(now time.Time, e StartAnswered) {
 	if _, isUnanswered := e.Result.(worker.NoResponse); !isUnanswered || !r.isCurrent(e.Incarnation) {
