runner: the seeds of lost stops that fail are stored, and listed

Cause, traced by the review for 630013: a start is carried out seconds late by the next process of the worker under the same ID, while the agent is frozen and has not raised its fencing token there. It is the open finding "Late starts after a restart under the same ID", not the shared lease.

--- a/internal/runner/random_test.go
+++ b/internal/runner/random_test.go
@@ -872,20 +872,33 @@
 // freezes and restarts. No run may go on when its task may have been started elsewhere.
 func TestRandomSchedulesWithLostStopsEndRunsInTime(t *testing.T) {
 	for seed := *first; seed < *first+uint64(*schedules); seed++ {
-		s := newSchedule(t, seed, []float64{0, 0.05, 0.3}[seed%3], seed%2 == 0)
-		s.losesStops = true
-		s.run(20*time.Second, true)
-		s.callFaultRate, s.losesStops = 0, false
-		s.run(16*time.Second, false)
-		for _, entry := range s.entries {
-			for name := range entry.open {
-				t.Fatalf("seed %d: %s has no outcome", seed, name)
-			}
-		}
-		if len(s.runner.tasks) > 0 || len(s.worker.runs) > 0 {
-			t.Fatalf("seed %d: %d tasks and %d runs are left", seed, len(s.runner.tasks), len(s.worker.runs))
+		playWithLostStops(t, seed)
+	}
+}
+
+// TestStoredSchedulesWithLostStopsEndRunsInTime plays schedules of the test above in which a start is carried out seconds late by a process
+// of the worker that has the ID of the one that was called.
+func TestStoredSchedulesWithLostStopsEndRunsInTime(t *testing.T) {
+	for _, seed := range []uint64{2150, 2210, 630013} {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playWithLostStops(t, seed) })
+	}
+}
+
+func playWithLostStops(t *testing.T, seed uint64) {
+	t.Helper()
+	s := newSchedule(t, seed, []float64{0, 0.05, 0.3}[seed%3], seed%2 == 0)
+	s.losesStops = true
+	s.run(20*time.Second, true)
+	s.callFaultRate, s.losesStops = 0, false
+	s.run(16*time.Second, false)
+	for _, entry := range s.entries {
+		for name := range entry.open {
+			t.Fatalf("seed %d: %s has no outcome", seed, name)
 		}
 	}
+	if len(s.runner.tasks) > 0 || len(s.worker.runs) > 0 {
+		t.Fatalf("seed %d: %d tasks and %d runs are left", seed, len(s.runner.tasks), len(s.worker.runs))
+	}
 }
 
 func TestScheduleWithoutFaultsLosesNoTask(t *testing.T) {
