--- a/internal/overload/silenthandover_test.go
+++ b/internal/overload/silenthandover_test.go
@@ -10,29 +10,38 @@
 
 // TestARunOfAHandedOverJobEndsInTimeIfTheSilenceIsNoticedLate covers a job that was handed over, whose caller leaves right after a ping reached
 // the other entry, while nothing reaches that entry any more. It notices the silence after 760 ms at the latest, as it checks for it
-// once per ping interval. The agent is killed at any time until then.
+// once per ping interval. The agent is killed at any time until then, or its worker accepts no stop.
 //
 // The failure: the agent renewed the worker's lease just before it was killed, 740 ms or more after the caller had left. The run outlived
 // timing.CallerRetryDelay, and the third entry started the task on another worker.
 func TestARunOfAHandedOverJobEndsInTimeIfTheSilenceIsNoticedLate(t *testing.T) {
 	t.Parallel()
-	for _, first := range []string{
-		"the caller leaves while nothing reaches the other entry", "the caller leaves an entry that stays frozen", "the entry is cut off and killed",
-	} {
-		t.Run(first, func(t *testing.T) {
-			for _, seed := range []uint64{620088, 620212, 620300} {
-				for after := 600 * time.Millisecond; after < 800*time.Millisecond; after += 5 * time.Millisecond {
-					r := newHandedOverJobAfterPing(t, seed)
-					firstFaultsOfHandOvers[first](r)
-					r.cluster.after(after, func() { r.agent.restart(time.Minute) })
-					r.cluster.run(3 * time.Second)
-					r.cluster.checkNoOverlap(t)
-					if t.Failed() {
-						t.Fatalf("seed %d, the agent is killed after %s", seed, after)
-					}
-				}
+	second := secondFaults["the agent is killed"]
+	for _, first := range lateSilences {
+		t.Run(first+"/the agent is killed", func(t *testing.T) { sweepUntilNoticed(t, first, second) })
+		t.Run(first+"/the worker accepts no stop", func(t *testing.T) { sweepUntilNoticed(t, first, acceptNoStop) })
+	}
+}
+
+// lateSilences are the first faults that the other entry notices by silence.
+var lateSilences = []string{
+	"the caller leaves while nothing reaches the other entry", "the caller leaves an entry that stays frozen", "the entry is cut off and killed",
+}
+
+// sweepUntilNoticed injects a second fault at all times around the one at which the other entry notices the silence.
+func sweepUntilNoticed(t *testing.T, first string, second func(*runningJob)) {
+	t.Helper()
+	for _, seed := range []uint64{620088, 620212, 620300} {
+		for after := 600 * time.Millisecond; after < 800*time.Millisecond; after += 5 * time.Millisecond {
+			r := newHandedOverJobAfterPing(t, seed)
+			firstFaultsOfHandOvers[first](r)
+			r.cluster.after(after, func() { second(r) })
+			r.cluster.run(3 * time.Second)
+			r.cluster.checkNoOverlap(t)
+			if t.Failed() {
+				t.Fatalf("seed %d, the second fault follows after %s", seed, after)
 			}
-		})
+		}
 	}
 }
 
