runner, docs: names and comments that the review and the last reading found

"start" stood for the beginning of a lease beside the starts of tasks; what leased_for counts, why the time of a lease is set at a restart, and which times others wait for is said. No behaviour changes; runner's tests give the same result.

--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -127,7 +127,8 @@
 	RunID
 	// IsAccepted is set if the worker has accepted the stop, and IsOrphan if an earlier process of the agent started the run.
 	IsAccepted, IsOrphan bool
-	// LeasedFor is the time from the first call of the stop until the worker's lease was last extended, negative if that was earlier.
+	// LeasedFor is the time from the first call of the stop until the time from which the worker's latest lease counts, negative if that is
+	// earlier. Above zero the lease was extended after the stop.
 	LeasedFor time.Duration
 }
 
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -17,8 +17,8 @@
 // be extended any more: the end of its session's lease, or the beginning of its stop if that is earlier. While there are orphans, or
 // while the runs on the worker are not known, no lease is requested. A worker whose lease has not been extended for
 // timing.WorkerUnresponsiveAfter gets no new tasks.
-// Reason: the entry of a run starts the task elsewhere when the run has ended for certain. A worker may answer renewals but not accept the
-// stop. Its other runs then end with it, as their worker cannot be relied on.
+// Reason: the entry or the caller of a run starts the task elsewhere after a fixed time. A worker may answer renewals but not accept the
+// stop; its other runs then end with the stopped one and run elsewhere.
 //
 // Rule: a worker that has not answered a renewal for timing.WorkerUnresponsiveAfter, although one was sent at least
 // timing.RenewInterval ago, gets no new tasks and no new leases. Once its last lease, the clock drift and the time for
@@ -43,17 +43,17 @@
 
 // leaseStart returns the time from which a lease that is requested now is counted: now, or earlier if a run on the worker may not be extended
 // any more. ok is false if no lease may be requested.
-func (r *Runner) leaseStart(now time.Time) (start time.Time, ok bool) {
+func (r *Runner) leaseStart(now time.Time) (from time.Time, ok bool) {
 	if !r.worker.knowsAllRuns || len(r.worker.orphans) > 0 {
 		return time.Time{}, false
 	}
-	start = now
+	from = now
 	for _, t := range r.tasks {
 		if t.state != stateQueued {
-			start = earlier(start, r.extendableUntil(t))
+			from = earlier(from, r.extendableUntil(t))
 		}
 	}
-	return start, true
+	return from, true
 }
 
 // extendableUntil returns the time until which the run of a task may be extended. It is zero if the session has ended.
@@ -79,8 +79,8 @@
 // isLeaseHeldBack reports whether a run that may not be extended has kept the lease from being extended for
 // timing.WorkerUnresponsiveAfter.
 func (r *Runner) isLeaseHeldBack(now time.Time) bool {
-	start, ok := r.leaseStart(now)
-	return ok && now.Sub(start) > timing.WorkerUnresponsiveAfter
+	from, ok := r.leaseStart(now)
+	return ok && now.Sub(from) > timing.WorkerUnresponsiveAfter
 }
 
 // updateLeaseHeldBack makes entries know whether new tasks are rejected because the lease is held back.
@@ -94,15 +94,15 @@
 // requestLease returns the end of the lease to request now, on the worker's clock, or zero if none may be requested, that clock is
 // unknown, or the lease would be over.
 func (r *Runner) requestLease(now time.Time) time.Duration {
-	start, ok := r.leaseStart(now)
+	from, ok := r.leaseStart(now)
 	isClockKnown := r.worker.clock != 0 && now.Sub(r.worker.clockRead) <= maxClockAge
-	if !ok || !isClockKnown || now.Sub(start) >= r.limits.Lease {
+	if !ok || !isClockKnown || now.Sub(from) >= r.limits.Lease {
 		return 0
 	}
-	if start.After(r.worker.lastRenewal) {
-		r.worker.lastRenewal = start
+	if from.After(r.worker.lastRenewal) {
+		r.worker.lastRenewal = from
 	}
-	return r.worker.clock + start.Sub(r.worker.clockRead) + r.limits.Lease
+	return r.worker.clock + from.Sub(r.worker.clockRead) + r.limits.Lease
 }
 
 // leaseBound returns the longest time for which a run may continue after a lease was last requested, on this process's
--- a/internal/runner/restart.go
+++ b/internal/runner/restart.go
@@ -28,7 +28,7 @@
 	r.retainEarlierEnds(earlier)
 	r.dropAllReservations()
 	r.reportEnd(now, earlier, endRestarted)
-	// A delayed start may have begun a run of the new process under the latest lease.
+	// A delayed start may have begun a run of the new process, which ends with the lease that the start named.
 	w.lastRenewal = now
 	r.beginWith(now, w)
 }
