overload: schedules without failed jobs that come again are checked on their own

Change: each plays its schedules twice, with and without such callers, as subtests; the flag for it goes.

--- a/internal/overload/cluster_test.go
+++ b/internal/overload/cluster_test.go
@@ -33,6 +33,8 @@
 	paths   map[[2]int]*networkPath
 	// peerPaths are the paths from an entry that hands jobs over to another one.
 	peerPaths map[[2]int]*networkPath
+	// noFailedAgain is set if no caller submits a job again that has failed.
+	noFailedAgain bool
 	// limits are those of all entries.
 	limits      dispatch.Limits
 	lastSession runner.SessionID
--- a/internal/overload/clustercaller_test.go
+++ b/internal/overload/clustercaller_test.go
@@ -71,7 +71,7 @@
 	isOver := false
 	request := e.submit(submitted, func(answer dispatch.Answer) {
 		isOver = true
-		if _, isFailed := answer.(dispatch.Failed); !isFailed || !*noFailedAgain {
+		if _, isFailed := answer.(dispatch.Failed); !isFailed || !c.noFailedAgain {
 			again(retryDelayAfter(answer))
 		}
 	})
--- a/internal/overload/schedule_test.go
+++ b/internal/overload/schedule_test.go
@@ -30,6 +30,8 @@
 	faults     []plannedFault
 	// handsOver is set if each entry may have one job, and hands others over.
 	handsOver bool
+	// noFailedAgain is set if no caller submits a job again that has failed.
+	noFailedAgain bool
 }
 
 func (s schedule) String() string {
@@ -135,6 +137,7 @@
 // play simulates the schedule.
 func (s schedule) play() *cluster {
 	c := newCluster(s.seed, s.entries, s.agents, s.setLimits)
+	c.noFailedAgain = s.noFailedAgain
 	for i, a := range c.agents {
 		a.worker.rate = s.clockRates[i]
 		a.random = rand.New(rand.NewPCG(s.seed, uint64(10+i)))
--- a/internal/overload/scheduleoverlap_test.go
+++ b/internal/overload/scheduleoverlap_test.go
@@ -17,8 +17,6 @@
 	overlapFirst = flag.Uint64("overlap.first", 620001, "seed of the first random schedule of faults")
 	// overlapWithout leaves faults out of the schedules.
 	overlapWithout = flag.String("overlap.without", "", "names of faults to leave out, separated by commas")
-	// noFailedAgain makes callers not submit a job again that has failed.
-	noFailedAgain = flag.Bool("overlap.nofailedagain", false, "let no caller submit a job again that has failed")
 )
 
 // faultsToInject returns the faults that -overlap.without does not name.
@@ -33,28 +31,36 @@
 // A failure shows the shortest schedule that still fails, and its events up to the second run.
 func TestNoTaskHasTwoRunsAtATimeWhateverFails(t *testing.T) {
 	t.Parallel()
-	checkSchedules(t, *overlapFirst, newSchedule)
+	checkSchedules(t, newSchedule)
 }
 
 // TestNoTaskHasTwoRunsAtATimeInManyFaults is the same with more and shorter faults at fewer processes, longer tasks, tasks that fail or crash
 // their workers, and callers that an entry does not notice to leave.
 func TestNoTaskHasTwoRunsAtATimeInManyFaults(t *testing.T) {
 	t.Parallel()
-	checkSchedules(t, *overlapFirst, newDenseSchedule)
+	checkSchedules(t, newDenseSchedule)
 }
 
 // TestNoHandedOverTaskHasTwoRunsAtATimeInManyFaults is the same for entries that hand most jobs over.
 func TestNoHandedOverTaskHasTwoRunsAtATimeInManyFaults(t *testing.T) {
 	t.Parallel()
-	checkSchedules(t, *overlapFirst, newHandOverSchedule)
+	checkSchedules(t, newHandOverSchedule)
 }
 
-// checkSchedules plays the schedules of -overlap.seeds seeds.
-func checkSchedules(t *testing.T, first uint64, create func(uint64, []faultName) schedule) {
+// checkSchedules plays the schedules of -overlap.seeds seeds, once with callers that submit a job again as soon as it has failed, and once
+// without.
+func checkSchedules(t *testing.T, create func(uint64, []faultName) schedule) {
+	t.Helper()
+	t.Run("failed jobs are submitted again", func(t *testing.T) { playSchedules(t, create, false) })
+	t.Run("failed jobs are not submitted again", func(t *testing.T) { playSchedules(t, create, true) })
+}
+
+func playSchedules(t *testing.T, create func(uint64, []faultName) schedule, noFailedAgain bool) {
 	t.Helper()
 	begun := 0
-	for seed := first; seed < first+*overlapSeeds; seed++ {
+	for seed := *overlapFirst; seed < *overlapFirst+*overlapSeeds; seed++ {
 		s := create(seed, faultsToInject())
+		s.noFailedAgain = noFailedAgain
 		c := s.play()
 		begun += c.begun
 		if len(c.overlaps) > 0 {
