entry: a session with an agent begins after the earlier one has ended

An agent's record changes (it restarted or moved) while the entry's session with it is open, and the entry opens a second one at once. The goroutine of the earlier session may still wait for the event loop, so its end is handled after the start of the new session.

Cause: sessionTable and the dispatcher know sessions by agent, so the late end removes the new session: stops and liveness checks no longer reach it, and the dispatcher starts its tasks elsewhere after timing.RerunDelay, while the agent goes on exchanging pings on it, which keeps the right of the runs there.

Change: one goroutine at a time may open sessions with an agent; the next one waits until the earlier one has reported the end.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -72,8 +72,7 @@
 	return agents
 }
 
-// stopOutdated ends the sessions with agents that are gone, have moved or have restarted. A new process is dialed at
-// once, since the session with the previous one is over.
+// stopOutdated ends the sessions with agents that are gone, have moved or have restarted.
 func (e *Entry) stopOutdated(dials agentDialers, agents map[string]cluster.Member) {
 	for name, d := range dials {
 		if e.isOutdated(d.agent, agents[name]) {
@@ -110,8 +109,13 @@
 }
 
 // keepSession opens a session with an agent and reopens it whenever it ends, until the context is cancelled or the agent
-// was unreachable for recordExpiry.
+// was unreachable for recordExpiry. It first waits for the end of an earlier keepSession for this agent.
 func (e *Entry) keepSession(ctx context.Context, agent cluster.Member) {
+	release, ok := e.sessions.reserve(ctx, dispatch.AgentID(agent.Name))
+	if !ok {
+		return
+	}
+	defer release()
 	delay := minRedialDelay
 	reached := clock.Now()
 	defer e.choice.setUnreachable(agent.Name, false)
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -83,10 +83,50 @@
 type sessionTable struct {
 	mu   sync.Mutex
 	open map[dispatch.AgentID]*agentSession
+	// reserved holds the agents of which a goroutine has the only right to open sessions, each with a channel that is closed when the
+	// goroutine gives it up.
+	reserved map[dispatch.AgentID]chan struct{}
 }
 
 func newSessionTable() *sessionTable {
-	return &sessionTable{open: make(map[dispatch.AgentID]*agentSession)}
+	return &sessionTable{open: make(map[dispatch.AgentID]*agentSession), reserved: make(map[dispatch.AgentID]chan struct{})}
+}
+
+// reserve waits until no other goroutine may open sessions with an agent, and gives the caller this right until it calls release. It
+// returns false if the context is cancelled first.
+//
+// Reason: the dispatcher knows sessions by agent. If the start of a session were reported before the end of the earlier one, the
+// dispatcher would take the new session for ended and start its tasks elsewhere, while their runs go on.
+func (t *sessionTable) reserve(ctx context.Context, id dispatch.AgentID) (release func(), ok bool) {
+	for {
+		earlier, isFree := t.tryReserve(id)
+		if isFree {
+			return func() { t.release(id) }, true
+		}
+		select {
+		case <-earlier:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// tryReserve reserves an agent if it is free. Otherwise it returns a channel that is closed when it becomes free.
+func (t *sessionTable) tryReserve(id dispatch.AgentID) (earlier <-chan struct{}, isFree bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if released, ok := t.reserved[id]; ok {
+		return released, false
+	}
+	t.reserved[id] = make(chan struct{})
+	return nil, true
+}
+
+func (t *sessionTable) release(id dispatch.AgentID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.reserved[id])
+	delete(t.reserved, id)
 }
 
 func (t *sessionTable) add(s *agentSession) {
