entry: runs are counted after the tick that starts them, before the shards are released

Cause: an entry that stops tells its dispatcher and its coordinator by two queues. If the coordinator hears of it first, and the next tick makes a waiting task due, the runs were counted before the tick started the task. The shard was released as one with no run left, and its next owner starts the tasks of such a shard at once, beside the run that is being stopped.

Change: the count follows the dispatcher's part of the tick (decider.tick).

Evidence: TestAShardIsNotReleasedAsATickStartsARun forces the order; with the old one it fails ('the shard was released as the tick started a run').

--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -41,6 +41,13 @@
 	d.drain()
 }
 
+// tick applies the rules of both state machines that depend on time alone. The coordinator gets the number of runs after the dispatcher has
+// started those that are due, since it releases a shard without runs to a next owner that starts its tasks at once.
+func (d *decider) tick() {
+	d.handleDispatch(dispatch.Ticked{})
+	d.handleDurable(durable.Ticked{DurableRuns: d.dispatcher.DurableRuns(d.now())})
+}
+
 // expire releases the shards if their lease may have expired, for example after the process was suspended. It must be
 // called before handling any other event, so that a resumed process does not act on shards it may no longer own.
 func (d *decider) expire() {
--- a/internal/entry/decider_test.go
+++ b/internal/entry/decider_test.go
@@ -11,6 +11,7 @@
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
 	"sailhead/internal/runner"
+	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
 
@@ -141,3 +142,44 @@
 		t.Fatalf("performed %v, want the state failed", d.performed)
 	}
 }
+
+// The coordinator hears of a shutdown before the dispatcher, as each has a queue of its own, and a task of a durable job becomes due with the
+// next tick.
+//
+// The failure: the runs were counted before the tick started the task, so the shard was released as one with no run left, and its next owner
+// started the task again at once.
+func TestAShardIsNotReleasedAsATickStartsARun(t *testing.T) {
+	d := newDeciderTest()
+	d.decider.handleDurable(durable.EntriesChanged{Names: []string{"entry-1"}})
+	d.decider.handleDurable(durable.ClaimsRead{HasJobs: true})
+	d.settle()
+	addAgent := func(id dispatch.AgentID) {
+		d.decider.handleDispatch(
+			dispatch.AgentUp{Agent: id},
+			dispatch.WorkerDescribed{Agent: id, Record: worker.Record{ID: "w-" + string(id), Service: "svc", Capacity: worker.Resources{CPU: 1000}}},
+			dispatch.LoadReceived{Agent: id, Load: runner.Load{Accepts: true}},
+		)
+	}
+	addAgent(testAgent)
+	d.decider.handleDurable(durable.Submitted{Waiter: 1, Job: dispatch.Job{
+		ID: testJob, Kind: dispatch.Kind{Name: "k", Service: "svc", Attempts: 2, Stretch: 1.6},
+		Steps: []dispatch.Step{{Count: 1, Needs: worker.Resources{CPU: 1000}, Expected: 100 * time.Millisecond}},
+	}})
+	d.settle()
+	d.decider.handleDispatch(dispatch.AgentDown{Agent: testAgent})
+	addAgent("agent-2")
+	for lost := d.now; d.now.Sub(lost) < timing.DurableRerunDelay; {
+		d.settle()
+	}
+	d.decider.handleDurable(durable.ShutdownRequested{Until: d.now.Add(time.Minute)})
+	d.performed = nil
+	d.decider.tick()
+	isStart := func(e dispatch.Effect) bool { _, ok := e.(dispatch.StartTask); return ok }
+	isStop := func(e dispatch.Effect) bool { _, ok := e.(dispatch.StopTask); return ok }
+	if d.indexOf(isStart) < 0 {
+		t.Fatalf("the tick started no run: %v", d.performed)
+	}
+	if d.indexOf(isStop) >= 0 {
+		t.Error("the shard was released as the tick started a run")
+	}
+}
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -34,6 +34,7 @@
 	for {
 		events = events[:0]
 		var durableEvent durable.Event
+		isTick := false
 		select {
 		case <-e.context.Done():
 			e.accepted.flush(e.logger)
@@ -45,10 +46,13 @@
 			lateness.Ticked(clock.Now())
 			e.accepted.flush(e.logger)
 			e.publishLearned(clock.Now())
-			events = append(events, dispatch.Ticked{})
-			durableEvent = durable.Ticked{DurableRuns: e.decider.dispatcher.DurableRuns(clock.Now())}
+			isTick = true
 		}
 		e.decider.expire()
+		if isTick {
+			e.decider.tick()
+			e.publishOwners()
+		}
 		if len(events) > 0 {
 			e.decider.handleDispatch(events...)
 		}
