runner: leasedFrom and minTime, names that say what they hold

lastRenewal has been the time from which the latest lease counts, which may be earlier than its renewal, and earlier() had the name of two local variables of the package. The comment of isUnresponsive told a measurement.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -49,8 +49,8 @@
 	// roundTrip is the duration of the latest renewal that was refused or answered at once, or zero before the first
 	// one.
 	roundTrip time.Duration
-	// lastRenewal is the time from which the latest requested lease is counted, or zero before the first one.
-	lastRenewal time.Time
+	// leasedFrom is the time from which the latest requested lease is counted, or zero before the first one.
+	leasedFrom time.Time
 	// lastRenewSent is when the latest renewal other than a long poll was sent, with or without a lease.
 	lastRenewSent time.Time
 	// longPolling is set while a long poll is in progress. The next one is not sent before longPollAfter.
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -28,8 +28,7 @@
 // durable task's run must not be missed, or the task would run twice.
 
 // isUnresponsive reports whether the worker has left all renewals unanswered for timing.WorkerUnresponsiveAfter. Time
-// without an outstanding renewal does not count: otherwise, idle workers became unresponsive for a moment now and then
-// (31 times on a quiet day with 11 workers) and rejected starts.
+// without an outstanding renewal does not count: otherwise an idle worker, which is asked less often, would reject starts now and then.
 func (i *incarnation) isUnresponsive(now time.Time) bool {
 	wasAsked := !i.askedAt.IsZero() && now.Sub(i.askedAt) >= timing.RenewInterval
 	return wasAsked && now.Sub(i.lastAnswered) > timing.WorkerUnresponsiveAfter
@@ -50,7 +49,7 @@
 	from = now
 	for _, t := range r.tasks {
 		if t.state != stateQueued {
-			from = earlier(from, r.extendableUntil(t))
+			from = minTime(from, r.extendableUntil(t))
 		}
 	}
 	return from, true
@@ -68,8 +67,8 @@
 	return s.validUntil
 }
 
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
+// minTime returns the earlier of two times.
+func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
 	}
@@ -99,8 +98,8 @@
 	if !ok || !isClockKnown || now.Sub(from) >= r.limits.Lease {
 		return 0
 	}
-	if from.After(r.worker.lastRenewal) {
-		r.worker.lastRenewal = from
+	if from.After(r.worker.leasedFrom) {
+		r.worker.leasedFrom = from
 	}
 	return r.worker.clock + from.Sub(r.worker.clockRead) + r.limits.Lease
 }
@@ -125,17 +124,17 @@
 		r.lateness.record(now, gap)
 	}
 	r.lastTick = now
-	if isLate && r.worker != nil && !r.worker.lastRenewal.IsZero() {
-		r.worker.lastRenewal = r.worker.lastRenewal.Add(gap)
+	if isLate && r.worker != nil && !r.worker.leasedFrom.IsZero() {
+		r.worker.leasedFrom = r.worker.leasedFrom.Add(gap)
 	}
 }
 
 // hasLeaseExpired reports whether the worker's lease must have expired at a time, and for how long.
 func (r *Runner) hasLeaseExpired(at time.Time) (since time.Duration, ok bool) {
-	if r.worker.lastRenewal.IsZero() {
+	if r.worker.leasedFrom.IsZero() {
 		return 0, false
 	}
-	since = at.Sub(r.worker.lastRenewal) - r.leaseBound()
+	since = at.Sub(r.worker.leasedFrom) - r.leaseBound()
 	return since, since > 0
 }
 
--- a/internal/runner/restart.go
+++ b/internal/runner/restart.go
@@ -29,7 +29,7 @@
 	r.dropAllReservations()
 	r.reportEnd(now, earlier, endRestarted)
 	// A delayed start may have begun a run of the new process, which ends with the lease that the start named.
-	w.lastRenewal = now
+	w.leasedFrom = now
 	r.beginWith(now, w)
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -75,7 +75,7 @@
 func (r *Runner) beginStop(now time.Time, t *task, extendableUntil time.Time) {
 	t.state = stateStopping
 	t.stop = r.newStop(now, t.Name, t.Run)
-	t.stop.extendableUntil = earlier(now, extendableUntil)
+	t.stop.extendableUntil = minTime(now, extendableUntil)
 }
 
 // stop is a stop of a run that was sent to the worker.
@@ -159,7 +159,7 @@
 		_, isOrphan := r.worker.orphans[s.name]
 		r.emit(StopOverdue{
 			RunID: RunID{Task: s.name, Run: s.run}, IsAccepted: !s.awaitsAnswer(), IsOrphan: isOrphan,
-			LeasedFor: r.worker.lastRenewal.Sub(s.begun),
+			LeasedFor: r.worker.leasedFrom.Sub(s.begun),
 		})
 	}
 }
