--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,7 +122,7 @@
 	evacuations loggedEvacuations
 	// idleAgents passes agents whose sessions may be closed from the event loop to the connect goroutine.
 	idleAgents chan dispatch.AgentID
-	// recordShares passes requests to tell other entries of crashes from the event loop to the goroutine that calls them.
+	// recordShares passes requests to tell other entries of records from the event loop to the goroutine that calls them.
 	recordShares chan dispatch.ShareRecords
 	shards       shardView
 	// The event loop's latest counts of open jobs, of agents with a session and of shards owned here.
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// recordShareTimeout limits the time in which all other entries are told of crashes. An answer is held for at most 150 ms meanwhile.
+	// recordShareTimeout limits the time in which all other entries are told of records. An answer is held for at most 150 ms meanwhile.
 	recordShareTimeout = 120 * time.Millisecond
 	// recordShareCalls is the largest number of such calls at a time.
 	recordShareCalls = 16
@@ -20,7 +20,7 @@
 	recordShareQueueSize = 1
 )
 
-// shareRecords tells all other entries of the crashes in the directory for each ShareRecords of the dispatcher.
+// shareRecords tells all other entries of the crashes and runs in the directory for each ShareRecords of the dispatcher.
 func (e *Entry) shareRecords() {
 	for {
 		select {
@@ -32,7 +32,7 @@
 	}
 }
 
-// shareWithin tells all other entries of the crashes in the directory, and reports it to the dispatcher once each of them has answered or
+// shareWithin tells all other entries of the crashes and runs in the directory, and reports it to the dispatcher once each of them has answered or
 // the time is over.
 func (e *Entry) shareWithin(timeout time.Duration, share dispatch.ShareRecords) {
 	ctx, cancel := context.WithTimeout(e.context, timeout)
