entry: a session begins after the event loop has handled the end of the earlier one

While the end of a session waits in the queue, an earlier event may start a task at the agent; the start went out on the new session, and the dispatcher, which then handled the end, started the task elsewhere.

Cause: the dispatcher's starts and stops find their session by the agent's name when they are performed.

Change: the dispatcher emits SessionEnded when it has handled the end of a session, and only then does the agent's goroutine dial again. This holds for every redial, not only after a change of the record.

In TestASessionBeginsAfterTheEarlierOneHasEnded the test now performs SessionEnded as the event loop does.

--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -56,6 +56,9 @@
 	Offer runner.OfferID
 }
 
+// SessionEnded reports that the end of an agent's session was handled: no earlier effect concerns the agent's next session.
+type SessionEnded struct{ Agent AgentID }
+
 // CloseSession closes the session with an agent that has no runs of this entry.
 type CloseSession struct{ Agent AgentID }
 
@@ -112,6 +115,7 @@
 func (StopTask) isEffect()            {}
 func (Reserve) isEffect()             {}
 func (AnswerOffer) isEffect()         {}
+func (SessionEnded) isEffect()        {}
 func (CloseSession) isEffect()        {}
 func (HandOver) isEffect()            {}
 func (WithdrawHandOver) isEffect()    {}
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -34,6 +34,7 @@
 
 // agentDown removes an agent whose session has ended and schedules its tasks to run again.
 func (d *Dispatcher) agentDown(now time.Time, id AgentID) {
+	d.emit(SessionEnded{Agent: id})
 	a, ok := d.agents[id]
 	if !ok {
 		return
--- a/internal/entry/sessionorder_test.go
+++ b/internal/entry/sessionorder_test.go
@@ -74,6 +74,9 @@
 		select {
 		case event := <-e.events:
 			kinds = append(kinds, kindOf(event))
+			if down, ok := event.(dispatch.AgentDown); ok {
+				e.perform(effect{dispatch: dispatch.SessionEnded(down)})
+			}
 		case <-time.After(sessionTestTimeout):
 			t.Fatalf("only %v within %s", kinds, sessionTestTimeout)
 		}
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -83,20 +83,27 @@
 type sessionTable struct {
 	mu   sync.Mutex
 	open map[dispatch.AgentID]*agentSession
+	// ending holds the agents whose last session has ended without the event loop having handled it, each with a channel that is closed
+	// when it has.
+	ending map[dispatch.AgentID]chan struct{}
 	// reserved holds the agents of which a goroutine has the only right to open sessions, each with a channel that is closed when the
 	// goroutine gives it up.
 	reserved map[dispatch.AgentID]chan struct{}
 }
 
 func newSessionTable() *sessionTable {
-	return &sessionTable{open: make(map[dispatch.AgentID]*agentSession), reserved: make(map[dispatch.AgentID]chan struct{})}
+	return &sessionTable{
+		open: make(map[dispatch.AgentID]*agentSession), ending: make(map[dispatch.AgentID]chan struct{}),
+		reserved: make(map[dispatch.AgentID]chan struct{}),
+	}
 }
 
 // reserve waits until no other goroutine may open sessions with an agent, and gives the caller this right until it calls release. It
 // returns false if the context is cancelled first.
 //
-// Reason: the dispatcher knows sessions by agent. If the start of a session were reported before the end of the earlier one, the
-// dispatcher would take the new session for ended and start its tasks elsewhere, while their runs go on.
+// Reason: the dispatcher and this table know sessions by agent. A session begins only after the dispatcher has handled the end of the
+// earlier one. Otherwise tasks that it starts on the earlier session would go out on the new one, or it would take the new session for
+// ended. It would then start the tasks elsewhere, while their runs go on.
 func (t *sessionTable) reserve(ctx context.Context, id dispatch.AgentID) (release func(), ok bool) {
 	for {
 		earlier, isFree := t.tryReserve(id)
@@ -135,10 +142,24 @@
 	t.open[s.id] = s
 }
 
-func (t *sessionTable) remove(id dispatch.AgentID) {
+// remove removes the session with an agent. The returned channel is closed when the event loop has handled its end.
+func (t *sessionTable) remove(id dispatch.AgentID) (handled <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, id)
+	ending := make(chan struct{})
+	t.ending[id] = ending
+	return ending
+}
+
+// endHandled records that the event loop has handled the end of the session with an agent.
+func (t *sessionTable) endHandled(id dispatch.AgentID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ending, ok := t.ending[id]; ok {
+		close(ending)
+		delete(t.ending, id)
+	}
 }
 
 func (t *sessionTable) get(id dispatch.AgentID) (s *agentSession, ok bool) {
@@ -158,7 +179,8 @@
 	return sessions
 }
 
-// serveSession passes an agent's messages to the event loop until the session ends, and returns why it ended.
+// serveSession passes an agent's messages to the event loop until the session ends and the event loop has handled the end. It returns why
+// the session ended.
 func (e *Entry) serveSession(ctx context.Context, agent cluster.Member, conn *session.AgentConn) error {
 	s := &agentSession{entry: e, id: dispatch.AgentID(agent.Name), conn: conn}
 	s.MessageReceived()
@@ -169,8 +191,12 @@
 	conn.SendEvacuations(e.directory.Evacuations())
 	e.post(dispatch.AgentUp{Agent: s.id})
 	err := conn.Serve(s)
-	e.sessions.remove(s.id)
+	handled := e.sessions.remove(s.id)
 	e.post(dispatch.AgentDown{Agent: s.id})
+	select {
+	case <-handled:
+	case <-e.context.Done():
+	}
 	return err
 }
 
