entry: the silence of an ended session is not reported for the agent's next one

Cause: watchLiveness reads the open sessions and may then wait for the event loop. A session that was silent and has ended meanwhile was reported as unresponsive after the next session had begun, and only the earlier session's own messages would have revoked it.

Change: the end of a session waits for a report in progress, and none follows it.

--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -35,8 +35,18 @@
 	lastMessage atomic.Int64
 	// incarnation is the incarnation of the agent's process; 0 until its first ping.
 	incarnation atomic.Int64
-	// unresponsive is set while the dispatcher considers the agent unresponsive; only watchLiveness uses it.
-	unresponsive bool
+	// mu orders reports of the agent's silence before the end of the session, as the dispatcher would take later ones for those of the
+	// agent's next session.
+	mu sync.Mutex
+	// hasEnded is set when the session has ended, and unresponsive while the dispatcher considers the agent unresponsive.
+	hasEnded, unresponsive bool
+}
+
+// end makes checkLiveness report nothing more about the session. It waits for a report in progress.
+func (s *agentSession) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hasEnded = true
 }
 
 // MessageReceived records that the agent is alive.
@@ -142,8 +152,12 @@
 	t.open[s.id] = s
 }
 
-// remove removes the session with an agent. The returned channel is closed when the event loop has handled its end.
+// remove removes the session with an agent, after which its silence is not reported any more. The returned channel is closed when the event
+// loop has handled its end.
 func (t *sessionTable) remove(id dispatch.AgentID) (handled <-chan struct{}) {
+	if s, ok := t.get(id); ok {
+		s.end()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, id)
@@ -218,6 +232,11 @@
 
 // checkLiveness compares the time since an agent's last message with timing.SuspectAfter and timing.SessionCloseTimeout.
 func (e *Entry) checkLiveness(s *agentSession) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hasEnded {
+		return
+	}
 	silence := clock.Since(epoch) - time.Duration(s.lastMessage.Load())
 	isSuspect := silence > timing.SuspectAfter
 	switch {
