dispatch, entry: the other entries are told of a run beside a silent one

What callers could see: two jobs fail within a tenth of a second, each while a run of it goes on, and one other entry does not answer. The second job was answered before any entry had been told of its run; submitted again at once it could get a second run.

Cause: one call to all entries was in progress at a time, and a silent entry makes it take 120 ms.

--- a/internal/cluster/unendedrun.go
+++ b/internal/cluster/unendedrun.go
@@ -11,8 +11,8 @@
 	"sailhead/internal/wire"
 )
 
-// Runs that may go on although their jobs have been answered are part of each view of the entry that started them, until they have ended.
-// Other entries do not pass them on, so that delays of exchanges do not add up.
+// Runs that may go on although their jobs have been answered are part of each view of the entry that answered them, until they have ended.
+// Exchanges do not pass on the runs of other entries, so that their delays do not add up.
 
 // maxUnendedRuns limits the number of such runs stored and sent. At about 40 bytes each, an exchange carries at most 10 KB of them.
 const maxUnendedRuns = 256
--- a/internal/cluster/unendedrun_test.go
+++ b/internal/cluster/unendedrun_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// TestUnendedRunsAreNotPassedOn checks that an entry sends only its own runs: if others passed them on, each exchange would add its delay to
-// the end of a run, and its task would never be started again.
+// TestUnendedRunsAreNotPassedOn checks that an exchange does not pass on the runs of other entries: each exchange would add its delay to the
+// end of a run, and its task would never be started again.
 func TestUnendedRunsAreNotPassedOn(t *testing.T) {
 	first, second, third := NewDirectory(), NewDirectory(), NewDirectory()
 	first.AddUnendedRun(clock.Now(), UnendedRun{Task: "j.0.0.0", EndedBy: clock.Now().Add(time.Minute)})
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -14,20 +14,22 @@
 const (
 	// recordShareTimeout limits the time in which all other entries are told of records. An answer is held for at most 150 ms meanwhile.
 	recordShareTimeout = 120 * time.Millisecond
-	// recordShareCalls is the largest number of such calls at a time.
+	// recordShareCalls is the largest number of such calls at a time for one ShareRecords.
 	recordShareCalls = 16
-	// recordShareQueueSize suffices because the dispatcher waits for the end of each ShareRecords.
-	recordShareQueueSize = 1
+	// recordShareQueueSize suffices because the dispatcher has no more ShareRecords in progress.
+	recordShareQueueSize = dispatch.MaxRecordShares
 )
 
 // shareRecords tells all other entries of the crashes and runs in the directory for each ShareRecords of the dispatcher.
 func (e *Entry) shareRecords() {
+	var shares sync.WaitGroup
+	defer shares.Wait()
 	for {
 		select {
 		case <-e.context.Done():
 			return
 		case share := <-e.recordShares:
-			e.shareWithin(recordShareTimeout, share)
+			shares.Go(func() { e.shareWithin(recordShareTimeout, share) })
 		}
 	}
 }
