entry tests: shared runs are checked beside shared crashes

Cause: the two tests of a silent entry and of a share whose time is over look at the crashes only, though a share carries the runs that may not have ended, too. Change: they also want the run at the entry that answers, and none after the time is over. Result: package entry passes twice with the race detector; the checks of crashes are as before.

--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -102,6 +102,9 @@
 	if len(received.crashes) != 1 {
 		t.Errorf("%d other entries know of the crash, want the one that answers", len(received.crashes))
 	}
+	if _, ok := received.runsAt.Load(1); !ok {
+		t.Error("the entry that answers does not know of the run")
+	}
 }
 
 // Calls must not go on once the time of a share is over.
@@ -111,7 +114,8 @@
 	if event := <-e.events; event != (dispatch.RecordsShared{Number: 1}) {
 		t.Errorf("got event %+v", event)
 	}
-	if len(received.crashes) > 0 {
+	_, knowsRun := received.runsAt.Load(0)
+	if len(received.crashes) > 0 || knowsRun {
 		t.Error("the other entry was called after the time was over")
 	}
 }
