handover tests: the time of a stop counts in the bound after a silent connection

Cause: the check that a lost entry's runs end before its caller retries added the worker's lease, but no longer timing.MaxStopTime, which the earlier form of the check had and runner's leaseBound adds to a lease. Change: it is added.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -420,7 +420,7 @@
 		var l liveness
 		l.began(now)
 		noticed := timeUntilSilent(&l, now, offset)
-		if ended := noticed + withDrift; ended >= min(timing.RerunDelay, timing.CallerRetryDelay) {
+		if ended := noticed + withDrift + timing.MaxStopTime; ended >= min(timing.RerunDelay, timing.CallerRetryDelay) {
 			t.Errorf("a silent connection is detected after %s, and its runs end after %s", noticed, ended)
 		}
 	}
