dispatch, entry: log and count durable tasks that are started again in silence

What was missing: an entry's log did not show why a durable task is started a second time.

Change: msg=restarted names the earlier agent, the time without a report and how many of the registered agents know all ends; msg=done_earlier names a task whose earlier run proves to be done. Both are counted (tasks_restarted, tasks_done_earlier).

--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -74,6 +74,19 @@
 	LostRuns int
 }
 
+// DecisionRestarted reports that a durable task is started again although the end of its latest run was not reported.
+type DecisionRestarted struct {
+	// Earlier is the agent of that run, empty if an earlier owner of the job may have started one.
+	Earlier AgentID
+	// Silence is the time since the session with that agent ended, or since the runs of the earlier owner had ended at the latest.
+	Silence time.Duration
+	// Sessions is the number of agents in session that know all ends of runs on their workers, Agents that of all registered ones.
+	Sessions, Agents int
+}
+
+// DecisionDoneEarlier reports that a durable task was done by an earlier run, and that a later one is stopped. The task has run twice.
+type DecisionDoneEarlier struct{}
+
 // DecisionMoved reports that a run on an unhealthy worker was stopped to run again on a healthy one.
 type DecisionMoved struct{}
 
@@ -166,6 +179,8 @@
 func (DecisionJoined) isDecision()            {}
 func (DecisionPlaced) isDecision()            {}
 func (DecisionEnded) isDecision()             {}
+func (DecisionRestarted) isDecision()         {}
+func (DecisionDoneEarlier) isDecision()       {}
 func (DecisionMoved) isDecision()             {}
 func (DecisionGivenUp) isDecision()           {}
 func (DecisionRunsUnended) isDecision()       {}
--- a/internal/dispatch/durable.go
+++ b/internal/dispatch/durable.go
@@ -29,6 +29,9 @@
 	for _, t := range j.tasks {
 		t.failures = e.Failures[t.name]
 		t.notBefore = e.NotBefore
+		if !e.NotBefore.IsZero() {
+			t.unreported = &unreportedRun{since: e.NotBefore}
+		}
 		if slices.Contains(e.DoneTasks, t.name) {
 			t.state = taskDone
 			j.open[t.step]--
@@ -64,6 +67,7 @@
 		return
 	}
 	if t.state == taskSent {
+		d.emit(j.decisionMade(now, DecisionDoneEarlier{}).withRun(t.name, t.run, t.agent))
 		d.emit(StopTask{Agent: t.agent, Name: t.name})
 	}
 	t.isRunTimeRepresentative = false
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -108,6 +108,7 @@
 func (d *Dispatcher) send(now time.Time, p placement) {
 	j, t, step := p.job, p.task, p.job.Steps[p.task.step]
 	expected := j.takeForecast()
+	d.logRestart(now, j, t)
 	t.state = taskSent
 	t.agent = p.agent.id
 	t.placedAt = now
@@ -126,6 +127,18 @@
 	d.emit(j.decisionMade(now, DecisionPlaced{Expected: expected}).withRun(t.name, t.run, t.agent))
 }
 
+// logRestart reports that a task is started although the end of its latest run was not reported.
+func (d *Dispatcher) logRestart(now time.Time, j *job, t *task) {
+	if t.unreported == nil {
+		return
+	}
+	restarted := DecisionRestarted{
+		Earlier: t.unreported.agent, Silence: now.Sub(t.unreported.since), Sessions: d.agentsKnowingAllEnds(), Agents: d.knownAgents,
+	}
+	d.emit(j.decisionMade(now, restarted).withRun(t.name, t.run, t.unreported.agent))
+	t.unreported = nil
+}
+
 // claimed returns the resources that a placement takes from an agent until the next load includes its start: the needs
 // of the task, or all free resources for a suspect or a contained job, as the agent runs it alone.
 func (d *Dispatcher) claimed(p placement) worker.Resources {
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -32,6 +32,14 @@
 	return timing.RerunDelay
 }
 
+// unreportedRun is a run of a durable task that may have ended without a report to this entry.
+type unreportedRun struct {
+	// agent is where the run was, empty if an earlier owner of the job started it or may have started it.
+	agent AgentID
+	// since is when the session with the agent ended, or when the runs of the earlier owner had ended at the latest.
+	since time.Time
+}
+
 // agentDown removes an agent whose session has ended and schedules its tasks to run again.
 func (d *Dispatcher) agentDown(now time.Time, id AgentID) {
 	d.emit(SessionEnded{Agent: id})
@@ -50,6 +58,9 @@
 				lost.runs = append(lost.runs, runner.CrashedRun{RunID: runner.RunID{Task: t.name, Run: t.run}})
 				d.markStarted(j)
 				d.rerunAfter(now, j, t, j.rerunDelay())
+				if j.isDurable {
+					t.unreported = &unreportedRun{agent: id, since: now}
+				}
 			}
 		}
 	}
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -44,6 +44,8 @@
 	lostRuns int
 	// moves counts the runs that were stopped to run on another worker.
 	moves int
+	// unreported describes the latest run of a durable task if its end was not reported to this entry, and is nil otherwise.
+	unreported *unreportedRun
 	// placedAt is when the latest run was sent.
 	placedAt time.Time
 	// completedAt is when the task was completed, zero until then.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -72,6 +72,10 @@
 		}
 	case dispatch.DecisionEnded:
 		e.metrics.Add(metric.TasksEnded, 1)
+	case dispatch.DecisionRestarted:
+		e.metrics.Add(metric.TasksRestarted, 1)
+	case dispatch.DecisionDoneEarlier:
+		e.metrics.Add(metric.TasksDoneEarlier, 1)
 	case dispatch.DecisionGivenUp:
 		e.metrics.Add(metric.TasksGivenUp, 1)
 	case dispatch.DecisionContained:
@@ -143,6 +147,10 @@
 		return "placed"
 	case dispatch.DecisionEnded:
 		return "ended"
+	case dispatch.DecisionRestarted:
+		return "restarted"
+	case dispatch.DecisionDoneEarlier:
+		return "done_earlier"
 	case dispatch.DecisionMoved:
 		return "moved"
 	case dispatch.DecisionGivenUp:
@@ -194,6 +202,11 @@
 		return describePlaced(d)
 	case dispatch.DecisionEnded:
 		return describeEnd(d)
+	case dispatch.DecisionRestarted:
+		return fmt.Sprintf("no end was reported of this run for %s, agents that know all ends: %d of %d",
+			d.Silence.Round(time.Millisecond), d.Sessions, d.Agents)
+	case dispatch.DecisionDoneEarlier:
+		return "an earlier run was done, this one is stopped"
 	case dispatch.DecisionMoved:
 		return "the run lasts too long on a slow worker"
 	case dispatch.DecisionGivenUp:
--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -9,6 +9,7 @@
 	"flag"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"sailhead/internal/dispatch"
 	"sailhead/internal/metric"
 	"sailhead/internal/runner"
+	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
 
@@ -196,3 +198,28 @@
 		}
 	}
 }
+
+// A durable task is started again although no end of its first run was reported, and that run proves to be done: operators must see both.
+func TestATaskThatRunsTwiceIsLogged(t *testing.T) {
+	l := newDecisionLog()
+	l.addAgent("a")
+	l.handle(dispatch.AgentsRegistered{Agents: []dispatch.AgentID{"a", "b"}})
+	l.handle(dispatch.DurableAccepted{Job: newTestJob("silent", 1)})
+	l.handle(dispatch.AgentDown{Agent: "a"})
+	l.wait(timing.DurableRerunDelay)
+	l.addAgent("b")
+	l.handle(dispatch.DurableTaskEnded{Task: "silent.0.0.0"})
+	for _, want := range []string{
+		`msg=restarted job=silent kind=kind-a age=8s task=silent.0.0.0 run=1 agent=a detail="no end was reported of this run for 8s, agents that know all ends: 1 of 2"`,
+		`msg=done_earlier job=silent kind=kind-a age=8s task=silent.0.0.0 run=2 agent=b detail="an earlier run was done, this one is stopped"`,
+	} {
+		if !strings.Contains(l.out.String(), want) {
+			t.Errorf("no line with %s; got:\n%s", want, l.out.String())
+		}
+	}
+	for _, name := range []string{metric.TasksRestarted, metric.TasksDoneEarlier} {
+		if got := l.entry.metrics.Value(name); got != 1 {
+			t.Errorf("metric %s is %d, want 1", name, got)
+		}
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -14,17 +14,21 @@
 
 // The names of counters and gauges. Those that end in Prefix are followed by an outcome, or UnreadablePrefix by the kind of record.
 const (
-	JobsReceived        = "jobs_received"
-	JobsPrefix          = "jobs_"
-	ForwardsLost        = "forwards_lost"
-	Relays              = "relays"
-	MessagesNeeded      = "messages_needed"
-	MessagesWasted      = "messages_wasted"
-	MessagesGossip      = "messages_gossip"
-	TasksStarted        = "tasks_started"
-	TasksEnded          = "tasks_ended"
-	TasksRefused        = "tasks_refused"
-	TasksGivenUp        = "tasks_given_up"
+	JobsReceived   = "jobs_received"
+	JobsPrefix     = "jobs_"
+	ForwardsLost   = "forwards_lost"
+	Relays         = "relays"
+	MessagesNeeded = "messages_needed"
+	MessagesWasted = "messages_wasted"
+	MessagesGossip = "messages_gossip"
+	TasksStarted   = "tasks_started"
+	TasksEnded     = "tasks_ended"
+	TasksRefused   = "tasks_refused"
+	TasksGivenUp   = "tasks_given_up"
+	// TasksRestarted counts the durable tasks started again although the end of a run was not reported, and TasksDoneEarlier those of
+	// which an earlier run then proved to be done.
+	TasksRestarted      = "tasks_restarted"
+	TasksDoneEarlier    = "tasks_done_earlier"
 	FencesAsked         = "fences_asked"
 	FencesRefused       = "fences_refused"
 	PlatformFailures    = "platform_failures"
