runner, durable, dispatch: an end that no owner acknowledges meets the owner at the store

Cause: an owner took the silence of an agent for the loss of its runs. It started a durable task again 8 s after the session had ended (DurableRerunDelay), a new owner 6.8 s after the runs of the earlier one had ended (recoveryWait). Nothing told "the agent is gone" from "I can't hear it".

Evidence: the log of the entry that was cut off, 144 lines restarted after 12.009 s and more of silence with 2 of 11 agents in session, 88 lines done_earlier within a second of them, no shard lost, no end dropped by an agent.

Change: an agent stores the ends that no owner has acknowledged for 2 s, all of them in one conditional write, one record a shard, until they are acknowledged. While a run is not reported, its owner reads the ends of the shard every second and records them as if they had been reported. A durable task whose run was not reported starts again only if its wait is over and a read that began after that is at most 2 s old. Records are removed by their agent, or by the owner once all their ends are written.

Why it works: a cut leaves the store in reach of both sides. An end is there 5.7 s after the session was lost at the latest if the agent reaches the store (rows in timing_test.go), and the owner asks after 8 s. The wait is no longer than before; an end that is stored is recorded sooner. It does not help an agent that reaches neither an entry nor the store until the owner's read.

TestDurableRunsCountsRunsAtLostAgents wanted a run to count as over after 8 s of silence, which is the fault; it now wants it counted until the read, and not after it. TestAShardIsNotReleasedAsATickStartsARun follows the task through its new wait and also checks that no commit releases the claim.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # FUZZ lists the readers of what other processes wrote, each as PACKAGE:TARGET; FUZZTIME how many inputs CI plays of each.
 FUZZ := platform:FuzzHeartbeat platform:FuzzRoute platform:FuzzConfiguration platform:FuzzStoredRecord platform:FuzzListing \
-  internal/cluster:FuzzView internal/durable:FuzzBatch internal/handover:FuzzFromSender
+  internal/cluster:FuzzView internal/durable:FuzzBatch internal/durable:FuzzStoredEnds internal/handover:FuzzFromSender
 FUZZTIME ?= 20000x
 
 .PHONY: all build demo test tools format vet generated generate spec fuzz unit
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,6 +50,8 @@
 	// Seeds are the addresses of the entries to which the agent announces itself while no entry has a session.
 	Seeds  []string
 	Limits runner.Limits
+	// Ends keeps the ends that no entry acknowledges.
+	Ends EndStore
 	// StopTimeout is the longest time from the shutdown request to the exit of the process.
 	StopTimeout time.Duration
 	// EventQueueSize is the capacity of the event queue. Posting to a full queue blocks.
@@ -86,6 +88,7 @@
 	status status
 
 	registration registration
+	pendingEnds  pendingEnds
 
 	context    context.Context
 	cancel     context.CancelFunc
@@ -111,6 +114,7 @@
 		runner:       runner.New(settings.Limits, newFencingToken(now)),
 		events:       make(chan runner.Event, settings.EventQueueSize),
 		registration: newRegistration(),
+		pendingEnds:  newPendingEnds(),
 	}
 	a.rejectionLogger = logging.NewLimited(a.logger, maxRejectionLinesPerSecond)
 	a.SetSeeds(settings.Seeds)
@@ -122,6 +126,7 @@
 	a.goroutines.Go(a.run)
 	a.goroutines.Go(a.announce)
 	a.goroutines.Go(a.register)
+	a.goroutines.Go(a.storeEnds)
 	_ = level.Info(a.logger).Log("msg", "serving entries", "address", a.self.Address)
 	return a, func() error {
 		a.shutDown()
--- a/internal/agent/doc.go
+++ b/internal/agent/doc.go
@@ -5,9 +5,9 @@
 // package runner and executes the effects that the state machine returns.
 //
 // The package owns the goroutines around a runner: the event loop (loop.go), the calls to the worker (call.go), the
-// agent's record in the store (registration.go) and its announcements to entries (announce.go). Package runner decides
-// about tasks, runs and sessions; package session implements the connections to entries; the clients of the worker and
-// of the store are passed to New.
+// agent's record in the store (registration.go), the ends that it stores for the owners of durable jobs (storedends.go) and its announcements to
+// entries (announce.go). Package runner decides about tasks, runs and sessions; package session implements the connections to
+// entries; the clients of the worker and of the store are passed to New.
 //
 // # Failure handling
 //
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -68,6 +68,9 @@
 		a.sessions.Send(effect)
 	case runner.EndDropped:
 		a.logDropped(e)
+	case runner.StoreEnds:
+		a.metrics.Set(metric.EndsUnacknowledged, int64(len(e.Ends)))
+		a.pendingEnds.set(e.Ends)
 	case runner.IncarnationEnded:
 		a.logIncarnationEnded(e)
 	case runner.StopOverdue:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -164,6 +164,8 @@
 		d.dropDurable(now, e.Jobs)
 	case DurableTaskEnded:
 		d.endDurableTask(now, e)
+	case StoredEndsRead:
+		d.storedEndsRead(e)
 	case AgentsRegistered:
 		d.agentsRegistered(now, e)
 	case AgentUp:
@@ -217,6 +219,7 @@
 	d.expireCrashes(now)
 	d.updateContainment(now)
 	d.moveStuckRuns(now)
+	d.requestStoredEnds(now)
 }
 
 func (d *Dispatcher) emit(effect Effect) {
--- a/internal/dispatch/durable_test.go
+++ b/internal/dispatch/durable_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -51,8 +52,83 @@
 	if runs := d.DurableRuns(now); runs != 2 {
 		t.Fatalf("%d runs after the loss of the agent's session, want 2", runs)
 	}
-	if runs := d.DurableRuns(now.Add(timing.DurableRerunDelay)); runs != 0 {
-		t.Fatalf("%d runs after DurableRerunDelay, want 0", runs)
+	now = now.Add(timing.DurableRerunDelay)
+	if runs := d.DurableRuns(now); runs != 2 {
+		t.Fatalf("%d runs after DurableRerunDelay, want 2 until the stored ends are read", runs)
+	}
+	d.Handle(now, Ticked{})
+	d.Handle(now, StoredEndsRead{Job: "j1"})
+	if runs := d.DurableRuns(now); runs != 0 {
+		t.Fatalf("%d runs after the stored ends were read, want 0", runs)
+	}
+}
+
+// readRequests returns the jobs whose stored ends are to be read.
+func readRequests(effects []Effect) []string {
+	var jobs []string
+	for _, effect := range effects {
+		if read, ok := effect.(ReadStoredEnds); ok {
+			jobs = append(jobs, read.Job)
+		}
+	}
+	return jobs
+}
+
+// tickAndRead handles a tick and answers the requests to read stored ends, of which there are none. It returns the agents that tasks were
+// sent to.
+func tickAndRead(d *Dispatcher, now time.Time) map[string]AgentID {
+	effects := d.Handle(now, Ticked{})
+	starts := started(effects)
+	for _, job := range readRequests(effects) {
+		maps.Copy(starts, started(d.Handle(now, StoredEndsRead{Job: job})))
+	}
+	return starts
+}
+
+// An owner takes the silence of an agent for the loss of a run that is done: the task must not start before a read of the stored ends that began
+// after the wait, was answered, and is not too old.
+func TestAnUnreportedTaskStartsOnlyAfterAReadOfTheStoredEnds(t *testing.T) {
+	d, now := newDispatcherWithAgents("a", "b")
+	from := started(d.Handle(now, durableJob("j1", 1)))["j1.0.0.0"]
+	d.Handle(now, AgentDown{Agent: from})
+	early := now.Add(timing.DurableRerunDelay - 10*time.Millisecond)
+	if got := readRequests(d.Handle(early, Ticked{})); len(got) != 1 {
+		t.Fatalf("requested %v before the wait is over, want the job", got)
+	}
+	now = now.Add(timing.DurableRerunDelay)
+	if got := readRequests(d.Handle(now, Ticked{})); len(got) != 0 {
+		t.Fatalf("requested %v while a request is in flight", got)
+	}
+	if starts := started(d.Handle(now, StoredEndsRead{Job: "j1"})); len(starts) > 0 {
+		t.Fatalf("started %v after a read that began before the wait was over", starts)
+	}
+	if got := readRequests(d.Handle(now, Ticked{})); len(got) != 1 {
+		t.Fatalf("requested %v once the wait is over, want the job at once", got)
+	}
+	if starts := started(d.Handle(now.Add(time.Hour), StoredEndsRead{Job: "j1"}, Ticked{})); len(starts) > 0 {
+		t.Fatalf("started %v after a read that is an hour old", starts)
+	}
+	if starts := tickAndRead(d, now.Add(2*time.Hour)); len(starts) > 0 {
+		t.Fatalf("started %v while a request is in flight", starts)
+	}
+	if starts := started(d.Handle(now.Add(2*time.Hour), StoredEndsRead{Job: "j1"})); len(starts) > 0 {
+		t.Fatalf("started %v after a read that is an hour old", starts)
+	}
+	if starts := tickAndRead(d, now.Add(2*time.Hour+timing.StoredEndsInterval)); len(starts) != 1 {
+		t.Fatalf("started %v after a read of the stored ends, want 1 task", starts)
+	}
+}
+
+// The stored end of a run that was done must complete its task, which must not start again.
+func TestATaskWhoseEndIsStoredIsDone(t *testing.T) {
+	d, now := newDispatcherWithAgents("a", "b")
+	from := started(d.Handle(now, durableJob("j1", 2)))["j1.0.0.0"]
+	d.Handle(now, AgentDown{Agent: from})
+	now = now.Add(timing.DurableRerunDelay)
+	d.Handle(now, Ticked{})
+	starts := started(d.Handle(now, DurableTaskEnded{Task: "j1.0.0.0"}, StoredEndsRead{Job: "j1"}))
+	if _, isStarted := starts["j1.0.0.0"]; isStarted || len(starts) > 1 {
+		t.Fatalf("started %v although the end of j1.0.0.0 is stored", starts)
 	}
 }
 
@@ -60,17 +136,20 @@
 	d, now := newDispatcherWithAgents("a", "b")
 	from := started(d.Handle(now, durableJob("j1", 1)))["j1.0.0.0"]
 	d.Handle(now, AgentDown{Agent: from})
-	if starts := started(d.Handle(now.Add(2*time.Second), Ticked{})); len(starts) > 0 {
+	if starts := tickAndRead(d, now.Add(2*time.Second)); len(starts) > 0 {
 		t.Fatalf("started %v before DurableRerunDelay", starts)
 	}
 	now = now.Add(2 * time.Second)
 	d.Handle(now, AgentUp{Agent: from}, LoadReceived{Agent: from})
-	if starts := started(d.Handle(now.Add(timing.RerunDelay), Ticked{})); len(starts) > 0 {
+	if starts := tickAndRead(d, now.Add(timing.RerunDelay)); len(starts) > 0 {
 		t.Fatalf("started %v although the agent does not accept tasks", starts)
 	}
 	now = now.Add(timing.RerunDelay)
 	d.Handle(now, LoadReceived{Agent: from, Load: runner.Load{Accepts: true}})
-	if starts := started(d.Handle(now.Add(timing.RerunDelay), Ticked{})); len(starts) != 1 {
+	if starts := tickAndRead(d, now.Add(timing.RerunDelay-time.Millisecond)); len(starts) > 0 {
+		t.Fatalf("started %v before RerunDelay", starts)
+	}
+	if starts := tickAndRead(d, now.Add(timing.RerunDelay)); len(starts) != 1 {
 		t.Fatalf("started %v after the agent accepted tasks again, want 1", starts)
 	}
 }
@@ -114,19 +193,23 @@
 	recovered := durableJob("recovered", 1)
 	recovered.NotBefore = now.Add(time.Second)
 	d.Handle(now, recovered)
-	if starts := started(d.Handle(now.Add(3*time.Second), Ticked{})); len(starts) > 0 {
+	if starts := tickAndRead(d, now.Add(3*time.Second)); len(starts) > 0 {
 		t.Fatalf("started %v although an agent has no session", starts)
 	}
-	if starts := started(d.Handle(now.Add(3*time.Second), AgentUp{Agent: "b"}, LoadReceived{Agent: "b"})); len(starts) > 0 {
+	d.Handle(now.Add(3*time.Second), AgentUp{Agent: "b"}, LoadReceived{Agent: "b"})
+	if starts := tickAndRead(d, now.Add(3*time.Second)); len(starts) > 0 {
 		t.Fatalf("started %v although an agent does not know all ends of runs on its worker", starts)
 	}
-	if starts := started(d.Handle(now.Add(3*time.Second), LoadReceived{Agent: "b", Load: runner.Load{KnowsAllEnds: true}})); starts["recovered.0.0.0"] != "a" {
+	if starts := started(d.Handle(now.Add(3*time.Second), LoadReceived{Agent: "b", Load: runner.Load{KnowsAllEnds: true}})); len(starts) > 0 {
+		t.Fatalf("started %v before the stored ends were read", starts)
+	}
+	if starts := tickAndRead(d, now.Add(3*time.Second)); starts["recovered.0.0.0"] != "a" {
 		t.Fatalf("started %v although all agents know the ends of runs on their workers, want recovered.0.0.0 at a", starts)
 	}
 	left := durableJob("left", 1)
 	left.NotBefore = now.Add(3 * time.Second)
 	d.Handle(now.Add(3*time.Second), AgentDown{Agent: "b"}, left)
-	if starts := started(d.Handle(now.Add(3*time.Second+timing.DurableRerunDelay), Ticked{})); len(starts) != 1 {
+	if starts := tickAndRead(d, now.Add(3*time.Second+timing.DurableRerunDelay)); len(starts) != 1 {
 		t.Fatalf("started %v after the wait for agents, want 1", starts)
 	}
 }
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -102,6 +102,9 @@
 	Number uint64
 }
 
+// ReadStoredEnds asks package durable to read the ends of runs of a job that agents have stored. It is answered by a StoredEndsRead.
+type ReadStoredEnds struct{ Job string }
+
 // DurableGivenUp reports to package durable that a job has failed because workers crashed under one of its tasks.
 type DurableGivenUp struct{ Job string }
 
@@ -120,6 +123,7 @@
 func (HandOver) isEffect()            {}
 func (WithdrawHandOver) isEffect()    {}
 func (RecordEnd) isEffect()           {}
+func (ReadStoredEnds) isEffect()      {}
 func (DurableStarted) isEffect()      {}
 func (DurableGivenUp) isEffect()      {}
 func (PropagateCrash) isEffect()      {}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -62,6 +62,10 @@
 	Failed bool
 }
 
+// StoredEndsRead answers a ReadStoredEnds: the ends of runs of the job that agents have stored were read after the request, and a
+// DurableTaskEnded for each of them that was new precedes this event.
+type StoredEndsRead struct{ Job string }
+
 // AgentsRegistered reports that the registered agents, or the number of those selected for sessions, have changed.
 type AgentsRegistered struct {
 	// Agents are the registered agents, with or without a session, in order.
@@ -169,6 +173,7 @@
 func (DurableAccepted) isEvent()    {}
 func (DurableDropped) isEvent()     {}
 func (DurableTaskEnded) isEvent()   {}
+func (StoredEndsRead) isEvent()     {}
 func (AgentsRegistered) isEvent()   {}
 func (AgentUp) isEvent()            {}
 func (AgentUnresponsive) isEvent()  {}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -94,6 +94,8 @@
 	// recoveredAt is when the runs that an earlier owner of a durable job started have ended at the latest, zero if
 	// there was none.
 	recoveredAt time.Time
+	// endsRequest is the latest request to read the stored ends of the job.
+	endsRequest endsRequest
 	// lateRetry is set if the caller seems to have submitted the job before, too long ago; see retry.go.
 	lateRetry bool
 	// reservation holds what the job has reserved while it waits for resources.
--- a/internal/dispatch/rerun.go
+++ b/internal/dispatch/rerun.go
@@ -15,7 +15,7 @@
 //
 // While a session is open, its agent reports the end of each run, and the task can run again at once. After the session
 // nothing is reported, but the run has ended after timing.RerunDelay. Durable jobs wait longer, because the run may have
-// completed and the agent or worker may still report it.
+// completed: the agent or worker may still report it, or the agent stores its end (storedends.go).
 
 // rerunDelay returns how long a task of the job waits after the loss of its agent before it runs again.
 //
@@ -38,6 +38,8 @@
 	agent AgentID
 	// since is when the session with the agent ended, or when the runs of the earlier owner had ended at the latest.
 	since time.Time
+	// endsReadAt is when the latest read of the stored ends began that was made after the wait for the report, zero before that.
+	endsReadAt time.Time
 }
 
 // agentDown removes an agent whose session has ended and schedules its tasks to run again.
@@ -71,7 +73,7 @@
 //
 // Inputs: an agent that now knows all ends of runs on its worker, and did not before.
 //
-// Rule: the tasks run again after timing.RerunDelay, if that is earlier.
+// Rule: the wait for the agent ends after timing.RerunDelay, if that is earlier.
 //
 // Reason: an agent that knows all ends reports those that are not recorded at once. That holds also for an agent that
 // accepts no tasks because its worker drains or its availability zone is evacuated.
@@ -100,7 +102,7 @@
 // Inputs: the number of registered agents, the number of those with an open session that know all ends, the time since
 // the runs of the earlier owner ended.
 //
-// Rule: it waits for all registered agents, but no longer than recoveryWait.
+// Rule: it waits for all registered agents, but no longer than recoveryWait. The stored ends are read after that.
 //
 // Reason: an agent without a session may have an end that is not recorded, or its worker may have one that the agent does
 // not know of. The task would then run twice.
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -84,9 +84,9 @@
 }
 
 // awaitsEnd reports whether the task is pending although its latest run, whose end was not reported, may still be in
-// progress.
+// progress or may be done.
 func (t *task) awaitsEnd(now time.Time) bool {
-	return t.state == taskPending && now.Before(t.notBefore)
+	return t.state == taskPending && (now.Before(t.notBefore) || t.awaitsStoredEnds(now))
 }
 
 // TaskName returns the name of a task: ID.0.STEP.INDEX, with the job's ID, the index of the step and the index of the
--- a/internal/durable/coordinator.go
+++ b/internal/durable/coordinator.go
@@ -101,6 +101,10 @@
 		c.surrender(e)
 	case Surrendered:
 		c.surrendered(now, e)
+	case StoredEndsRequested:
+		c.requestStoredEnds(e)
+	case StoredEndsAnswered:
+		c.storedEndsRead(e)
 	case ShutdownRequested:
 		c.shutdownAt = e.Until
 	case Ticked:
@@ -148,6 +152,7 @@
 	for _, s := range c.shards {
 		c.claimIfDue(now, s)
 		c.loadIfDue(now, s)
+		c.readStoredEndsIfDue(now, s)
 		s.evictEnded(now.Add(-c.limits.StatusRetention))
 	}
 }
--- a/internal/durable/effects.go
+++ b/internal/durable/effects.go
@@ -50,6 +50,16 @@
 	ReleasesClaim bool
 }
 
+// CallReadEnds reads the records of stored ends of a shard. StoredEndsAnswered is its result.
+type CallReadEnds struct {
+	Shard Shard
+	Token Token
+}
+
+// CallRemoveEnds removes a record of stored ends if it still has its revision. It has no result, because the record is found again if the
+// call fails.
+type CallRemoveEnds struct{ Record StoredEnds }
+
 // CallSurrender asks the previous owner of a shard, at Address, to stop serving it. Surrendered is its result.
 type CallSurrender struct {
 	Shard   Shard
@@ -97,6 +107,8 @@
 	DecisionReleased Decision = "shard_released"
 	// DecisionUnreadable: a batch of the shard could not be decoded. Nothing is removed, and loading is retried.
 	DecisionUnreadable Decision = "shard_unreadable"
+	// DecisionEndsUnread: the stored ends of the shard could not be read from the store; the read is retried.
+	DecisionEndsUnread Decision = "shard_ends_unread"
 	// DecisionLoadFailed: the shard could not be read from the store; loading is retried.
 	DecisionLoadFailed Decision = "shard_load_failed"
 )
@@ -116,6 +128,8 @@
 func (CallClaim) isEffect()      {}
 func (Load) isEffect()           {}
 func (Commit) isEffect()         {}
+func (CallReadEnds) isEffect()   {}
+func (CallRemoveEnds) isEffect() {}
 func (CallSurrender) isEffect()  {}
 func (Reply) isEffect()          {}
 func (PendingReply) isEffect()   {}
--- a/internal/durable/events.go
+++ b/internal/durable/events.go
@@ -126,6 +126,17 @@
 	IsConfirmed bool
 }
 
+// StoredEndsRequested asks for a read of the stored ends of a job. It is answered by a dispatch.StoredEndsRead, unless the shard is lost.
+type StoredEndsRequested struct{ Job string }
+
+// StoredEndsAnswered is the result of a CallReadEnds: the records of a shard, or the error of the read.
+type StoredEndsAnswered struct {
+	Shard   Shard
+	Token   Token
+	Records []StoredEnds
+	Err     error
+}
+
 // ShutdownRequested makes the coordinator release its shards by Until.
 type ShutdownRequested struct{ Until time.Time }
 
@@ -153,5 +164,7 @@
 func (Committed) isEvent()           {}
 func (SurrenderRequested) isEvent()  {}
 func (Surrendered) isEvent()         {}
+func (StoredEndsRequested) isEvent() {}
+func (StoredEndsAnswered) isEvent()  {}
 func (ShutdownRequested) isEvent()   {}
 func (Ticked) isEvent()              {}
--- a/internal/durable/fuzz_test.go
+++ b/internal/durable/fuzz_test.go
@@ -6,6 +6,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 )
@@ -33,3 +34,18 @@
 		}
 	})
 }
+
+// FuzzStoredEnds decodes arbitrary records of stored ends. What is decoded must keep its meaning when it is written again.
+func FuzzStoredEnds(f *testing.F) {
+	f.Add([]byte(`{"ends":[{"task":"00000000000000aa.0.0.1","run":3},{"task":"a","run":1,"failed":true}]}`))
+	f.Add([]byte(`{"ends":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ends, err := DecodeEnds(data)
+		if err != nil {
+			return
+		}
+		if again, err := DecodeEnds(EncodeEnds(ends)); err != nil || !slices.Equal(again, ends) {
+			t.Fatalf("%q is decoded as %v and, written again, as %v (%v)", data, ends, again, err)
+		}
+	})
+}
--- a/internal/durable/recovery.go
+++ b/internal/durable/recovery.go
@@ -104,6 +104,7 @@
 // serveShard starts to serve a shard. Its jobs may run from notBefore on, or at once if that is zero.
 func (c *Coordinator) serveShard(s *shard, notBefore time.Time) {
 	s.state = owned
+	s.ends.areLeft = true
 	s.enqueue(nil, c.ownedRecord(false))
 	for _, j := range s.jobs {
 		if !j.storedState.IsEnd() {
--- a/internal/durable/shard.go
+++ b/internal/durable/shard.go
@@ -50,6 +50,7 @@
 	unfinished int
 	// ended lists the jobs whose end is written, in the order of their ends.
 	ended []*job
+	ends  storedEndsReading
 	// queue holds the changes that are in no commit yet, and nextSequence is the sequence of the next batch.
 	queue        []*change
 	nextSequence Sequence
@@ -71,6 +72,7 @@
 	s.state, s.token, s.releasing = unowned, 0, false
 	s.lastOwner, s.lastOwnerBatch = nil, 0
 	s.jobs, s.unfinished, s.ended = make(map[string]*job), 0, nil
+	s.ends = storedEndsReading{}
 	s.queue, s.nextSequence = nil, 1
 	s.stored, s.recordCounts, s.removable = make(map[Sequence]bool), make(map[Sequence]int), nil
 }
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -88,6 +88,9 @@
 	case dispatch.DurableStarted:
 		d.addDurable(d.coordinator.Handle(d.now(), durable.JobStarted{Job: e.Job}))
 		return
+	case dispatch.ReadStoredEnds:
+		d.addDurable(d.coordinator.Handle(d.now(), durable.StoredEndsRequested{Job: e.Job}))
+		return
 	}
 	if e, ok := next.durable.(durable.ToDispatcher); ok {
 		d.addDispatch(d.dispatcher.Handle(d.now(), e.Event))
--- a/internal/entry/decider_test.go
+++ b/internal/entry/decider_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +52,8 @@
 		d.answers = append(d.answers, durable.ClaimAnswered{Shard: call.Claim.Shard, Lease: call.Claim.Lease, Result: durable.ClaimWon{Token: d.revision}})
 	case durable.Load:
 		d.answers = append(d.answers, durable.Loaded{Shard: call.Shard, Token: call.Token})
+	case durable.CallReadEnds:
+		d.answers = append(d.answers, durable.StoredEndsAnswered{Shard: call.Shard, Token: call.Token})
 	case durable.Commit:
 		d.answers = append(d.answers, durable.Committed{Number: call.Number, Result: durable.CommitWritten{}})
 	}
@@ -61,11 +64,16 @@
 	for range 20 {
 		d.now = d.now.Add(20 * time.Millisecond)
 		d.decider.handleDurable(durable.Ticked{})
-		answers := d.answers
-		d.answers = nil
-		for _, answer := range answers {
-			d.decider.handleDurable(answer)
-		}
+		d.passAnswers()
+	}
+}
+
+// passAnswers passes the store's answers to the coordinator.
+func (d *deciderTest) passAnswers() {
+	answers := d.answers
+	d.answers = nil
+	for _, answer := range answers {
+		d.decider.handleDurable(answer)
 	}
 }
 
@@ -143,8 +151,8 @@
 	}
 }
 
-// The coordinator hears of a shutdown before the dispatcher, as each has a queue of its own, and a task of a durable job becomes due with the
-// next tick.
+// The coordinator hears of a shutdown before the dispatcher, as each has a queue of its own, and a task of a durable job whose run was not
+// reported becomes due after that: its wait ends, and then the stored ends have been read.
 //
 // The failure: the runs were counted before the tick started the task, so the shard was released as one with no run left, and its next owner
 // started the task again at once.
@@ -168,18 +176,28 @@
 	d.settle()
 	d.decider.handleDispatch(dispatch.AgentDown{Agent: testAgent})
 	addAgent("agent-2")
-	for lost := d.now; d.now.Sub(lost) < timing.DurableRerunDelay; {
+	for lost := d.now; d.now.Sub(lost) < timing.DurableRerunDelay-time.Second; {
 		d.settle()
 	}
 	d.decider.handleDurable(durable.ShutdownRequested{Until: d.now.Add(time.Minute)})
 	d.performed = nil
-	d.decider.tick()
 	isStart := func(e dispatch.Effect) bool { _, ok := e.(dispatch.StartTask); return ok }
 	isStop := func(e dispatch.Effect) bool { _, ok := e.(dispatch.StopTask); return ok }
+	for requested := d.now; d.indexOf(isStart) < 0 && d.now.Sub(requested) < 2*time.Second; {
+		d.now = d.now.Add(tickInterval)
+		d.decider.tick()
+		d.passAnswers()
+	}
 	if d.indexOf(isStart) < 0 {
-		t.Fatalf("the tick started no run: %v", d.performed)
+		t.Fatalf("no run was started: %v", d.performed)
 	}
-	if d.indexOf(isStop) >= 0 {
-		t.Error("the shard was released as the tick started a run")
+	if d.indexOf(isStop) >= 0 || slices.ContainsFunc(d.performed, releasesClaim) {
+		t.Error("the shard was released while the run was due or started")
 	}
 }
+
+// releasesClaim reports whether an effect releases a shard.
+func releasesClaim(e effect) bool {
+	commit, ok := e.durable.(durable.Commit)
+	return ok && slices.ContainsFunc(commit.Parts, func(p durable.Part) bool { return p.ReleasesClaim })
+}
--- a/internal/entry/durable.go
+++ b/internal/entry/durable.go
@@ -26,6 +26,10 @@
 	Claim(claim durable.Claim) durable.ClaimResult
 	// LoadShard reads the batches of a shard in the order of their sequence numbers.
 	LoadShard(shard durable.Shard) ([]durable.StoredBatch, error)
+	// ReadEnds reads the records of stored ends of a shard.
+	ReadEnds(shard durable.Shard) ([]durable.StoredEnds, error)
+	// RemoveEnds removes a record of stored ends if it is unchanged. Failures are not reported, since the record is found again.
+	RemoveEnds(record durable.StoredEnds)
 	// Commit writes a commit atomically.
 	Commit(commit durable.Commit) durable.CommitResult
 }
@@ -80,6 +84,11 @@
 	case durable.Load:
 		batches, err := store.LoadShard(effect.Shard)
 		e.postDurable(durable.Loaded{Shard: effect.Shard, Token: effect.Token, Batches: batches, Err: err})
+	case durable.CallReadEnds:
+		records, err := store.ReadEnds(effect.Shard)
+		e.postDurable(durable.StoredEndsAnswered{Shard: effect.Shard, Token: effect.Token, Records: records, Err: err})
+	case durable.CallRemoveEnds:
+		store.RemoveEnds(effect.Record)
 	case durable.Commit:
 		e.metrics.Add(metric.Commits, 1)
 		e.postDurable(durable.Committed{Number: effect.Number, Result: store.Commit(effect)})
--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -207,6 +207,7 @@
 	l.handle(dispatch.DurableAccepted{Job: newTestJob("silent", 1)})
 	l.handle(dispatch.AgentDown{Agent: "a"})
 	l.wait(timing.DurableRerunDelay)
+	l.handle(dispatch.StoredEndsRead{Job: "silent"})
 	l.addAgent("b")
 	l.handle(dispatch.DurableTaskEnded{Task: "silent.0.0.0"})
 	for _, want := range []string{
--- a/internal/overload/cluster_test.go
+++ b/internal/overload/cluster_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sailhead/internal/dispatch"
+	"sailhead/internal/durable"
 	"sailhead/internal/runner"
 	"sailhead/internal/worker"
 )
@@ -42,13 +43,17 @@
 	begun    int
 	overlaps []string
 	trace    eventTrace
+	// store holds the durable jobs, nil if the cluster has none.
+	store *clusterStore
+	// runs holds the times of all runs, by task.
+	runs map[string][]clusterRun
 }
 
 // newCluster returns a cluster in which all sessions are open and all workers accept tasks.
 func newCluster(seed uint64, entries, agents int, options ...func(*cluster)) *cluster {
 	c := &cluster{
 		scheduler: newScheduler(seed), paths: make(map[[2]int]*networkPath), peerPaths: make(map[[2]int]*networkPath),
-		limits: dispatch.Limits{Jobs: 2000},
+		limits: dispatch.Limits{Jobs: 2000}, runs: make(map[string][]clusterRun),
 	}
 	for _, option := range options {
 		option(c)
@@ -89,6 +94,7 @@
 // checkBegin records a run that begins on a worker while another run of the task goes on on a worker that is up.
 func (c *cluster) checkBegin(w *leasedWorker, run *leasedRun) {
 	c.begun++
+	c.runs[run.name] = append(c.runs[run.name], clusterRun{agent: w.agent.id, begun: c.now})
 	c.record("%s begins %s run %d", w.id, run.name, run.run)
 	for _, a := range c.agents {
 		other, isRunning := a.worker.runs[run.name]
@@ -140,6 +146,9 @@
 	sessions map[runner.SessionID]*clusterSession
 	// rules decide what the link to the worker does to the calls.
 	rules []*linkRule
+	// endsToStore are the latest ends that the store is to contain; areEndsStored is set if the call in flight writes them.
+	endsToStore                  []runner.Update
+	areEndsStored, isStoringEnds bool
 	// callDelay, if not nil, returns how late a call leaves the agent.
 	callDelay func() time.Duration
 }
@@ -158,7 +167,7 @@
 
 // startProcess starts a new process of the agent, with a higher fencing token than the earlier ones.
 func (a *clusterAgent) startProcess() {
-	a.isDown = false
+	a.isDown, a.isStoringEnds = false, false
 	a.runner = runner.New(runner.DefaultLimits(maxWorkerLease, maxWorkerStop), uint64(a.life+1)*10000)
 }
 
@@ -220,6 +229,8 @@
 		a.send(e.Session, dispatch.WorkerCrashed{Agent: a.id, Crash: e.Crash})
 	case runner.SendWorker:
 		a.send(e.Session, dispatch.WorkerDescribed{Agent: a.id, Record: e.Record})
+	case runner.StoreEnds:
+		a.storeEnds(e.Ends)
 	case runner.SendPing:
 		if s := a.sessions[e.Session]; s != nil {
 			s.ping(e.Time)
@@ -246,11 +257,13 @@
 	}
 }
 
-// sendUpdate sends an update to an entry. As no job is durable, the entry acknowledges ends that are resent.
+// sendUpdate sends an update to an entry. If no job is durable, the entry acknowledges ends that are resent.
 func (a *clusterAgent) sendUpdate(e runner.SendUpdate) {
 	s := a.sessions[e.Session]
 	switch {
 	case s == nil:
+	case e.Update.Unacknowledged && s.entry.owner != nil:
+		s.sendToEntry(func() { s.entry.owner.handle(durable.TaskEnded{Agent: a.id, Update: e.Update}) })
 	case e.Update.Unacknowledged:
 		s.sendToEntry(func() { s.sendToAgent(runner.EndAcknowledged{Name: e.Update.Name, Run: e.Update.Run}) })
 	default:
@@ -284,13 +297,15 @@
 	unendedRuns []dispatch.UnendedRunReceived
 	// handOvers are the jobs that the entry has handed over, or received from others, that have not ended.
 	handOvers []*clusterHandOver
+	// owner is the part of the entry that owns shards of durable jobs, nil if the cluster has none.
+	owner *clusterOwner
 }
 
 func (c *cluster) addEntry(number int) {
 	e := &clusterEntry{process: process{clock: c.scheduler}, cluster: c, number: number, name: fmt.Sprintf("entry-%d", number)}
 	c.entries = append(c.entries, e)
 	e.startProcess()
-	e.every(entryTick, func() { e.handle(dispatch.Ticked{}) })
+	e.every(entryTick, e.tick)
 	e.every(livenessInterval, e.checkLiveness)
 	e.every(dialInterval, e.dialAll)
 }
@@ -301,6 +316,9 @@
 	e.sessions = make(map[dispatch.AgentID]*clusterSession)
 	e.onAnswer = make(map[dispatch.Waiter]func(dispatch.Answer))
 	e.dispatcher = dispatch.New(e.cluster.limits, rand.New(rand.NewPCG(uint64(e.number), uint64(e.life))))
+	if e.cluster.store != nil {
+		e.owner = newClusterOwner(e)
+	}
 	registered := dispatch.AgentsRegistered{Selected: len(e.cluster.agents)}
 	for _, a := range e.cluster.agents {
 		registered.Agents = append(registered.Agents, a.id)
@@ -339,11 +357,23 @@
 }
 
 func (e *clusterEntry) handle(event dispatch.Event) {
-	for _, effect := range e.dispatcher.Handle(e.cluster.now, event) {
+	effects := e.dispatcher.Handle(e.cluster.now, event)
+	if e.owner != nil {
+		e.owner.add(effects)
+		return
+	}
+	for _, effect := range effects {
 		e.apply(effect)
 	}
 }
 
+func (e *clusterEntry) tick() {
+	e.handle(dispatch.Ticked{})
+	if e.owner != nil {
+		e.owner.handle(durable.Ticked{DurableRuns: e.dispatcher.DurableRuns(e.cluster.now)})
+	}
+}
+
 // apply carries out an effect of the dispatcher.
 func (e *clusterEntry) apply(effect dispatch.Effect) {
 	switch f := effect.(type) {
--- a/internal/overload/leasedworker_test.go
+++ b/internal/overload/leasedworker_test.go
@@ -250,6 +250,7 @@
 		ending = worker.EndingStopped
 	}
 	w.cluster.record("%s: %s run %d ends (%d)", w.id, run.name, run.run, ending)
+	w.cluster.recordEnd(w, run.name, ending)
 	delete(w.runs, run.name)
 	w.highest[run.name] = max(w.highest[run.name], run.run)
 	w.lastEnd++
--- a/internal/runner/acknowledge.go
+++ b/internal/runner/acknowledge.go
@@ -35,6 +35,8 @@
 // unacknowledgedEnd is the end of a run that the worker must keep until an owner has recorded it.
 type unacknowledgedEnd struct {
 	update Update
+	// since is when this process learned of the end.
+	since time.Time
 	// lastSent is when the end was last sent to the entries, or zero if it was not sent.
 	lastSent time.Time
 	// expires is when the end is dropped even without an acknowledgement, or zero for never.
@@ -43,7 +45,7 @@
 
 // retainEnd makes the worker keep the end of a durable task's run until an owner has acknowledged it.
 func (r *Runner) retainEnd(now time.Time, end worker.End) {
-	r.worker.unacknowledged[end.Number] = &unacknowledgedEnd{update: updateOf(end), lastSent: now}
+	r.worker.unacknowledged[end.Number] = &unacknowledgedEnd{update: updateOf(end), since: now, lastSent: now}
 }
 
 // hasResult reports whether a run ended by itself, successfully or not, rather than by a stop or an expired lease.
--- a/internal/runner/effect.go
+++ b/internal/runner/effect.go
@@ -86,6 +86,9 @@
 	Reason  string
 }
 
+// StoreEnds replaces the ends that the agent keeps in the platform's store, because no owner has acknowledged them.
+type StoreEnds struct{ Ends []Update }
+
 // IncarnationEnded reports that the worker's incarnation has ended, with the runs that ended with it. It is for the log.
 type IncarnationEnded struct {
 	Incarnation worker.Incarnation
@@ -176,6 +179,7 @@
 func (SendCrash) isEffect()         {}
 func (CloseSession) isEffect()      {}
 func (EndDropped) isEffect()        {}
+func (StoreEnds) isEffect()         {}
 func (IncarnationEnded) isEffect()  {}
 func (StopOverdue) isEffect()       {}
 func (EvacuationChanged) isEffect() {}
--- a/internal/runner/orphan.go
+++ b/internal/runner/orphan.go
@@ -85,6 +85,6 @@
 func (r *Runner) retainOrphanEnd(now time.Time, end worker.End) {
 	expires := r.worker.firstSeen.Add(timing.OrphanEndTimeout)
 	if hasResult(end.Ending) && now.Before(expires) && len(r.worker.unacknowledged) < maxUnacknowledged {
-		r.worker.unacknowledged[end.Number] = &unacknowledgedEnd{update: updateOf(end), expires: expires}
+		r.worker.unacknowledged[end.Number] = &unacknowledgedEnd{update: updateOf(end), since: now, expires: expires}
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -61,6 +61,9 @@
 	crashes []crashReport
 	// earlierEnds are the unacknowledged ends of ended incarnations, oldest first.
 	earlierEnds []*unacknowledgedEnd
+	// storedEnds are the ends that are to be stored, as last emitted at endsStoredAt.
+	storedEnds   []Update
+	endsStoredAt time.Time
 	// unsettled are tasks of ended incarnations that are not reported as lost yet, oldest first.
 	unsettled []unsettledTask
 	// unansweredStarts are the starts without an answer when the worker crashed, oldest first.
@@ -181,6 +184,7 @@
 	r.expireOffers(now)
 	r.expireProbes(now)
 	r.resendEarlierEnds(now)
+	r.updateStoredEnds(now)
 	r.finishUnsettled(now)
 	r.expireUnansweredStarts(now)
 	if r.worker == nil {
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -67,9 +67,20 @@
 
 // Durable jobs.
 const (
-	// DurableRerunDelay is how long a task of a durable job waits for its agent to reconnect after the session was lost, before it is run
-	// again. If an agent that holds an unrecorded end is disconnected for longer, the task runs twice.
+	// DurableRerunDelay is how long a task of a durable job waits for its agent to report or store the end of its run after the session was
+	// lost, before it is run again.
 	DurableRerunDelay = 8 * time.Second
+	// EndStoreDelay is how long an end stays unacknowledged before its agent stores it. Owners record ends within milliseconds.
+	EndStoreDelay = 2 * time.Second
+	// EndStoreInterval is the shortest time between two writes of an agent's ends to the store.
+	EndStoreInterval = 500 * time.Millisecond
+	// EndStoreRetryDelay is the longest delay before the retry of such a write that failed.
+	EndStoreRetryDelay = 600 * time.Millisecond
+	// StoredEndsInterval is the interval at which an owner reads the stored ends while the ends of runs are not reported to it.
+	StoredEndsInterval = time.Second
+	// StoredEndsMaxAge is how old the latest read of the stored ends may be when a task whose run was not reported runs again. It allows for
+	// one read without an answer.
+	StoredEndsMaxAge = 2 * time.Second
 	// DurableLossDelay is how long after the lease expired an agent keeps a durable task of an unresponsive worker before it reports the
 	// run as lost.
 	DurableLossDelay = 7 * time.Second
--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -21,6 +21,9 @@
 // withDrift returns the longest real duration of a lease on a worker whose clock runs slow by the allowed drift.
 func withDrift(lease time.Duration) time.Duration { return lease + lease/ClockDriftDivisor }
 
+// endStoreTime is the longest time from the end of a run until its agent has stored it, if the first call to the store is not answered.
+const endStoreTime = EndStoreDelay + EndStoreInterval + StoreCallTimeout + EndStoreRetryDelay + StoreCallTimeout
+
 func TestTimeoutsPreventOverlappingRuns(t *testing.T) {
 	relations := []struct {
 		name        string
@@ -40,6 +43,9 @@
 		{"agent dies when its session lease expires", SessionLease + withDrift(WorkerLease), RerunDelay, false, "a task runs again under a lease that was renewed at the last moment"},
 		{"rerun before the caller's retry", RerunDelay, CallerRetryDelay, false, "a retried job starts while runs of the first attempt continue"},
 		{"the agent reports a lost run before the entry reruns", withDrift(WorkerLease) + MaxStopTime + DurableLossDelay, DurableRerunDelay, false, "the entry reruns a task that its agent still tracks"},
+		{"an end is stored before the entry reruns", RerunDelay + endStoreTime, DurableRerunDelay, false, "an entry reruns a task whose end its agent is about to store"},
+		{"an end is stored before a new owner reruns", SessionLease + MaxStopTime + endStoreTime, RecoveryDelay + DurableRerunDelay - RerunDelay, false, "a new owner reruns a task whose end its agent is about to store"},
+		{"a read of the stored ends may be repeated", StoredEndsInterval + StoreCallTimeout, StoredEndsMaxAge, false, "a task waits although the stored ends are read regularly"},
 		{"agents stop and report before a new owner starts", SessionLease + MaxStopTime + 3*EndResendInterval, RecoveryDelay, false, "a new owner reruns a completed task"},
 		{"orphaned ends outlive a failover", ClaimLease + RecoveryDelay, OrphanEndTimeout, false, "the end of a completed run is dropped before its shard has an owner"},
 		{"an evacuation reaches an agent", StorePropagationDelay + SessionCloseTimeout, EvacuationDeadline, false, "tasks start in an evacuated zone"},
