runner: no end of a run is dropped because time has passed

What callers saw: a task that was done ran again. An agent that restarted beside its worker kept the ends of the earlier process's runs for 12 s (OrphanEndTimeout) and then let the worker discard them; it also took them out of the store.

Cause: the agent took 12 s without an acknowledgement for "no owner will want this end". A cut of 12 s, or all entries being down for longer, is no reason for that: the owner that comes back afterwards still asks.

Change: ends of orphans are kept like all others, until an entry acknowledges them. The owner of a shard acknowledges what it does not know, and so does any entry as long as there are no durable jobs. They are no longer limited in number either, as an agent accepts no tasks at 300 unacknowledged ends, and the orphans of its next process are those ends and what still ran.

Why it works: an end goes only when somebody who may start its task again has said that it is recorded.

--- a/internal/overload/donetwice_test.go
+++ b/internal/overload/donetwice_test.go
@@ -73,6 +73,15 @@
 			c.after(500*time.Millisecond, func() { a.restart(100 * time.Millisecond) })
 		}
 	}},
+	{"agents restart in a cut, and all entries are then down for longer than a cut", func(c *cluster) {
+		for _, e := range c.entries {
+			c.cutEntry(e, 700*time.Millisecond)
+			c.after(700*time.Millisecond, func() { e.restart(longestCut + 2*time.Second) })
+		}
+		for _, a := range c.agents {
+			c.after(500*time.Millisecond, func() { a.restart(100 * time.Millisecond) })
+		}
+	}},
 	{"workers restart while an entry is cut off", func(c *cluster) {
 		c.cutEntry(c.entries[0], longestCut)
 		for _, a := range c.agents {
--- a/internal/runner/acknowledge.go
+++ b/internal/runner/acknowledge.go
@@ -39,15 +39,18 @@
 	since time.Time
 	// lastSent is when the end was last sent to the entries, or zero if it was not sent.
 	lastSent time.Time
-	// expires is when the end is dropped even without an acknowledgement, or zero for never.
-	expires time.Time
 }
 
-// retainEnd makes the worker keep the end of a durable task's run until an owner has acknowledged it.
+// retainEnd makes the worker keep the end of a durable task's run, which is reported now, until an owner has acknowledged it.
 func (r *Runner) retainEnd(now time.Time, end worker.End) {
 	r.worker.unacknowledged[end.Number] = &unacknowledgedEnd{update: updateOf(end), since: now, lastSent: now}
 }
 
+// retainUnreportedEnd makes the worker keep the end of a run that was not reported to any entry until an owner has acknowledged it.
+func (r *Runner) retainUnreportedEnd(now time.Time, end worker.End) {
+	r.worker.unacknowledged[end.Number] = &unacknowledgedEnd{update: updateOf(end), since: now}
+}
+
 // hasResult reports whether a run ended by itself, successfully or not, rather than by a stop or an expired lease.
 func hasResult(ending worker.Ending) bool {
 	return ending == worker.EndingDone || ending == worker.EndingFailed
@@ -90,9 +93,6 @@
 	r.emit(EndDropped{Name: e.update.Name, Run: e.update.Run, Outcome: e.update.Outcome, Reason: reason})
 }
 
-// reasonNoOwner is the logged reason for dropping an expired end.
-const reasonNoOwner = "no owner has acknowledged it in time"
-
 // acknowledgedUpTo returns the highest end number that the worker may discard.
 func (i *incarnation) acknowledgedUpTo(now time.Time) uint64 {
 	if i.mayHaveRestarted(now) {
@@ -117,36 +117,20 @@
 	return slices.Sorted(maps.Keys(i.unacknowledged))
 }
 
-// resendUnacknowledged resends the ends of the current incarnation that are due, and drops expired ones.
+// resendUnacknowledged resends the ends of the current incarnation that are due.
 func (r *Runner) resendUnacknowledged(now time.Time) {
 	for _, number := range r.worker.unacknowledgedNumbers() {
-		e := r.worker.unacknowledged[number]
-		if e.hasExpired(now) {
-			r.logDropped(e, reasonNoOwner)
-			delete(r.worker.unacknowledged, number)
-			continue
-		}
-		r.resendIfDue(now, e)
+		r.resendIfDue(now, r.worker.unacknowledged[number])
 	}
 }
 
-// resendEarlierEnds resends the ends of earlier incarnations that are due, and drops expired ones.
+// resendEarlierEnds resends the ends of earlier incarnations that are due.
 func (r *Runner) resendEarlierEnds(now time.Time) {
-	r.earlierEnds = slices.DeleteFunc(r.earlierEnds, func(e *unacknowledgedEnd) bool {
-		if e.hasExpired(now) {
-			r.logDropped(e, reasonNoOwner)
-		}
-		return e.hasExpired(now)
-	})
 	for _, e := range r.earlierEnds {
 		r.resendIfDue(now, e)
 	}
 }
 
-func (e *unacknowledgedEnd) hasExpired(now time.Time) bool {
-	return !e.expires.IsZero() && now.After(e.expires)
-}
-
 // resendIfDue sends an end to every entry if it was last sent at least timing.EndResendInterval ago.
 func (r *Runner) resendIfDue(now time.Time, e *unacknowledgedEnd) {
 	if now.Sub(e.lastSent) >= timing.EndResendInterval {
--- a/internal/runner/orphan.go
+++ b/internal/runner/orphan.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"sailhead/internal/timing"
 	"sailhead/internal/worker"
 )
 
@@ -15,8 +14,7 @@
 // Inputs: listed runs and ends that this process did not start, left behind by an earlier agent process.
 // Rule: an orphaned run is stopped like a task's run (stop.go). The worker gets no new tasks until every orphan has
 // ended, nor before a listing that was requested at least Limits.Stop after the incarnation was first seen. Ends of
-// orphans are resent to all entries until timing.OrphanEndTimeout after the incarnation was first seen, because they
-// may belong to durable jobs.
+// orphans are kept and resent like those of durable tasks (acknowledge.go), because they may belong to durable jobs.
 // Reason: the entry that owned the run has lost its session with the earlier process and places the task elsewhere. The
 // resource usage of an orphan is unknown, and some workers accept starts that exceed their capacity. A run that the
 // earlier process was stopping may not be listed; it has ended after Limits.Stop.
@@ -44,7 +42,9 @@
 	if orphan, ok := r.worker.orphans[end.Name]; ok && orphan.run <= end.Run {
 		r.removeOrphan(end.Name)
 	}
-	r.retainOrphanEnd(now, end)
+	if hasResult(end.Ending) {
+		r.retainUnreportedEnd(now, end)
+	}
 }
 
 func (r *Runner) removeOrphan(name string) {
@@ -80,11 +80,3 @@
 		r.markLoadDue()
 	}
 }
-
-// retainOrphanEnd makes the worker keep the end of an orphan for a limited time.
-func (r *Runner) retainOrphanEnd(now time.Time, end worker.End) {
-	expires := r.worker.firstSeen.Add(timing.OrphanEndTimeout)
-	if hasResult(end.Ending) && now.Before(expires) && len(r.worker.unacknowledged) < maxUnacknowledged {
-		r.worker.unacknowledged[end.Number] = &unacknowledgedEnd{update: updateOf(end), since: now, expires: expires}
-	}
-}
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -84,9 +84,6 @@
 	// DurableLossDelay is how long after the lease expired an agent keeps a durable task of an unresponsive worker before it reports the
 	// run as lost.
 	DurableLossDelay = 7 * time.Second
-	// OrphanEndTimeout is how long an agent keeps the ends of runs that were started by its previous process, until an owner records them.
-	// It is longer than a failover takes (ClaimLease + RecoveryDelay).
-	OrphanEndTimeout = 12 * time.Second
 	// ClaimLease is the TTL of the store lease to which an entry's shard claims are attached. Each entry renews it once a
 	// second, which is within the store's rate limits.
 	ClaimLease = 6 * time.Second
