--- a/internal/dispatch/storedends.go
+++ b/internal/dispatch/storedends.go
@@ -49,14 +49,13 @@
 
 // unreportedRuns reports whether a task of a durable job is pending whose latest run was not reported, and whether the wait of one is over.
 func (d *Dispatcher) unreportedRuns(now time.Time, j *job) (isWaiting, isDue bool) {
-	awaitsAgents := d.awaitsAgents(now, j)
 	for _, t := range j.tasks {
 		if t.state == taskPending && t.unreported != nil {
 			isWaiting = true
-			isDue = isDue || !awaitsAgents && !now.Before(t.notBefore)
+			isDue = isDue || !now.Before(t.notBefore)
 		}
 	}
-	return isWaiting, isDue
+	return isWaiting, isDue && !d.awaitsAgents(now, j)
 }
 
 // storedEndsRead applies the answer to a request, which the stored ends of the job precede.
