--- a/internal/overload/donetwice_test.go
+++ b/internal/overload/donetwice_test.go
@@ -4,6 +4,7 @@
 package overload
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,9 @@
 	"sailhead/internal/timing"
 )
 
+// cutSeed is the seed of the jobs and the processes beside cuts.
+var cutSeed = flag.Uint64("cuts.seed", 1, "seed of the tests of cuts")
+
 const (
 	// longestCut is the length of a cut. Source: for_s of node_cut, at most 12.0 on the users' sites.
 	longestCut = 12 * time.Second
@@ -122,7 +126,7 @@
 
 // playCut plays an order of events beside durable jobs on three entries and eleven agents.
 func playCut(order cutOrder) (*cluster, []*durableJob) {
-	c := newCluster(1, 3, 11, withDurableJobs)
+	c := newCluster(*cutSeed, 3, 11, withDurableJobs)
 	jobs := c.submitRegularly(cutAt + longestCut + 4*time.Second)
 	c.run(cutAt)
 	order.disrupt(c)
@@ -142,6 +146,7 @@
 				t.Errorf("%d runs began after their task was done, the first: %s", len(twice), twice[0])
 			}
 			c.checkNoOverlap(t)
+			logFinished(t, jobs)
 			for _, j := range jobs {
 				if j.finished.IsZero() || j.state != durable.StateCompleted {
 					t.Errorf("job %s, submitted at %s, has state %d at the end", j.id, j.submitted.Sub(origin), j.state)
