runner: an isolated agent lets its worker's lease expire

What callers saw: a task that was done ran again, and the first end counted, if the agent of the first run reached neither an entry nor the store for longer than owners wait.

Cause: the agent went on extending the worker's lease, and acknowledged the end to the worker when it was back. The owner concludes after 8 s that the result is lost; nothing made that true at the agent.

Evidence: the row "agents reach neither an entry nor the store" of TestAnEndThatNobodyCouldBeToldOfDoesNotCount failed before this change: 4 runs began after their task was done, and the ends counted.

Change: an agent that has had no session for 5 s and holds unacknowledged ends requests no lease until an entry has a session again. Relations in timing_test.go: the lease has then expired 6.3 s after the session was lost, before the owner's 8 s, and an end is stored (4.5 s) before that if the store can be reached.

Why it works: the lease is how the users' rules tell whether an end counts, so the owner's conclusion is right by the time it is drawn. It costs no other run, as nothing runs for an entry without a session.

What it does not do: the caller's task has still run twice. The same holds while agents are down or frozen, or do not reach or hear their workers (4, 4, 3 and 7 runs in the rows, whose leases expire by themselves): the silence of one machine is not told from its loss there, and waiting longer would make the tasks of every lost machine late.

Not mended: an entry is cut off and agents that are in session with others do not reach the store (two disruptions, 6 runs). To let the lease expire would end the runs of the other entries there.

--- a/internal/overload/leasedworker_test.go
+++ b/internal/overload/leasedworker_test.go
@@ -67,6 +67,10 @@
 	highest map[string]uint32
 	ends    []worker.End
 	lastEnd uint64
+	// notes are the ends that were taken note of, by an acknowledgement, while they were listed.
+	notes []endNote
+	// lapses are the times at which the lease ran out.
+	lapses []time.Time
 	// polls are the pending long polls.
 	polls []*workerPoll
 	// heartbeats counts the heartbeats sent.
@@ -201,6 +205,11 @@
 		return
 	}
 	w.extendLease(request.LeaseUntil)
+	for _, end := range w.ends {
+		if end.Number <= request.AcknowledgedEnd {
+			w.notes = append(w.notes, endNote{task: end.Name, run: end.Run, at: w.cluster.now})
+		}
+	}
 	w.ends = slices.DeleteFunc(w.ends, func(e worker.End) bool { return e.Number <= request.AcknowledgedEnd })
 	if request.Wait == 0 || len(w.ends) > 0 {
 		answer(w.list())
@@ -236,6 +245,7 @@
 	if w.id != incarnation || w.clock() < w.leaseUntil {
 		return
 	}
+	w.lapses = append(w.lapses, w.cluster.now)
 	for _, name := range slices.Sorted(maps.Keys(w.runs)) {
 		w.end(w.runs[name], worker.EndingLeaseExpired)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -86,6 +86,8 @@
 	hadWorker bool
 	// lastKnowsAllEnds is the value of knowsAllEnds when the load was last marked as due because of it.
 	lastKnowsAllEnds bool
+	// lastInSession is when an entry last had a session at a tick, or when the first tick was handled.
+	lastInSession time.Time
 	// lastTick is when the latest tick was handled.
 	lastTick     time.Time
 	lateness     lateness
@@ -180,6 +182,7 @@
 func (r *Runner) tick(now time.Time) {
 	r.recordTick(now)
 	r.tickSessions(now)
+	r.recordSessions(now)
 	r.expireQueued(now)
 	r.expireOffers(now)
 	r.expireProbes(now)
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -76,6 +76,9 @@
 	EndStoreInterval = 500 * time.Millisecond
 	// EndStoreRetryDelay is the longest delay before the retry of such a write that failed.
 	EndStoreRetryDelay = 600 * time.Millisecond
+	// IsolationTimeout is how long an agent may be without a session before it lets its worker's lease expire because of the ends that it
+	// holds.
+	IsolationTimeout = 5 * time.Second
 	// StoredEndsInterval is the interval at which an owner reads the stored ends while the ends of runs are not reported to it.
 	StoredEndsInterval = time.Second
 	// StoredEndsMaxAge is how old the latest read of the stored ends may be when a task whose run was not reported runs again. It allows for
--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -45,6 +45,8 @@
 		{"the agent reports a lost run before the entry reruns", withDrift(WorkerLease) + MaxStopTime + DurableLossDelay, DurableRerunDelay, false, "the entry reruns a task that its agent still tracks"},
 		{"an end is stored before the entry reruns", RerunDelay + endStoreTime, DurableRerunDelay, false, "an entry reruns a task whose end its agent is about to store"},
 		{"an end is stored before a new owner reruns", SessionLease + MaxStopTime + endStoreTime, RecoveryDelay + DurableRerunDelay - RerunDelay, false, "a new owner reruns a task whose end its agent is about to store"},
+		{"an isolated agent's lease expires before the entry reruns", SessionLease + withDrift(IsolationTimeout+WorkerLease), DurableRerunDelay, false, "an end counts although its task runs again"},
+		{"an end is stored before an agent counts as isolated", endStoreTime, IsolationTimeout, false, "a lease expires although the end is about to be stored"},
 		{"a read of the stored ends may be repeated", StoredEndsInterval + StoreCallTimeout, StoredEndsMaxAge, false, "a task waits although the stored ends are read regularly"},
 		{"agents stop and report before a new owner starts", SessionLease + MaxStopTime + 3*EndResendInterval, RecoveryDelay, false, "a new owner reruns a completed task"},
 		{"an evacuation reaches an agent", StorePropagationDelay + SessionCloseTimeout, EvacuationDeadline, false, "tasks start in an evacuated zone"},
