durable, dispatch, runner, agent: package heads and names of the stored ends

The client with which an agent stores ends is platform.EndStore, as StoredEnds is the record. A failed encoding is no longer ignored.

A task whose wait ends later than that of another task of its job no longer waits for the next regular read, at most a second (TestTheStoredEndsAreReadAsSoonAsAWaitIsOver).

--- a/internal/cli/platformagent.go
+++ b/internal/cli/platformagent.go
@@ -27,7 +27,7 @@
 	limits.NoShares = s.Shares == settings.No
 	agent, closeAgent := agent.New(agent.Settings{
 		Name: s.Name, Zone: s.Zone, Sessions: sessions, Seeds: s.SeedAddresses(),
-		Limits: limits, Ends: platform.NewStoredEnds(store), StopTimeout: s.StopTimeout, EventQueueSize: s.Ring,
+		Limits: limits, Ends: platform.NewEndStore(store), StopTimeout: s.StopTimeout, EventQueueSize: s.Ring,
 	}, worker, platform.NewStoreWatcher(store, logger, metrics), logger, metrics)
 	closeHeartbeats := platform.NewHeartbeats(heartbeats, agent)
 	return onPlatform{setSeeds: agent.SetSeeds, stop: func() error {
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -21,12 +21,13 @@
 // sends a Ticked event at short intervals, which applies every rule that depends on time alone.
 //
 // The main invariant is that no task has two runs at a time: a task is placed again only after its latest run has been
-// reported as ended, or after the time by which it has ended at the latest.
+// reported as ended, or after the time by which it has ended at the latest. A durable task whose latest run was not
+// reported is placed again only after the ends that agents have stored were read, as the run may be done.
 //
 // # Failures
 //
 //   - An agent fails or its session ends: its tasks run again elsewhere after timing.RerunDelay, those of durable jobs
-//     after timing.DurableRerunDelay (rerun.go).
+//     after timing.DurableRerunDelay and a read of the stored ends (rerun.go, storedends.go).
 //   - A worker crashes: its agent reports the runs as lost, and they run again at once. They do not count as failed.
 //   - A caller closes its request: the job is dropped and its runs are stopped, unless another request waits for the
 //     same job. Durable jobs keep running.
@@ -61,5 +62,5 @@
 //	attempts.go    how many failed runs end a job
 //	move.go        when a run is stopped to run on another worker
 //	evacuation.go  how evacuated availability zones are treated
-//	rerun.go       when a task runs again after its agent was lost
+//	rerun.go       when a task runs again after its agent was lost; storedends.go, which of them may be done
 package dispatch
--- a/internal/dispatch/durable_test.go
+++ b/internal/dispatch/durable_test.go
@@ -119,6 +119,27 @@
 	}
 }
 
+// A task whose wait ends later than that of another task of its job must not wait for the next regular read.
+func TestTheStoredEndsAreReadAsSoonAsAWaitIsOver(t *testing.T) {
+	d, now := newDispatcherWithAgents("a", "b")
+	starts := started(d.Handle(now, durableJob("j1", 16)))
+	if starts["j1.0.0.0"] == "" || len(starts) != 16 {
+		t.Fatalf("started %v, want 16 tasks at two agents", starts)
+	}
+	d.Handle(now, AgentDown{Agent: "a"})
+	later := now.Add(timing.StoredEndsInterval / 2)
+	d.Handle(later, AgentDown{Agent: "b"})
+	for _, over := range []time.Time{now.Add(timing.DurableRerunDelay), later.Add(timing.DurableRerunDelay)} {
+		if got := readRequests(d.Handle(over, Ticked{})); len(got) != 1 {
+			t.Fatalf("requested %v as a wait is over, want the job", got)
+		}
+		d.Handle(over, StoredEndsRead{Job: "j1"})
+	}
+	if runs := d.DurableRuns(later.Add(timing.DurableRerunDelay)); runs != 0 {
+		t.Fatalf("%d runs after the stored ends were read, want 0", runs)
+	}
+}
+
 // The stored end of a run that was done must complete its task, which must not start again.
 func TestATaskWhoseEndIsStoredIsDone(t *testing.T) {
 	d, now := newDispatcherWithAgents("a", "b")
--- a/internal/dispatch/storedends.go
+++ b/internal/dispatch/storedends.go
@@ -38,8 +38,9 @@
 		if !j.isDurable || j.endsRequest.inFlight {
 			continue
 		}
-		isWaiting, isDue := d.unreportedRuns(now, j)
-		isFirst := isDue && !j.endsRequest.isDue
+		isWaiting, due := d.unreportedRuns(now, j)
+		isDue := !due.IsZero()
+		isFirst := isDue && (!j.endsRequest.isDue || due.After(j.endsRequest.at))
 		if isFirst || isWaiting && now.Sub(j.endsRequest.at) >= timing.StoredEndsInterval {
 			j.endsRequest = endsRequest{at: now, inFlight: true, isDue: isDue}
 			d.emit(ReadStoredEnds{Job: j.ID})
@@ -47,15 +48,22 @@
 	}
 }
 
-// unreportedRuns reports whether a task of a durable job is pending whose latest run was not reported, and whether the wait of one is over.
-func (d *Dispatcher) unreportedRuns(now time.Time, j *job) (isWaiting, isDue bool) {
+// unreportedRuns reports whether a task of a durable job is pending whose latest run was not reported, and when the wait of the last one ended
+// whose wait is over, zero if there is none.
+func (d *Dispatcher) unreportedRuns(now time.Time, j *job) (isWaiting bool, due time.Time) {
 	for _, t := range j.tasks {
-		if t.state == taskPending && t.unreported != nil {
-			isWaiting = true
-			isDue = isDue || !now.Before(t.notBefore)
+		if t.state != taskPending || t.unreported == nil {
+			continue
+		}
+		isWaiting = true
+		if !now.Before(t.notBefore) && t.notBefore.After(due) {
+			due = t.notBefore
 		}
 	}
-	return isWaiting, isDue && !d.awaitsAgents(now, j)
+	if !due.IsZero() && d.awaitsAgents(now, j) {
+		return isWaiting, time.Time{}
+	}
+	return isWaiting, due
 }
 
 // storedEndsRead applies the answer to a request, which the stored ends of the job precede.
--- a/internal/durable/doc.go
+++ b/internal/durable/doc.go
@@ -19,6 +19,7 @@
 //	release.go    loss of a shard, surrender to a new owner, release at shutdown
 //	commit.go     rate of commits, retry of unconfirmed commits
 //	ends.go       when the end of a run is acknowledged
+//	storedends.go when the ends that agents have stored are read, recorded and removed
 //	job.go        how many failed runs end a job
 //	admission.go  which jobs are accepted
 //	query.go      state queries that wait for the end of the job
@@ -32,7 +33,9 @@
 //     keys that are bound to it.
 //   - Clock rates differ by at most two percent; see leaseSafetyDivisor. Wall clocks are not compared.
 //   - The dispatcher (package dispatch) starts and stops the runs. Agents stop the runs of an entry within timing.SessionLease
-//     after they lose the session with it, and resend the ends of runs until they are acknowledged.
+//     after they lose the session with it, resend the ends of runs until they are acknowledged, and store those that are not
+//     acknowledged within timing.EndStoreDelay. An agent that cannot do so lets its worker's lease expire, unless it is in
+//     session with another entry.
 //
 // # Failures
 //
@@ -42,5 +45,7 @@
 //	the owner of a shard    other entries answer NotOwner or InDoubt for its jobs until a new owner serves the shard
 //	the store               no jobs are accepted, and commits are retried; runs continue until the lease expires, then the
 //	                        shards are dropped
-//	an agent                the dispatcher waits timing.DurableRerunDelay for it, then runs its tasks elsewhere
+//	an agent                the dispatcher waits timing.DurableRerunDelay for it and reads the ends that it has stored, then
+//	                        runs its tasks elsewhere
+//	the path to an agent    the same; the agent stores the ends, and they are recorded as if it had reported them
 package durable
--- a/internal/durable/storedends.go
+++ b/internal/durable/storedends.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -58,8 +59,11 @@
 	for _, end := range ends {
 		list.Ends = append(list.Ends, storedEnd{Task: end.Name, Run: end.Run, Failed: end.Outcome == runner.OutcomeFailed})
 	}
-	// Encoding cannot fail: a list contains only strings, numbers and booleans.
-	data, _ := json.Marshal(list)
+	data, err := json.Marshal(list)
+	if err != nil {
+		// Unreachable: a list contains only strings, numbers and booleans, which can always be encoded.
+		panic(fmt.Sprintf("durable: unable to encode stored ends: %s", err))
+	}
 	return data
 }
 
--- a/internal/overload/doc.go
+++ b/internal/overload/doc.go
@@ -7,5 +7,6 @@
 // The tests drive the real state machines of many entries (package dispatch) and agents (package runner) in virtual
 // time, with simulated workers. Messages take a fixed time, no message is lost and processing takes no time: the
 // tests cover decisions and do not simulate a network. The tests of two runs of one task use a cluster instead, whose
-// processes, paths and links fail, and whose workers follow the users' protocol.
+// processes, paths and links fail, and whose workers follow the users' protocol. Its jobs may be durable; package durable
+// and a store then take part, from which processes can be cut off.
 package overload
--- a/internal/overload/donetwice_test.go
+++ b/internal/overload/donetwice_test.go
@@ -134,6 +134,16 @@
 	return c, jobs
 }
 
+// checkCompleted checks that the callers of all jobs have learned that they are completed.
+func checkCompleted(t *testing.T, jobs []*durableJob) {
+	t.Helper()
+	for _, j := range jobs {
+		if j.finished.IsZero() || j.state != durable.StateCompleted {
+			t.Errorf("job %s, submitted at %s, has state %d at the end", j.id, j.submitted.Sub(origin), j.state)
+		}
+	}
+}
+
 // TestADoneDurableTaskDoesNotBeginAgain plays cuts that are longer than the time after which an owner reruns a task.
 //
 // The failure: an owner that hears nothing of a run starts its task again, although the run was done and its agent reports that later.
@@ -147,11 +157,7 @@
 			}
 			c.checkNoOverlap(t)
 			logFinished(t, jobs)
-			for _, j := range jobs {
-				if j.finished.IsZero() || j.state != durable.StateCompleted {
-					t.Errorf("job %s, submitted at %s, has state %d at the end", j.id, j.submitted.Sub(origin), j.state)
-				}
-			}
+			checkCompleted(t, jobs)
 		})
 	}
 }
@@ -215,11 +221,7 @@
 			}
 			c.checkNoOverlap(t)
 			logFinished(t, jobs)
-			for _, j := range jobs {
-				if j.finished.IsZero() || j.state != durable.StateCompleted {
-					t.Errorf("job %s, submitted at %s, has state %d at the end", j.id, j.submitted.Sub(origin), j.state)
-				}
-			}
+			checkCompleted(t, jobs)
 		})
 	}
 }
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -33,7 +33,10 @@
 //	        that does not answer gets no new tasks and no new leases, and its runs are reported as lost once their
 //	        leases have expired (lease.go)
 //	agent   the worker ends the runs when their lease expires, or the next process stops them as orphans (orphan.go)
-//	store   no effect: a runner does not use it
+//	path to the owners of durable jobs
+//	        ends that no entry acknowledges are stored (storedend.go); an agent without any session lets the worker's
+//	        lease expire (isolation.go)
+//	store   no effect on runs; ends are stored once it answers again
 //
 // # Files
 //
@@ -58,4 +61,6 @@
 //	lease.go        the worker's lease and its expiry
 //	orphan.go       runs that an earlier process of the agent started
 //	acknowledge.go  ends that the worker keeps until an owner has recorded them
+//	storedend.go    which of these ends are kept in the platform's store
+//	isolation.go    when an agent can tell no entry of the ends that it holds
 package runner
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -14,7 +14,8 @@
 //	caller retries      after CallerRetryDelay, when nothing of the abandoned job is running any more
 //
 // Durable jobs must not lose the result of a completed run, so they wait longer for the agent or the worker to come back and report it:
-// DurableRerunDelay and DurableLossDelay.
+// DurableRerunDelay and DurableLossDelay. These waits prove nothing about the result. An agent stores what it can report to no owner within them
+// (EndStoreDelay), or lets its worker's lease expire (IsolationTimeout), and the owner reads the store after them.
 package timing
 
 import "time"
