--- a/internal/overload/durablecluster_test.go
+++ b/internal/overload/durablecluster_test.go
@@ -307,18 +307,17 @@
 	})
 }
 
-// request passes a request to an owner. If its process is killed before it answers, the answer is nil.
+// request passes a request to an owner. If there is no answer in time, for example as its process was killed, the answer is nil.
 func (c *cluster) request(owner *clusterOwner, event func(durable.Waiter) durable.Event, answered func(durable.Answer)) {
-	life, isAnswered := owner.entry.life, false
-	owner.request(event, func(answer durable.Answer) {
-		isAnswered = true
-		answered(answer)
-	})
-	c.after(requestTimeout, func() {
-		if !isAnswered && owner.entry.life != life {
-			answered(nil)
+	isAnswered := false
+	answer := func(answer durable.Answer) {
+		if !isAnswered {
+			isAnswered = true
+			answered(answer)
 		}
-	})
+	}
+	owner.request(event, answer)
+	c.after(requestTimeout, func() { answer(nil) })
 }
 
 // ask asks for the state of a job until it has ended.
