--- a/internal/durable/storedends.go
+++ b/internal/durable/storedends.go
@@ -20,16 +20,16 @@
 //
 // Inputs: the requests of the dispatcher, which waits to start tasks again; the records in the store.
 //
-// Rule: the records of an owned shard are read once when the shard is taken over, after each request, and every storedEndsInterval while there
-// are any. Reads of one shard are at least storedEndsInterval apart. A request is answered after a read that began later, and a read that fails
+// Rule: the records of an owned shard are read once when the shard is taken over, after each request, and every minEndsReadInterval while there
+// are any. Reads of one shard are at least minEndsReadInterval apart. A request is answered after a read that began later, and a read that fails
 // is repeated. A record is removed once all its ends are written, unless its agent has changed it since.
 //
 // Reason: the agent and the owner may be unable to reach each other for longer than any wait, while both reach the store. The removal keeps
 // the records of agents that do not come back from remaining for good.
 
-// storedEndsInterval is the shortest time between two reads of the stored ends of a shard: as the dispatcher asks for each job, it limits the
+// minEndsReadInterval is the shortest time between two reads of the stored ends of a shard: as the dispatcher asks for each job, it limits the
 // reads of an owner of all shards to 64 a second.
-const storedEndsInterval = 250 * time.Millisecond
+const minEndsReadInterval = 250 * time.Millisecond
 
 // StoredEnds is the record of the ends of runs that an agent has stored for the owner of a shard.
 type StoredEnds struct {
@@ -120,7 +120,7 @@
 // readStoredEndsIfDue reads the stored ends of a shard if that is due.
 func (c *Coordinator) readStoredEndsIfDue(now time.Time, s *shard) {
 	isWanted := len(s.ends.wanted) > 0 || s.ends.areLeft
-	if s.state != owned || !isWanted || s.ends.inFlight || now.Sub(s.ends.lastSent) < storedEndsInterval {
+	if s.state != owned || !isWanted || s.ends.inFlight || now.Sub(s.ends.lastSent) < minEndsReadInterval {
 		return
 	}
 	s.ends.inFlight, s.ends.lastSent = true, now
--- a/internal/durable/storedends_test.go
+++ b/internal/durable/storedends_test.go
@@ -71,7 +71,7 @@
 	if acknowledged, ok := find[AcknowledgeEnd](effects); !ok || acknowledged.Agent != "side-1" {
 		t.Fatalf("acknowledged %v, want the end of side-1", acknowledged)
 	}
-	now = now.Add(storedEndsInterval)
+	now = now.Add(minEndsReadInterval)
 	if _, isRead := find[CallReadEnds](c.Handle(now, Ticked{})); !isRead {
 		t.Fatal("no read of the record that is left")
 	}
@@ -79,8 +79,8 @@
 	if removed, ok := find[CallRemoveEnds](effects); !ok || removed.Record.Agent != "side-1" || removed.Record.Revision != 44 {
 		t.Fatalf("removed %v, want the record of side-1 at revision 44", removed)
 	}
-	c.Handle(now.Add(storedEndsInterval), Ticked{})
-	c.Handle(now.Add(storedEndsInterval), StoredEndsAnswered{Shard: shard, Token: 20})
+	c.Handle(now.Add(minEndsReadInterval), Ticked{})
+	c.Handle(now.Add(minEndsReadInterval), StoredEndsAnswered{Shard: shard, Token: 20})
 	if _, isRead := find[CallReadEnds](c.Handle(now.Add(time.Minute), Ticked{})); isRead {
 		t.Fatal("the stored ends are read although none is left")
 	}
@@ -97,7 +97,7 @@
 	if got := eventsForDispatcher(c.Handle(now, StoredEndsAnswered{Shard: shard, Token: 20})); len(got) > 0 {
 		t.Fatalf("the earlier read is passed on as %v", got)
 	}
-	now = now.Add(storedEndsInterval)
+	now = now.Add(minEndsReadInterval)
 	if _, isRead := find[CallReadEnds](c.Handle(now, Ticked{})); !isRead {
 		t.Fatal("no read after the request")
 	}
@@ -109,7 +109,7 @@
 	if decision, ok := find[DecisionMade](failed); !ok || decision != want {
 		t.Fatalf("decision %+v, want %+v", decision, want)
 	}
-	now = now.Add(storedEndsInterval)
+	now = now.Add(minEndsReadInterval)
 	if _, isRead := find[CallReadEnds](c.Handle(now, Ticked{})); !isRead {
 		t.Fatal("the read that failed is not repeated")
 	}
