--- a/internal/agent/storedends_test.go
+++ b/internal/agent/storedends_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("%v are written although the store holds no record", next)
 	}
 }
+
+// The failure: a restarted agent stores an end of a shard and replaces the record of its earlier process there, which held the end of a run on
+// an ended worker. Nobody knows of that end then, and an owner that has not read the record runs the task again.
+func TestARestartedAgentKeepsTheEndsThatItsEarlierProcessStored(t *testing.T) {
+	earlier := runner.Update{Name: "a.0.0.0", Run: 1, Outcome: runner.OutcomeDone}
+	shard := durable.ShardOf("a")
+	store := &fakeEndStore{revision: 5, records: map[durable.Shard]durable.StoredEnds{
+		shard: {Shard: shard, Agent: "side-1", Ends: []runner.Update{earlier}, Revision: 5},
+	}}
+	a := &Agent{settings: Settings{Name: "side-1", Ends: store}, pendingEnds: newPendingEnds(), metrics: metric.NewSet(), logger: logging.Discard()}
+	a.pendingEnds.set([]runner.Update{{Name: "a.0.0.1", Run: 1, Outcome: runner.OutcomeDone}})
+	if !a.putEnds(&endRecords{agent: "side-1"}) {
+		t.Fatal("the end is not stored")
+	}
+	if got, want := store.names(), []string{"a.0.0.0", "a.0.0.1"}; !slices.Equal(got, want) {
+		t.Errorf("the store holds %v, want %v", got, want)
+	}
+}
