stream: time in which a process does not get to write is not the peer's silence

What callers saw: an entry that stopped on a busy machine closed the connection to another entry before it had written its last answers to jobs that were handed over.

Cause: Finish waited 100 ms from its own call for everything, and took their end for a peer that does not read. The writing goroutine had not had a turn by then; the queued messages were dropped.

Change: messages are encoded first, and the time limit covers the write alone. Finish shortens the limit of a write in progress and waits for the writing goroutine, then up to 100 ms for the peer's end. So a peer that does not read still ends it in time (TestFinishEndsWithASilentPeer, as before), and the write limit of 1 s is the same.

--- a/internal/stream/connection.go
+++ b/internal/stream/connection.go
@@ -9,6 +9,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -22,15 +24,17 @@
 	// QueueSize is the capacity of the send queue, in messages. If the queue overflows, the peer is not reading, and the connection is closed.
 	// At the target size an agent starts 22 tasks per second, so the capacity is several seconds of messages even if one entry sends all.
 	QueueSize = 1024
-	// writeTimeout limits the time to write the queued messages. It is longer than timing.SessionCloseTimeout, so missing pings close the
-	// connection to a peer that does not read before this timeout does.
+	// writeTimeout limits the duration of a write. It is longer than timing.SessionCloseTimeout, so missing pings close the connection to a
+	// peer that does not read before this timeout does.
 	writeTimeout = time.Second
-	// finishTimeout limits the duration of Finish. It allows for several round trips between availability zones, and is less than the time a
-	// stopping process has for its clean-ups.
+	// finishTimeout limits the time for which Finish waits for the peer to read, and for which it then waits for the peer's end. It allows for
+	// several round trips between availability zones, and three of it are less than the time a stopping process has for its clean-ups.
 	finishTimeout = 100 * time.Millisecond
 	// bufferSize is the size of the read and the write buffer of a connection, in bytes. It holds about ten payloads. The two buffers of 100
 	// connections take 0.8 MB of the 32 MB that a process may use.
 	bufferSize = 4 << 10
+	// maxKeptBuffer is the largest write buffer that is used again, in bytes.
+	maxKeptBuffer = 4 * bufferSize
 	// maxMessage is the maximum size of a message, in bytes. Payloads are a few hundred bytes.
 	maxMessage = 1 << 20
 )
@@ -57,6 +61,8 @@
 	// finishing is closed by the first call of Finish.
 	finishing  chan struct{}
 	finishOnce sync.Once
+	// deadline is held while the deadline of writes is set, so that no write sets a later one than Finish.
+	deadline sync.Mutex
 	// written is closed when the writing goroutine returns.
 	written chan struct{}
 	// cause is why the connection was closed. It is set once, before closed is closed.
@@ -83,11 +89,16 @@
 	})
 }
 
-// Finish writes the queued messages and closes the connection once the peer has closed it too, or after finishTimeout. Messages sent
-// afterwards are dropped. Another goroutine must read in the meantime: closing a connection with unread data resets it, which discards the data
-// that the peer has not read yet.
+// Finish writes the queued messages and closes the connection once the peer has closed it too. A peer that does not read for finishTimeout, or
+// does not close the connection within finishTimeout of the last write, is not waited for. Time in which this process does not get to write does
+// not count, as it says nothing of the peer. Messages sent afterwards are dropped. Another goroutine must read in the meantime: closing a
+// connection with unread data resets it, which discards the data that the peer has not read yet.
 func (c *Connection) Finish() {
-	c.finishOnce.Do(func() { close(c.finishing) })
+	c.finishOnce.Do(func() {
+		close(c.finishing)
+		c.setWriteDeadline()
+	})
+	<-c.written
 	timeout := time.NewTimer(finishTimeout)
 	defer timeout.Stop()
 	select {
@@ -95,7 +106,6 @@
 	case <-timeout.C:
 		c.Close(ErrClosed)
 	}
-	<-c.written
 }
 
 // Send queues a message without blocking. If the queue is full, it closes the connection.
@@ -128,16 +138,16 @@
 // write writes the queued messages until the connection is closed.
 func (c *Connection) write() {
 	defer close(c.written)
-	buffer := bufio.NewWriterSize(c.conn, bufferSize)
+	var buffer bytes.Buffer
 	for {
 		select {
 		case <-c.closed:
 			return
 		case <-c.finishing:
-			c.writeLast(buffer)
+			c.writeLast(&buffer)
 			return
 		case message := <-c.queue:
-			if !c.writeOrClose(buffer, message) {
+			if !c.writeOrClose(&buffer, message, bufferSize) {
 				return
 			}
 		}
@@ -145,10 +155,10 @@
 }
 
 // writeLast writes the queued messages and closes the write side of the connection.
-func (c *Connection) writeLast(buffer *bufio.Writer) {
+func (c *Connection) writeLast(buffer *bytes.Buffer) {
 	select {
 	case message := <-c.queue:
-		if !c.writeOrClose(buffer, message) {
+		if !c.writeOrClose(buffer, message, math.MaxInt) {
 			return
 		}
 	default:
@@ -163,31 +173,61 @@
 	}
 }
 
-// writeOrClose writes a message and all queued ones. It closes the connection and returns false if that fails.
-func (c *Connection) writeOrClose(buffer *bufio.Writer, message proto.Message) bool {
-	err := c.writeQueued(buffer, message)
+// writeOrClose writes a message and queued ones until there are none or a size is reached. It closes the connection and returns false if that
+// fails.
+func (c *Connection) writeOrClose(buffer *bytes.Buffer, message proto.Message, size int) bool {
+	err := c.writeQueued(buffer, message, size)
 	if err != nil {
 		c.Close(errors.Wrapf(err, "stream: unable to write to %s", c.conn.RemoteAddr()))
 	}
 	return err == nil
 }
 
-// writeQueued writes a message and all queued ones, and flushes them together.
-func (c *Connection) writeQueued(buffer *bufio.Writer, message proto.Message) error {
-	// Setting the deadline fails only on a closed connection, which the write reports too.
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	for {
-		bytes, err := protodelim.MarshalTo(buffer, message)
+// writeQueued encodes a message and queued ones until there are none or a size in bytes is reached, and writes them together. The time limit
+// covers only the write, so that a pause of this process before it does not end the connection.
+func (c *Connection) writeQueued(buffer *bytes.Buffer, message proto.Message, size int) error {
+	buffer.Reset()
+	for message != nil {
+		encoded, err := protodelim.MarshalTo(buffer, message)
 		if err != nil {
 			return err
 		}
-		c.counter.Sent(message, bytes)
-		select {
-		case message = <-c.queue:
-		default:
-			return buffer.Flush()
+		c.counter.Sent(message, encoded)
+		message = nil
+		if buffer.Len() < size {
+			message = c.nextQueued()
 		}
 	}
+	c.setWriteDeadline()
+	_, err := c.conn.Write(buffer.Bytes())
+	if buffer.Cap() > maxKeptBuffer {
+		*buffer = bytes.Buffer{}
+	}
+	return err
+}
+
+// nextQueued returns the next queued message, or nil if there is none.
+func (c *Connection) nextQueued() proto.Message {
+	select {
+	case message := <-c.queue:
+		return message
+	default:
+		return nil
+	}
+}
+
+// setWriteDeadline limits the duration of the write that is in progress or about to begin.
+func (c *Connection) setWriteDeadline() {
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
+	limit := writeTimeout
+	select {
+	case <-c.finishing:
+		limit = finishTimeout
+	default:
+	}
+	// An error is ignored, as it occurs only on a closed connection, which the write reports too.
+	_ = c.conn.SetWriteDeadline(time.Now().Add(limit))
 }
 
 // Read calls handle for every message until the connection ends, and returns why it ended.
--- a/internal/stream/connection_test.go
+++ b/internal/stream/connection_test.go
@@ -251,6 +251,44 @@
 	}
 }
 
+// pausingCounter pauses the writing goroutine when a message is about to be written, as a busy machine does.
+type pausingCounter struct {
+	uncounted
+	pauseAt, sent int
+}
+
+func (c *pausingCounter) Sent(proto.Message, int) {
+	c.sent++
+	if c.sent == c.pauseAt {
+		time.Sleep(2 * finishTimeout)
+	}
+}
+
+// TestFinishWritesWhatIsQueuedAfterAPause pauses the writing goroutine for longer than finishTimeout once Finish has been called.
+//
+// The failure: an entry that stops on a busy machine takes the time in which it does not get to write for a peer that does not read, and drops
+// the last answers to jobs that were handed over to it.
+func TestFinishWritesWhatIsQueuedAfterAPause(t *testing.T) {
+	const count = QueueSize / 2
+	for name, pauseAt := range map[string]int{"before the first write": 1, "within the writes": count / 2, "before the last message": count} {
+		ours, theirs := pair(t)
+		c, peer := New(ours, &pausingCounter{pauseAt: pauseAt}), New(theirs, uncounted{})
+		_, ended := readAll(c)
+		messages, peerEnded := readAll(peer)
+		for range count {
+			c.Send(text(strings.Repeat("x", bufferSize/count*4)))
+		}
+		c.Finish()
+		if err := receive(t, peerEnded); !errors.Is(err, io.EOF) {
+			t.Errorf("%s: the peer's end is %v, want the end of the stream", name, err)
+		}
+		if len(messages) != count {
+			t.Errorf("%s: %d messages arrived, want %d", name, len(messages), count)
+		}
+		receive(t, ended)
+	}
+}
+
 // TestFinishEndsWithASilentPeer finishes connections to a peer that neither reads nor closes its end. Finish must return within its timeout.
 func TestFinishEndsWithASilentPeer(t *testing.T) {
 	for _, waiting := range []int{0, QueueSize / 2} {
