stream: a failed write no longer drops what the peer wrote before its end

What callers saw: an entry that sent something on a connection that the other entry had finished and closed lost the answers that had arrived there and were not yet read, so jobs that had ended well were answered as lost.

Cause: a write that fails closed the connection at once. A write to a peer that has closed its end says nothing of what the peer wrote before.

TestAWriteAfterThePeersEndLeavesItsMessages forces the order and failed before: 0 of 4 messages were read.

Change: if a write fails as the peer has closed the connection, writing ends, and Read closes the connection when it has read the rest. Other errors, deadlines among them, close it at once as before.

--- a/internal/stream/connection.go
+++ b/internal/stream/connection.go
@@ -13,6 +13,7 @@
 	"math"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -173,16 +174,21 @@
 	}
 }
 
-// writeOrClose writes a message and queued ones until there are none or a size is reached. It closes the connection and returns false if that
-// fails.
+// writeOrClose writes a message and queued ones until there are none or a size is reached. It returns false if that fails, and closes the
+// connection unless the peer has closed it: Read does so then, once it has read what the peer wrote before.
 func (c *Connection) writeOrClose(buffer *bytes.Buffer, message proto.Message, size int) bool {
 	err := c.writeQueued(buffer, message, size)
-	if err != nil {
+	if err != nil && !isClosedByPeer(err) {
 		c.Close(errors.Wrapf(err, "stream: unable to write to %s", c.conn.RemoteAddr()))
 	}
 	return err == nil
 }
 
+// isClosedByPeer reports whether a write failed because the peer has closed the connection or its process has ended.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // writeQueued encodes a message and queued ones until there are none or a size in bytes is reached, and writes them together. The time limit
 // covers only the write, so that a pause of this process before it does not end the connection.
 func (c *Connection) writeQueued(buffer *bytes.Buffer, message proto.Message, size int) error {
--- a/internal/stream/connection_test.go
+++ b/internal/stream/connection_test.go
@@ -289,6 +289,42 @@
 	}
 }
 
+// TestAWriteAfterThePeersEndLeavesItsMessages writes to a peer that has written its messages and closed the connection, before they are read.
+//
+// The failure: an entry sends something on a connection that the other entry has finished, and drops the answers that have arrived on it.
+func TestAWriteAfterThePeersEndLeavesItsMessages(t *testing.T) {
+	ours, theirs := pair(t)
+	const count = 4
+	var answers []proto.Message
+	for range count {
+		answers = append(answers, text(strings.Repeat("x", bufferSize)))
+	}
+	if _, err := theirs.Write(framed(t, answers...)); err != nil {
+		t.Fatal(err)
+	}
+	_ = theirs.Close()
+	c := New(ours, uncounted{})
+	isWriting := func() bool {
+		select {
+		case <-c.written:
+			return false
+		default:
+			return true
+		}
+	}
+	for isWriting() {
+		c.Send(text("x"))
+		time.Sleep(time.Millisecond)
+	}
+	messages, ended := readAll(c)
+	if err := receive(t, ended); !errors.Is(err, io.EOF) {
+		t.Errorf("ended with %v, want the end of the stream", err)
+	}
+	if len(messages) != count {
+		t.Errorf("%d messages were read, want %d", len(messages), count)
+	}
+}
+
 // TestFinishEndsWithASilentPeer finishes connections to a peer that neither reads nor closes its end. Finish must return within its timeout.
 func TestFinishEndsWithASilentPeer(t *testing.T) {
 	for _, waiting := range []int{0, QueueSize / 2} {
