agent: each process stores ends in records of its own

What callers saw: a task of a durable job ran twice after it was done.

Cause: an agent's processes shared one record of stored ends for each shard. A restarted agent that stored an end took the record that it found there for an own write without an answer, adopted its revision and replaced it. The end of a run on a worker that has ended was known to the earlier process alone and was lost, unless an owner had read it before.

A new row of TestADoneDurableTaskDoesNotBeginAgain shows it in virtual time: the entry is cut off twice and does not reach the store for 4.5 s, and in the first cut workers and agents restart.

A process writes and removes only its own records; those of a process that has ended are removed by the owner once all their ends are written, as those of agents that are gone were before.

--- a/internal/agent/storedends.go
+++ b/internal/agent/storedends.go
@@ -59,18 +59,18 @@
 	return p.ends
 }
 
-// endRecords are the agent's records of stored ends by shard, as far as the agent knows them. Only the goroutine that stores ends uses it.
+// endRecords are the process's records of stored ends by shard, as far as it knows them. Only the goroutine that stores ends uses it.
 type endRecords struct {
-	agent dispatch.AgentID
+	process durable.AgentProcess
 	// revisions are the known revisions of the records, 0 for none.
 	revisions [durable.Shards]int64
 	// mayExist is set if there may be a record, also after a write without an answer.
 	mayExist [durable.Shards]bool
 }
 
-// next returns the records to be written so that the store contains exactly the given ends.
+// next returns the records to be written so that the process's records contain exactly the given ends.
 func (r *endRecords) next(ends []runner.Update) []durable.StoredEnds {
-	records := durable.EndsByShard(r.agent, ends)
+	records := durable.EndsByShard(r.process, ends)
 	var isWritten [durable.Shards]bool
 	for i := range records {
 		records[i].Revision = r.revisions[records[i].Shard]
@@ -78,7 +78,7 @@
 	}
 	for shard := range durable.Shard(durable.Shards) {
 		if r.mayExist[shard] && !isWritten[shard] {
-			records = append(records, durable.StoredEnds{Shard: shard, Agent: r.agent, Revision: r.revisions[shard]})
+			records = append(records, durable.StoredEnds{Shard: shard, Process: r.process, Revision: r.revisions[shard]})
 		}
 	}
 	return records
@@ -99,9 +99,14 @@
 	}
 }
 
+// process identifies this process among those of the agent.
+func (a *Agent) process() durable.AgentProcess {
+	return durable.AgentProcess{Agent: dispatch.AgentID(a.self.Name), Incarnation: a.self.Incarnation}
+}
+
 // storeEnds keeps the ends that no owner has acknowledged in the store.
 func (a *Agent) storeEnds() {
-	records := &endRecords{agent: dispatch.AgentID(a.settings.Name)}
+	records := &endRecords{process: a.process()}
 	logger := logging.NewLimited(a.logger, maxEndStoreFailureLinesPerSecond)
 	for wait(a.context, a.pendingEnds.changed) {
 		for !a.putEnds(records) {
--- a/internal/agent/storedends_test.go
+++ b/internal/agent/storedends_test.go
@@ -4,22 +4,30 @@
 package agent
 
 import (
-	"maps"
 	"slices"
 	"testing"
 
 	"github.com/go-faster/errors"
 
+	"sailhead/internal/cluster"
 	"sailhead/internal/durable"
 	"sailhead/internal/logging"
 	"sailhead/internal/metric"
 	"sailhead/internal/runner"
 )
 
-// fakeEndStore is an EndStore of one agent that can lose answers.
+// recordKey is the key of a record of stored ends.
+type recordKey struct {
+	shard   durable.Shard
+	process durable.AgentProcess
+}
+
+func keyOf(r durable.StoredEnds) recordKey { return recordKey{shard: r.Shard, process: r.Process} }
+
+// fakeEndStore is an EndStore that can lose answers.
 type fakeEndStore struct {
 	revision int64
-	records  map[durable.Shard]durable.StoredEnds
+	records  map[recordKey]durable.StoredEnds
 	// losesAnswers is set if calls are carried out and not answered, and isDown if they are not carried out.
 	losesAnswers, isDown bool
 }
@@ -29,10 +37,10 @@
 	if s.isDown {
 		return nil, false, errors.New("no answer")
 	}
-	isChanged := func(r durable.StoredEnds) bool { return s.records[r.Shard].Revision != r.Revision }
+	isChanged := func(r durable.StoredEnds) bool { return s.records[keyOf(r)].Revision != r.Revision }
 	if slices.ContainsFunc(records, isChanged) {
 		for _, r := range records {
-			r.Revision = s.records[r.Shard].Revision
+			r.Revision = s.records[keyOf(r)].Revision
 			stored = append(stored, r)
 		}
 		return stored, false, nil
@@ -40,9 +48,9 @@
 	for _, r := range records {
 		s.revision++
 		r.Revision = s.revision
-		s.records[r.Shard] = r
+		s.records[keyOf(r)] = r
 		if len(r.Ends) == 0 {
-			delete(s.records, r.Shard)
+			delete(s.records, keyOf(r))
 		}
 	}
 	for _, r := range records {
@@ -61,8 +69,8 @@
 // names returns the runs whose ends are stored, sorted.
 func (s *fakeEndStore) names() []string {
 	var names []string
-	for _, shard := range slices.Sorted(maps.Keys(s.records)) {
-		for _, end := range s.records[shard].Ends {
+	for _, record := range s.records {
+		for _, end := range record.Ends {
 			names = append(names, end.Name)
 		}
 	}
@@ -73,9 +81,10 @@
 // The store must hold exactly the latest ends after each write that succeeds, whatever happened to earlier answers and records. An end that
 // is missing there is one whose task runs twice.
 func TestTheStoreHoldsTheLatestEnds(t *testing.T) {
-	store := &fakeEndStore{records: make(map[durable.Shard]durable.StoredEnds)}
+	store := &fakeEndStore{records: make(map[recordKey]durable.StoredEnds)}
 	a := &Agent{settings: Settings{Name: "side-1", Ends: store}, pendingEnds: newPendingEnds(), metrics: metric.NewSet(), logger: logging.Discard()}
-	records := &endRecords{agent: "side-1"}
+	process := durable.AgentProcess{Agent: "side-1", Incarnation: 1}
+	records := &endRecords{process: process}
 	ends := func(names ...string) []runner.Update {
 		var updates []runner.Update
 		for _, name := range names {
@@ -95,7 +104,7 @@
 		{"it is up again", func() { store.isDown = false }, ends("a.0.0.0", "d.0.0.0"), false, []string{"a.0.0.0", "d.0.0.0"}},
 		{"the answer is lost", func() { store.losesAnswers = true }, ends("e.0.0.0"), true, []string{"e.0.0.0"}},
 		{"another write after that", func() { store.losesAnswers = false }, ends("e.0.0.0", "f.0.0.0"), false, []string{"e.0.0.0", "f.0.0.0"}},
-		{"an owner has removed a record", func() { delete(store.records, durable.ShardOf("e")) }, ends("e.0.0.0", "f.0.0.0", "g.0.0.0"), false, []string{"e.0.0.0", "f.0.0.0", "g.0.0.0"}},
+		{"an owner has removed a record", func() { delete(store.records, recordKey{shard: durable.ShardOf("e"), process: process}) }, ends("e.0.0.0", "f.0.0.0", "g.0.0.0"), false, []string{"e.0.0.0", "f.0.0.0", "g.0.0.0"}},
 		{"all are acknowledged", func() {}, nil, false, nil},
 	}
 	for _, step := range steps {
@@ -116,15 +125,14 @@
 // The failure: a restarted agent stores an end of a shard and replaces the record of its earlier process there, which held the end of a run on
 // an ended worker. Nobody knows of that end then, and an owner that has not read the record runs the task again.
 func TestARestartedAgentKeepsTheEndsThatItsEarlierProcessStored(t *testing.T) {
-	earlier := runner.Update{Name: "a.0.0.0", Run: 1, Outcome: runner.OutcomeDone}
-	shard := durable.ShardOf("a")
-	store := &fakeEndStore{revision: 5, records: map[durable.Shard]durable.StoredEnds{
-		shard: {Shard: shard, Agent: "side-1", Ends: []runner.Update{earlier}, Revision: 5},
-	}}
-	a := &Agent{settings: Settings{Name: "side-1", Ends: store}, pendingEnds: newPendingEnds(), metrics: metric.NewSet(), logger: logging.Discard()}
-	a.pendingEnds.set([]runner.Update{{Name: "a.0.0.1", Run: 1, Outcome: runner.OutcomeDone}})
-	if !a.putEnds(&endRecords{agent: "side-1"}) {
-		t.Fatal("the end is not stored")
+	store := &fakeEndStore{records: make(map[recordKey]durable.StoredEnds)}
+	for i, task := range []string{"a.0.0.0", "a.0.0.1"} {
+		self := cluster.Member{Name: "side-1", Incarnation: int64(i + 1)}
+		a := &Agent{self: self, settings: Settings{Name: "side-1", Ends: store}, pendingEnds: newPendingEnds(), metrics: metric.NewSet(), logger: logging.Discard()}
+		a.pendingEnds.set([]runner.Update{{Name: task, Run: 1, Outcome: runner.OutcomeDone}})
+		if !a.putEnds(&endRecords{process: a.process()}) {
+			t.Fatal("the end is not stored")
+		}
 	}
 	if got, want := store.names(), []string{"a.0.0.0", "a.0.0.1"}; !slices.Equal(got, want) {
 		t.Errorf("the store holds %v, want %v", got, want)
--- a/internal/durable/storedends.go
+++ b/internal/durable/storedends.go
@@ -15,8 +15,8 @@
 	"sailhead/internal/runner"
 )
 
-// An agent stores the ends that no owner has acknowledged, in one record for each shard. The owner of a shard reads the records and records
-// the ends, as if the agents had reported them.
+// A process of an agent stores the ends that no owner has acknowledged, in one record for each shard. The owner of a shard reads the records and
+// records the ends, as if the agents had reported them.
 //
 // Inputs: the requests of the dispatcher, which waits to start tasks again; the records in the store.
 //
@@ -24,17 +24,25 @@
 // are any. Reads of one shard are at least minEndsReadInterval apart. A request is answered after a read that began later, and a read that fails
 // is repeated. A record is removed once all its ends are written, unless its agent has changed it since.
 //
-// Reason: the agent and the owner may be unable to reach each other for longer than any wait, while both reach the store. The removal keeps
-// the records of agents that do not come back from remaining for good.
+// Reason: the agent and the owner may be unable to reach each other for longer than any wait, while both reach the store. Each process has
+// records of its own, as it may not know all ends that an earlier one has stored. The removal keeps the records of processes that have ended
+// from remaining for good.
 
 // minEndsReadInterval is the shortest time between two reads of the stored ends of a shard: as the dispatcher asks for each job, it limits the
 // reads of an owner of all shards to 64 a second.
 const minEndsReadInterval = 250 * time.Millisecond
 
-// StoredEnds is the record of the ends of runs that an agent has stored for the owner of a shard.
-type StoredEnds struct {
-	Shard Shard
+// AgentProcess identifies a process of an agent.
+type AgentProcess struct {
 	Agent dispatch.AgentID
+	// Incarnation distinguishes successive processes of the agent.
+	Incarnation int64
+}
+
+// StoredEnds is the record of the ends of runs that a process of an agent has stored for the owner of a shard.
+type StoredEnds struct {
+	Shard   Shard
+	Process AgentProcess
 	// Ends are ends with a result. If there are none, there is no record.
 	Ends []runner.Update
 	// Revision is the store's revision of the record, 0 if there is none.
@@ -87,13 +95,13 @@
 	return ends, nil
 }
 
-// EndsByShard returns the records that hold the ends of an agent, in the order of the shards.
-func EndsByShard(agent dispatch.AgentID, ends []runner.Update) []StoredEnds {
+// EndsByShard returns the records in which a process of an agent stores ends, in the order of the shards.
+func EndsByShard(process AgentProcess, ends []runner.Update) []StoredEnds {
 	var records []StoredEnds
 	for shard := range Shard(Shards) {
 		isOther := func(end runner.Update) bool { return ShardOf(runner.JobOf(end.Name)) != shard }
 		if own := slices.DeleteFunc(slices.Clone(ends), isOther); len(own) > 0 {
-			records = append(records, StoredEnds{Shard: shard, Agent: agent, Ends: own})
+			records = append(records, StoredEnds{Shard: shard, Process: process, Ends: own})
 		}
 	}
 	return records
@@ -155,7 +163,7 @@
 func (c *Coordinator) applyStoredEnds(s *shard, record StoredEnds) {
 	areWritten := true
 	for _, end := range record.Ends {
-		c.taskEnded(TaskEnded{Agent: record.Agent, Update: end})
+		c.taskEnded(TaskEnded{Agent: record.Process.Agent, Update: end})
 		areWritten = areWritten && s.isWritten(end)
 	}
 	if areWritten {
--- a/internal/durable/storedends_test.go
+++ b/internal/durable/storedends_test.go
@@ -54,7 +54,7 @@
 	if read, ok := find[CallReadEnds](c.Handle(now, Ticked{})); !ok || read != (CallReadEnds{Shard: shard, Token: 20}) {
 		t.Fatalf("read %v, want one of the shard", read)
 	}
-	record := StoredEnds{Shard: shard, Agent: "side-1", Ends: []runner.Update{doneEnd(0)}, Revision: 44}
+	record := StoredEnds{Shard: shard, Process: AgentProcess{Agent: "side-1", Incarnation: 3}, Ends: []runner.Update{doneEnd(0)}, Revision: 44}
 	effects := c.Handle(now, StoredEndsAnswered{Shard: shard, Token: 20, Records: []StoredEnds{record}})
 	want := []dispatch.Event{dispatch.DurableTaskEnded{Task: doneEnd(0).Name}, dispatch.StoredEndsRead{Job: endsTestJob}}
 	if got := eventsForDispatcher(effects); !slices.Equal(got, want) {
@@ -76,7 +76,7 @@
 		t.Fatal("no read of the record that is left")
 	}
 	effects = c.Handle(now, StoredEndsAnswered{Shard: shard, Token: 20, Records: []StoredEnds{record}})
-	if removed, ok := find[CallRemoveEnds](effects); !ok || removed.Record.Agent != "side-1" || removed.Record.Revision != 44 {
+	if removed, ok := find[CallRemoveEnds](effects); !ok || removed.Record.Process != record.Process || removed.Record.Revision != 44 {
 		t.Fatalf("removed %v, want the record of side-1 at revision 44", removed)
 	}
 	c.Handle(now.Add(minEndsReadInterval), Ticked{})
@@ -145,7 +145,7 @@
 		ends = append(ends, runner.Update{Name: dispatch.TaskName(string(rune('a'+i%26))+"x", 0, i), Run: 1, Outcome: runner.OutcomeDone})
 	}
 	count := 0
-	for _, record := range EndsByShard("side-1", ends) {
+	for _, record := range EndsByShard(AgentProcess{Agent: "side-1"}, ends) {
 		for _, end := range record.Ends {
 			if ShardOf(runner.JobOf(end.Name)) != record.Shard {
 				t.Errorf("%s is in the record of shard %d", end.Name, record.Shard)
--- a/internal/overload/clusterstore_test.go
+++ b/internal/overload/clusterstore_test.go
@@ -4,13 +4,13 @@
 package overload
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
 	"sailhead/internal/runner"
 	"sailhead/internal/timing"
@@ -29,8 +29,8 @@
 	leases   map[durable.Lease]time.Time
 	claims   map[durable.Shard]durable.Claim
 	batches  map[durable.Shard]map[durable.Sequence][]byte
-	// ends are the stored ends of each shard, by agent.
-	ends map[durable.Shard]map[dispatch.AgentID]durable.StoredEnds
+	// ends are the stored ends of each shard, by process.
+	ends map[durable.Shard]map[durable.AgentProcess]durable.StoredEnds
 	// endWrites counts the calls that write stored ends, and endReads those that read them.
 	endWrites, endReads int
 	// silentUntil is when a caller reaches the store again, by the caller's name.
@@ -41,11 +41,11 @@
 	s := &clusterStore{
 		clock: clock, leases: make(map[durable.Lease]time.Time), claims: make(map[durable.Shard]durable.Claim),
 		batches: make(map[durable.Shard]map[durable.Sequence][]byte), silentUntil: make(map[string]time.Time),
-		ends: make(map[durable.Shard]map[dispatch.AgentID]durable.StoredEnds),
+		ends: make(map[durable.Shard]map[durable.AgentProcess]durable.StoredEnds),
 	}
 	for shard := range durable.Shard(durable.Shards) {
 		s.batches[shard] = make(map[durable.Sequence][]byte)
-		s.ends[shard] = make(map[dispatch.AgentID]durable.StoredEnds)
+		s.ends[shard] = make(map[durable.AgentProcess]durable.StoredEnds)
 	}
 	return s
 }
@@ -146,16 +146,16 @@
 	return durable.CommitWritten{}
 }
 
-// putEnds replaces all records of an agent.
-func (s *clusterStore) putEnds(agent dispatch.AgentID, records []durable.StoredEnds) {
+// putEnds replaces all records of a process.
+func (s *clusterStore) putEnds(process durable.AgentProcess, records []durable.StoredEnds) {
 	s.endWrites++
 	s.revision++
 	for shard := range durable.Shard(durable.Shards) {
-		delete(s.ends[shard], agent)
+		delete(s.ends[shard], process)
 	}
 	for _, record := range records {
 		record.Revision = int64(s.revision)
-		s.ends[record.Shard][agent] = record
+		s.ends[record.Shard][process] = record
 	}
 }
 
@@ -163,8 +163,8 @@
 func (s *clusterStore) readEnds(shard durable.Shard) ([]durable.StoredEnds, error) {
 	s.endReads++
 	var records []durable.StoredEnds
-	for _, agent := range slices.Sorted(maps.Keys(s.ends[shard])) {
-		record := s.ends[shard][agent]
+	for _, process := range slices.SortedFunc(maps.Keys(s.ends[shard]), compareProcesses) {
+		record := s.ends[shard][process]
 		ends, err := durable.DecodeEnds(durable.EncodeEnds(record.Ends))
 		if err != nil {
 			return nil, err
@@ -177,11 +177,15 @@
 
 func (s *clusterStore) removeEnds(record durable.StoredEnds) {
 	s.endWrites++
-	if s.ends[record.Shard][record.Agent].Revision == record.Revision {
-		delete(s.ends[record.Shard], record.Agent)
+	if s.ends[record.Shard][record.Process].Revision == record.Revision {
+		delete(s.ends[record.Shard], record.Process)
 	}
 }
 
+func compareProcesses(a, b durable.AgentProcess) int {
+	return cmp.Or(cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
 // storeEnds makes the agent write the latest ends to the store until that succeeds. The process has one such call in flight.
 func (a *clusterAgent) storeEnds(ends []runner.Update) {
 	a.endsToStore, a.areEndsStored = ends, false
@@ -194,7 +198,8 @@
 func (a *clusterAgent) callPutEnds() {
 	c, written := a.cluster, a.endsToStore
 	a.areEndsStored = true
-	carryOut := func() { c.store.putEnds(a.id, durable.EndsByShard(a.id, written)) }
+	process := durable.AgentProcess{Agent: a.id, Incarnation: int64(a.life)}
+	carryOut := func() { c.store.putEnds(process, durable.EndsByShard(process, written)) }
 	c.store.call(string(a.id), carryOut, func(isAnswered bool) {
 		again := a.inLife(a.callPutEnds)
 		switch {
--- a/internal/overload/donetwice_test.go
+++ b/internal/overload/donetwice_test.go
@@ -86,6 +86,18 @@
 			c.after(500*time.Millisecond, func() { a.restart(100 * time.Millisecond) })
 		}
 	}},
+	{"agents and workers restart between two cuts in which their entry does not reach the store", func(c *cluster) {
+		const firstCut, reconnected = 2600 * time.Millisecond, 1300 * time.Millisecond
+		c.cutEntry(c.entries[0], firstCut)
+		c.after(timing.EndStoreDelay, func() { c.store.silence(c.entries[0].name, timing.ClaimLease-1500*time.Millisecond) })
+		c.after(firstCut+reconnected, func() { c.cutEntry(c.entries[0], longestCut) })
+		for _, a := range c.agents {
+			c.after(firstCut-100*time.Millisecond, func() {
+				a.worker.crash(50 * time.Millisecond)
+				a.restart(50 * time.Millisecond)
+			})
+		}
+	}},
 	{"workers restart while an entry is cut off", func(c *cluster) {
 		c.cutEntry(c.entries[0], longestCut)
 		for _, a := range c.agents {
