stream: Finish writes in pieces, and its writes wait 100 ms together

What a caller would see: a stop of an entry that lasts longer beside a peer that does not read.

Cause: since Finish encoded everything that was queued, here 8 MB, before it wrote, and that time was not limited.

Change: messages are written in pieces of about 4 KB as ever. A writeLimit counts how long the writes last: each for 1 s, and all of them together for 100 ms once Finish was called. Pauses of this process between the writes count as little as before, and a peer that reads slowly cannot draw the stop out.

--- a/internal/stream/connection.go
+++ b/internal/stream/connection.go
@@ -10,7 +10,6 @@
 import (
 	"bufio"
 	"bytes"
-	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -28,8 +27,9 @@
 	// writeTimeout limits the duration of a write. It is longer than timing.SessionCloseTimeout, so missing pings close the connection to a
 	// peer that does not read before this timeout does.
 	writeTimeout = time.Second
-	// finishTimeout limits the time for which Finish waits for the peer to read, and for which it then waits for the peer's end. It allows for
-	// several round trips between availability zones, and three of it are less than the time a stopping process has for its clean-ups.
+	// finishTimeout limits the time for which the writes of Finish wait for the peer to read, and that for which Finish then waits for the
+	// peer's end. It allows for several round trips between availability zones, and two of it are less than the time a stopping process has for
+	// its clean-ups.
 	finishTimeout = 100 * time.Millisecond
 	// bufferSize is the size of the read and the write buffer of a connection, in bytes. It holds about ten payloads. The two buffers of 100
 	// connections take 0.8 MB of the 32 MB that a process may use.
@@ -62,8 +62,8 @@
 	// finishing is closed by the first call of Finish.
 	finishing  chan struct{}
 	finishOnce sync.Once
-	// deadline is held while the deadline of writes is set, so that no write sets a later one than Finish.
-	deadline sync.Mutex
+	// limit limits the duration of writes.
+	limit writeLimit
 	// written is closed when the writing goroutine returns.
 	written chan struct{}
 	// cause is why the connection was closed. It is set once, before closed is closed.
@@ -74,7 +74,7 @@
 func New(conn net.Conn, counter Counter) *Connection {
 	c := &Connection{
 		conn: conn, counter: counter, queue: make(chan proto.Message, QueueSize), closed: make(chan struct{}),
-		finishing: make(chan struct{}), written: make(chan struct{}),
+		finishing: make(chan struct{}), written: make(chan struct{}), limit: writeLimit{conn: conn},
 	}
 	go c.write()
 	return c
@@ -90,14 +90,14 @@
 	})
 }
 
-// Finish writes the queued messages and closes the connection once the peer has closed it too. A peer that does not read for finishTimeout, or
-// does not close the connection within finishTimeout of the last write, is not waited for. Time in which this process does not get to write does
-// not count, as it says nothing of the peer. Messages sent afterwards are dropped. Another goroutine must read in the meantime: closing a
+// Finish writes the queued messages and closes the connection once the peer has closed it too. A peer for which the writes have waited for
+// finishTimeout, or that does not close the connection within finishTimeout of the last write, is not waited for. Time in which this process does
+// not get to write does not count, as it says nothing of the peer. Messages sent afterwards are dropped. Another goroutine must read in the meantime: closing a
 // connection with unread data resets it, which discards the data that the peer has not read yet.
 func (c *Connection) Finish() {
 	c.finishOnce.Do(func() {
 		close(c.finishing)
-		c.setWriteDeadline()
+		c.limit.finish(time.Now())
 	})
 	<-c.written
 	timeout := time.NewTimer(finishTimeout)
@@ -148,7 +148,7 @@
 			c.writeLast(&buffer)
 			return
 		case message := <-c.queue:
-			if !c.writeOrClose(&buffer, message, bufferSize) {
+			if !c.writeOrClose(&buffer, message) {
 				return
 			}
 		}
@@ -157,12 +157,10 @@
 
 // writeLast writes the queued messages and closes the write side of the connection.
 func (c *Connection) writeLast(buffer *bytes.Buffer) {
-	select {
-	case message := <-c.queue:
-		if !c.writeOrClose(buffer, message, math.MaxInt) {
+	for message := c.nextQueued(); message != nil; message = c.nextQueued() {
+		if !c.writeOrClose(buffer, message) {
 			return
 		}
-	default:
 	}
 	half, ok := c.conn.(interface{ CloseWrite() error })
 	if !ok {
@@ -174,10 +172,10 @@
 	}
 }
 
-// writeOrClose writes a message and queued ones until there are none or a size is reached. It returns false if that fails, and closes the
-// connection unless the peer has closed it: Read does so then, once it has read what the peer wrote before.
-func (c *Connection) writeOrClose(buffer *bytes.Buffer, message proto.Message, size int) bool {
-	err := c.writeQueued(buffer, message, size)
+// writeOrClose writes a message and queued ones, together about bufferSize. It returns false if that fails, and closes the connection unless the
+// peer has closed it: Read does so then, once it has read what the peer wrote before.
+func (c *Connection) writeOrClose(buffer *bytes.Buffer, message proto.Message) bool {
+	err := c.writeQueued(buffer, message)
 	if err != nil && !isClosedByPeer(err) {
 		c.Close(errors.Wrapf(err, "stream: unable to write to %s", c.conn.RemoteAddr()))
 	}
@@ -189,9 +187,9 @@
 	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// writeQueued encodes a message and queued ones until there are none or a size in bytes is reached, and writes them together. The time limit
-// covers only the write, so that a pause of this process before it does not end the connection.
-func (c *Connection) writeQueued(buffer *bytes.Buffer, message proto.Message, size int) error {
+// writeQueued encodes a message and queued ones until there are none or bufferSize is reached, and writes them together. The time limit covers only
+// the write, so that a pause of this process before it does not end the connection.
+func (c *Connection) writeQueued(buffer *bytes.Buffer, message proto.Message) error {
 	buffer.Reset()
 	for message != nil {
 		encoded, err := protodelim.MarshalTo(buffer, message)
@@ -200,12 +198,14 @@
 		}
 		c.counter.Sent(message, encoded)
 		message = nil
-		if buffer.Len() < size {
+		if buffer.Len() < bufferSize {
 			message = c.nextQueued()
 		}
 	}
-	c.setWriteDeadline()
+	began := time.Now()
+	c.limit.begin(began)
 	_, err := c.conn.Write(buffer.Bytes())
+	c.limit.end(began, time.Now())
 	if buffer.Cap() > maxKeptBuffer {
 		*buffer = bytes.Buffer{}
 	}
@@ -222,20 +222,6 @@
 	}
 }
 
-// setWriteDeadline limits the duration of the write that is in progress or about to begin.
-func (c *Connection) setWriteDeadline() {
-	c.deadline.Lock()
-	defer c.deadline.Unlock()
-	limit := writeTimeout
-	select {
-	case <-c.finishing:
-		limit = finishTimeout
-	default:
-	}
-	// An error is ignored, as it occurs only on a closed connection, which the write reports too.
-	_ = c.conn.SetWriteDeadline(time.Now().Add(limit))
-}
-
 // Read calls handle for every message until the connection ends, and returns why it ended.
 func Read[T any, M interface {
 	*T
