stream tests: Finish ends in time beside a peer that reads slowly

Cause: no test showed that the pieces that Finish writes are limited together; with each of them limited alone a slow peer would draw a stop out.

Change: TestFinishEndsWithASlowPeer, a pipe whose reader takes 25 ms for each piece, 512 pieces waiting; the bound is that of the test beside it. No product code.

--- a/internal/stream/connection_test.go
+++ b/internal/stream/connection_test.go
@@ -344,6 +344,35 @@
 	}
 }
 
+// TestFinishEndsWithASlowPeer finishes a connection to a peer that reads a piece in a quarter of finishTimeout, with far more pieces waiting than
+// it reads in that time. Finish must return within its timeout: the pieces together are limited, not each of them.
+func TestFinishEndsWithASlowPeer(t *testing.T) {
+	ours, theirs := net.Pipe()
+	c := New(ours, uncounted{})
+	for range QueueSize / 2 {
+		c.Send(text(strings.Repeat("x", bufferSize)))
+	}
+	ended := make(chan error, 1)
+	go func() {
+		piece := make([]byte, 2*bufferSize)
+		for {
+			time.Sleep(finishTimeout / 4)
+			if _, err := theirs.Read(piece); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}()
+	began := time.Now()
+	c.Finish()
+	if took := time.Since(began); took > 10*finishTimeout {
+		t.Errorf("took %s, want %s", took, finishTimeout)
+	}
+	if err := receive(t, ended); !errors.Is(err, io.EOF) {
+		t.Errorf("the peer's end is %v, want the end of the stream", err)
+	}
+}
+
 func TestFinishAfterTheEndReturns(t *testing.T) {
 	ours, _ := pair(t)
 	c := New(ours, uncounted{})
