--- a/internal/stream/connection.go
+++ b/internal/stream/connection.go
@@ -92,8 +92,8 @@
 
 // Finish writes the queued messages and closes the connection once the peer has closed it too. A peer for which the writes have waited for
 // finishTimeout, or that does not close the connection within finishTimeout of the last write, is not waited for. Time in which this process does
-// not get to write does not count, as it says nothing of the peer. Messages sent afterwards are dropped. Another goroutine must read in the meantime: closing a
-// connection with unread data resets it, which discards the data that the peer has not read yet.
+// not get to write does not count, as it says nothing of the peer. Messages sent afterwards are dropped. Another goroutine must read in the
+// meantime: closing a connection with unread data resets it, which discards the data that the peer has not read yet.
 func (c *Connection) Finish() {
 	c.finishOnce.Do(func() {
 		close(c.finishing)
