--- a/internal/overload/donetwice_test.go
+++ b/internal/overload/donetwice_test.go
@@ -17,7 +17,7 @@
 var cutSeed = flag.Uint64("cuts.seed", 1, "seed of the tests of cuts")
 
 const (
-	// longestCut is the length of a cut. Source: for_s of node_cut, at most 12.0 on the users' sites.
+	// longestCut is the length of a cut. Source: for_s of node_cut, 12.0 at most.
 	longestCut = 12 * time.Second
 	// cutAt is when the disruption begins, and afterCut how long the cluster goes on after the longest one.
 	cutAt    = 3 * time.Second
