--- a/internal/overload/clusterhandover_test.go
+++ b/internal/overload/clusterhandover_test.go
@@ -45,7 +45,8 @@
 func (c *cluster) sendHandOver(from, to *clusterEntry, f dispatch.HandOver) {
 	path := c.peerPath(from, to)
 	h := &clusterHandOver{cluster: c, sender: from, receiver: to, job: f.Job, number: f.Number, isAtSender: true, lastAtSender: c.now}
-	h.toReceiver, h.toSender = stream{clock: c.scheduler, from: &path.forthFrom}, stream{clock: c.scheduler, from: &path.backFrom}
+	h.toReceiver = stream{clock: c.scheduler, from: &path.forthFrom, extraDelay: &path.forthDelay}
+	h.toSender = stream{clock: c.scheduler, from: &path.backFrom}
 	from.handOvers = append(from.handOvers, h)
 	c.record("%s hands %s over to %s", from.name, f.Job.ID, to.name)
 	h.toReceiver.send(to.inLife(h.take))
--- a/internal/overload/sessionlink_test.go
+++ b/internal/overload/sessionlink_test.go
@@ -20,6 +20,8 @@
 	clock *scheduler
 	// forthFrom and backFrom are when each direction carries messages again. Those of an entry to an agent go forth.
 	forthFrom, backFrom time.Time
+	// forthDelay is how much later than usual messages arrive that are sent forth.
+	forthDelay time.Duration
 }
 
 // silence makes both directions silent for a time.
@@ -36,8 +38,10 @@
 type stream struct {
 	clock *scheduler
 	// from is when the direction of the path carries messages again.
-	from  *time.Time
-	queue []streamMessage
+	from *time.Time
+	// extraDelay is how much later than usual messages arrive that are sent now, nil if they do not.
+	extraDelay *time.Duration
+	queue      []streamMessage
 }
 
 type streamMessage struct {
@@ -46,9 +50,13 @@
 }
 
 func (s *stream) send(deliver func()) {
-	s.queue = append(s.queue, streamMessage{due: s.clock.now.Add(sessionDelay), deliver: deliver})
+	delay := sessionDelay
+	if s.extraDelay != nil {
+		delay += *s.extraDelay
+	}
+	s.queue = append(s.queue, streamMessage{due: s.clock.now.Add(delay), deliver: deliver})
 	if len(s.queue) == 1 {
-		s.clock.after(sessionDelay, s.carry)
+		s.clock.after(delay, s.carry)
 	}
 }
 
