entry: a ping of an agent is echoed after the events before it

What callers saw: by reading and a forced order only. The entry echoed the pings of agents on the goroutine that reads them. Each echo extends the leases of the entry's runs for 600 ms, but a caller's departure, which ends a run, waits in the queue of the event loop. While the loop was late, runs of callers that had left went on, also past the 1.3 s after which a caller submits its job again elsewhere.

Cause: the echo proved that the process reads, not that it had acted on what it knew.

Now the ping goes through the queue of the event loop, and its echo follows the stops of all earlier events. If the loop is late, agents end the session in time, as with a silent entry.

TestPayloadsArriveWhetherSentOrRepeated waited for the echo of the connection itself and now waits for the ping. The cluster of package overload echoed by the process already, which is why no schedule showed it; it now goes through the dispatcher, too.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -180,6 +180,8 @@
 		d.agentDeselected(e.Agent)
 	case AgentSelected:
 		d.agentSelected(e.Agent)
+	case AgentPinged:
+		d.emit(EchoPing(e))
 	case WorkerDescribed:
 		d.workerDescribed(now, e)
 	case LoadReceived:
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -62,6 +62,14 @@
 // CloseSession closes the session with an agent that has no runs of this entry.
 type CloseSession struct{ Agent AgentID }
 
+// EchoPing echoes a ping of an agent. The echo extends the leases of this entry's runs there, so it follows the stops of all earlier events: the
+// runs of an entry that handles its events late end in time.
+type EchoPing struct {
+	Agent AgentID
+	// Time is copied from AgentPinged.
+	Time int64
+}
+
 // HandOver hands a job over to another entry. A HandOverEnded with the same number reports the result.
 type HandOver struct {
 	Job Job
@@ -120,6 +128,7 @@
 func (AnswerOffer) isEffect()         {}
 func (SessionEnded) isEffect()        {}
 func (CloseSession) isEffect()        {}
+func (EchoPing) isEffect()            {}
 func (HandOver) isEffect()            {}
 func (WithdrawHandOver) isEffect()    {}
 func (RecordEnd) isEffect()           {}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -93,6 +93,13 @@
 // AgentSelected revokes an AgentDeselected.
 type AgentSelected struct{ Agent AgentID }
 
+// AgentPinged reports a ping of an agent. It is answered by an EchoPing.
+type AgentPinged struct {
+	Agent AgentID
+	// Time identifies the ping to the agent.
+	Time int64
+}
+
 // WorkerDescribed reports that an agent described its worker.
 type WorkerDescribed struct {
 	Agent  AgentID
@@ -181,6 +188,7 @@
 func (AgentDown) isEvent()          {}
 func (AgentDeselected) isEvent()    {}
 func (AgentSelected) isEvent()      {}
+func (AgentPinged) isEvent()        {}
 func (WorkerDescribed) isEvent()    {}
 func (LoadReceived) isEvent()       {}
 func (RunUpdated) isEvent()         {}
--- a/internal/entry/agents_test.go
+++ b/internal/entry/agents_test.go
@@ -33,7 +33,7 @@
 		e := &Entry{sessions: newSessionTable()}
 		if test.hasSession {
 			s := &agentSession{id: "agent-1"}
-			s.Incarnation(test.with)
+			s.incarnation.Store(test.with)
 			e.sessions.add(s)
 		}
 		if got := e.isOutdated(earlier, test.current); got != test.want {
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -164,6 +164,8 @@
 		e.onSession(effect.Agent, func(agent *session.AgentConn) { agent.Reserve(effect.Reservation) })
 	case dispatch.AnswerOffer:
 		e.onSession(effect.Agent, func(agent *session.AgentConn) { agent.AnswerOffer(effect.Offer) })
+	case dispatch.EchoPing:
+		e.onSession(effect.Agent, func(agent *session.AgentConn) { agent.EchoPing(effect.Time) })
 	case dispatch.SessionEnded:
 		e.sessions.endHandled(effect.Agent)
 	case dispatch.CloseSession:
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -54,9 +54,10 @@
 	s.lastMessage.Store(int64(clock.Since(epoch)))
 }
 
-// Incarnation records the incarnation of the agent's process.
-func (s *agentSession) Incarnation(incarnation int64) {
-	s.incarnation.Store(incarnation)
+// Ping records the incarnation of the agent's process, and passes the ping on to the event loop, which echoes it.
+func (s *agentSession) Ping(ping session.Ping) {
+	s.incarnation.Store(ping.Incarnation)
+	s.entry.post(dispatch.AgentPinged{Agent: s.id, Time: ping.Time})
 }
 
 // Worker passes on the description of the agent's worker.
--- a/internal/overload/cluster_test.go
+++ b/internal/overload/cluster_test.go
@@ -385,6 +385,10 @@
 	case dispatch.StopTask:
 		e.cluster.record("%s sends the stop of %s to %s", e.name, f.Name, f.Agent)
 		e.send(f.Agent, func(id runner.SessionID) runner.Event { return runner.StopRequested{Session: id, Name: f.Name} })
+	case dispatch.EchoPing:
+		e.send(f.Agent, func(id runner.SessionID) runner.Event {
+			return runner.PongReceived{Session: id, Sent: origin.Add(time.Duration(f.Time))}
+		})
 	case dispatch.Reserve:
 		e.send(f.Agent, func(id runner.SessionID) runner.Event {
 			return runner.ReservationRequested{Session: id, Reservation: f.Reservation}
--- a/internal/overload/sessionlink_test.go
+++ b/internal/overload/sessionlink_test.go
@@ -133,7 +133,7 @@
 
 // ping sends a ping to the entry, which echoes it.
 func (s *clusterSession) ping(sent time.Time) {
-	s.sendToEntry(func() { s.sendToAgent(runner.PongReceived{Session: s.id, Sent: sent}) })
+	s.sendToEntry(func() { s.entry.handle(dispatch.AgentPinged{Agent: s.agent.id, Time: int64(sent.Sub(origin))}) })
 }
 
 // closeAtEntry ends the session at the entry. The agent learns of it as soon as the path is not silent.
--- a/internal/session/entry.go
+++ b/internal/session/entry.go
@@ -26,8 +26,8 @@
 type AgentHandler interface {
 	// MessageReceived is called for each message, before the method for its type.
 	MessageReceived()
-	// Incarnation is called with each ping; the value identifies the agent's process.
-	Incarnation(int64)
+	// Ping is called with each ping of the agent. AgentConn.EchoPing must follow.
+	Ping(Ping)
 	// Worker is called with the record of the agent's worker when the session opens and when the record changes.
 	Worker(worker.Record)
 	// Load is called with the load of the worker. It includes the starts of the session up to and including number handled.
@@ -40,6 +40,14 @@
 	Crash(runner.Crash)
 }
 
+// Ping is a ping of an agent.
+type Ping struct {
+	// Time is when the ping was sent, in nanoseconds of the agent's clock.
+	Time int64
+	// Incarnation identifies the agent's process.
+	Incarnation int64
+}
+
 // AgentConn is an entry's side of a session. Its methods are safe for concurrent use and, except for Serve, do not block. Messages sent after
 // the session has ended are dropped.
 type AgentConn struct {
@@ -69,8 +77,7 @@
 	return s, nil
 }
 
-// Serve passes the agent's messages to the handler and answers its pings until the session ends. It returns the reason for the end, which is
-// never nil.
+// Serve passes the agent's messages to the handler until the session ends. It returns the reason for the end, which is never nil.
 func (s *AgentConn) Serve(handler AgentHandler) error {
 	return stream.Read(s.connection, func(m *sessionpb.FromAgent) {
 		handler.MessageReceived()
@@ -82,9 +89,8 @@
 func (s *AgentConn) handle(handler AgentHandler, m *sessionpb.FromAgent) {
 	switch message := m.Message.(type) {
 	case *sessionpb.FromAgent_Ping:
-		handler.Incarnation(message.Ping.Incarnation)
 		s.payload.mayRepeat.Store(message.Ping.KnowsRepeats)
-		s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Pong{Pong: &sessionpb.Pong{Time: message.Ping.Time}}})
+		handler.Ping(Ping{Time: message.Ping.Time, Incarnation: message.Ping.Incarnation})
 	case *sessionpb.FromAgent_Worker:
 		handler.Worker(unpackWorker(message.Worker))
 	case *sessionpb.FromAgent_Load:
@@ -98,6 +104,12 @@
 	}
 }
 
+// EchoPing answers the ping that was sent at a time of the agent's clock, which extends the session's lease. It must be called after all stops
+// that follow from what the entry knew when the ping arrived.
+func (s *AgentConn) EchoPing(time int64) {
+	s.connection.Send(&sessionpb.FromEntry{Message: &sessionpb.FromEntry_Pong{Pong: &sessionpb.Pong{Time: time}}})
+}
+
 // Start requests a run of a task. Starts are numbered consecutively within a session, from one.
 func (s *AgentConn) Start(number uint64, task runner.Task) {
 	start := packStart(number, task)
--- a/internal/session/payload_test.go
+++ b/internal/session/payload_test.go
@@ -15,7 +15,7 @@
 
 // TestPayloadsArriveWhetherSentOrRepeated sends starts before and after the agent has announced its support for repeated payloads.
 func TestPayloadsArriveWhetherSentOrRepeated(t *testing.T) {
-	entry, server, _, events := pair(t)
+	entry, server, entrySide, events := pair(t)
 	opened := receive(t, events).(runner.SessionOpened)
 	payloads := []string{"a", "a", "b", "b", "", "", "b", "a", "a"}
 	for _, hasPinged := range []bool{false, true} {
@@ -26,7 +26,7 @@
 			}
 		}
 		server.Send(runner.SendPing{Session: opened.Session, Time: clock.Now()})
-		receive(t, events)
+		receive(t, entrySide.pings)
 	}
 	if !entry.payload.mayRepeat.Load() {
 		t.Error("the ping did not announce support for repeated payloads")
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"reflect"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,12 +23,12 @@
 
 // recorder is an AgentHandler that records the messages of an agent.
 type recorder struct {
-	messages    chan any
-	incarnation *atomic.Int64
+	messages chan any
+	pings    chan Ping
 }
 
 func (h recorder) MessageReceived()            {}
-func (h recorder) Incarnation(n int64)         { h.incarnation.Store(n) }
+func (h recorder) Ping(ping Ping)              { h.pings <- ping }
 func (h recorder) Worker(record worker.Record) { h.messages <- record }
 func (h recorder) Load(handled uint64, load runner.Load) {
 	h.messages <- runner.SendLoad{Handled: handled, Load: load}
@@ -63,7 +62,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(entry.Close)
-	h := recorder{messages: make(chan any, 100), incarnation: new(atomic.Int64)}
+	h := recorder{messages: make(chan any, 100), pings: make(chan Ping, 100)}
 	go func() { _ = entry.Serve(h) }()
 	return entry, server, h, events
 }
@@ -136,14 +135,16 @@
 }
 
 func TestPongCarriesTimeOfPing(t *testing.T) {
-	_, server, entrySide, events := pair(t)
+	conn, server, entrySide, events := pair(t)
 	opened := receive(t, events).(runner.SessionOpened)
 	sent := clock.Now().Add(-time.Minute)
 	server.Send(runner.SendPing{Session: opened.Session, Time: sent})
-	pong := receive(t, events).(runner.PongReceived)
-	if got := entrySide.incarnation.Load(); got != 77 {
-		t.Errorf("incarnation %d, want 77", got)
+	ping := receive(t, entrySide.pings)
+	if ping.Incarnation != 77 {
+		t.Errorf("incarnation %d, want 77", ping.Incarnation)
 	}
+	conn.EchoPing(ping.Time)
+	pong := receive(t, events).(runner.PongReceived)
 	if pong.Session != opened.Session || !pong.Sent.Equal(sent) {
 		t.Fatalf("got %+v, want a pong of %s", pong, sent)
 	}
