handover: the right to run a job counts from what its sender has echoed

A job that was handed over went on after its caller had left and had submitted it again, if the connection between the two entries delivered messages late without a pause, as a link does whose queue is full: 1.26 s late, or 0.76 s if the worker accepts no stop.

Cause: the receiver counted silence from the arrival of messages. A connection on which everything is a second late is never silent, and the withdrawal is as late as the rest.

Now the receiver's pings carry the time, the sender echoes them, and the right to run the job counts from when the latest echoed ping was sent, as it does between entries and agents. The echo goes through the sender's event loop, after the withdrawals of all earlier events. A sender of an earlier build sets no echoes_pings and is treated as before; an earlier receiver sends no time and gets no echo.

The former tests of package handover pass with the race detector; their recorder echoes pings now.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -200,6 +200,8 @@
 		d.handOverAccepted(now, e)
 	case HandOverEnded:
 		d.handOverEnded(now, e)
+	case HandOverPinged:
+		d.emit(EchoHandOverPing(e))
 	case LearnedReceived:
 		d.mergeLearned(now, e.Kinds)
 	case EvacuationsChanged:
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -83,6 +83,13 @@
 	Number uint64
 }
 
+// EchoHandOverPing echoes a ping of an entry to which jobs were handed over. Like EchoPing, it follows the withdrawals of all earlier events.
+type EchoHandOverPing struct {
+	// Link and Time are copied from HandOverPinged.
+	Link uint64
+	Time int64
+}
+
 // RecordEnd passes the end of a run of a durable job to package durable, which records it before the worker may discard
 // it.
 type RecordEnd struct {
@@ -131,6 +138,7 @@
 func (EchoPing) isEffect()            {}
 func (HandOver) isEffect()            {}
 func (WithdrawHandOver) isEffect()    {}
+func (EchoHandOverPing) isEffect()    {}
 func (RecordEnd) isEffect()           {}
 func (ReadStoredEnds) isEffect()      {}
 func (DurableStarted) isEffect()      {}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -160,6 +160,13 @@
 	Result HandOverResult
 }
 
+// HandOverPinged reports a ping of an entry to which jobs were handed over. It is answered by an EchoHandOverPing.
+type HandOverPinged struct {
+	// Link and Time identify the connection and the ping.
+	Link uint64
+	Time int64
+}
+
 // LearnedReceived carries what another entry has learned about kinds.
 type LearnedReceived struct{ Kinds []learned.Kind }
 
@@ -198,6 +205,7 @@
 func (UnendedRunReceived) isEvent() {}
 func (HandOverAccepted) isEvent()   {}
 func (HandOverEnded) isEvent()      {}
+func (HandOverPinged) isEvent()     {}
 func (LearnedReceived) isEvent()    {}
 func (EvacuationsChanged) isEvent() {}
 func (ShutdownRequested) isEvent()  {}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -37,6 +37,11 @@
 	e.post(dispatch.HandOverEnded{Job: job, Number: number, Result: result})
 }
 
+// PingReceived passes a ping of an entry to which jobs were handed over to the event loop, which echoes it.
+func (e *Entry) PingReceived(link handover.LinkID, time int64) {
+	e.post(dispatch.HandOverPinged{Link: uint64(link), Time: time})
+}
+
 // handOverPeers returns the entries to which jobs may be handed over. It returns none if hand-over is disabled, so that no
 // connections are opened.
 func (e *Entry) handOverPeers() []handover.Peer {
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -10,6 +10,7 @@
 	"sailhead/internal/cluster"
 	"sailhead/internal/dispatch"
 	"sailhead/internal/durable"
+	"sailhead/internal/handover"
 	"sailhead/internal/logging"
 	"sailhead/internal/metric"
 	"sailhead/internal/session"
@@ -174,6 +175,8 @@
 		e.handOver(effect)
 	case dispatch.WithdrawHandOver:
 		e.handOvers.Withdraw(effect.Number)
+	case dispatch.EchoHandOverPing:
+		e.handOvers.EchoPing(handover.LinkID(effect.Link), effect.Time)
 	case dispatch.PropagateCrash:
 		e.directory.AddCrash(clock.Now(), cluster.Crash{Agent: string(effect.Agent), Crash: effect.Crash})
 	case dispatch.PropagateUnendedRun:
--- a/internal/handover/convert.go
+++ b/internal/handover/convert.go
@@ -19,7 +19,7 @@
 	}
 	packed := &handoverpb.Job{
 		Number: number, Job: durable.PackJob(job), RemainingMs: wire.Millis(job.RemainingTime), Zone: zone,
-		TimeoutMs: wire.Millis(job.Kind.Timeout), Weight: wire.Hundredths(job.Kind.Weight),
+		TimeoutMs: wire.Millis(job.Kind.Timeout), Weight: wire.Hundredths(job.Kind.Weight), EchoesPings: true,
 	}
 	if !job.Received.IsZero() {
 		packed.AgeMs = wire.Millis(now.Sub(job.Received))
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,8 +54,17 @@
 	result     dispatch.HandOverResult
 }
 
-// recorder is a Handler that records the reports of a sender.
-type recorder struct{ outcomes chan outcome }
+// recorder is a Handler that records the reports of a sender, and lets it echo all pings.
+type recorder struct {
+	outcomes chan outcome
+	sender   atomic.Pointer[Sender]
+}
+
+func (r *recorder) PingReceived(link LinkID, time int64) {
+	if sender := r.sender.Load(); sender != nil {
+		sender.EchoPing(link, time)
+	}
+}
 
 func (r *recorder) HandOverAccepted(job string, number uint64, entry string) {
 	r.outcomes <- outcome{job: job, number: number, entry: entry}
@@ -83,6 +93,7 @@
 	sender, closeSender := NewSender("zone-a", func() []Peer { return append([]Peer(nil), peers...) }, r.reports)
 	t.Cleanup(closeSender)
 	r.sender = sender
+	r.reports.sender.Store(sender)
 	return r
 }
 
--- a/internal/handover/liveness.go
+++ b/internal/handover/liveness.go
@@ -15,17 +15,20 @@
 // pingInterval is the time between pings of each end while jobs are outstanding. Two lost pings stay within timing.SessionCloseTimeout.
 const pingInterval = timing.IdlePingInterval
 
-// errSilent closes a connection whose peer sent nothing for timing.SessionCloseTimeout.
-var errSilent = errors.New("handover: the peer sent nothing within the session close timeout")
+// errSilent closes a connection whose peer was silent for timing.SessionCloseTimeout.
+var errSilent = errors.New("handover: the peer has shown nothing of itself within the session close timeout")
 
 // liveness detects a silent peer of a connection. Only time with outstanding jobs counts, as pings are sent only then. It is safe for
 // concurrent use.
+//
+// The sender of jobs counts silence from the arrival of messages. Their receiver counts it from when it sent the latest ping that the sender has
+// echoed: a connection may deliver messages late without a pause, and the withdrawal of a job is as late as the others.
 type liveness struct {
 	mu sync.Mutex
 	// jobs is the number of outstanding jobs.
 	jobs int
-	// lastReceived is the time of the last message from the peer, or of the first outstanding job if that is later.
-	lastReceived time.Time
+	// lastHeard is the latest time at which the peer is known to have been alive, or the arrival of the first outstanding job if that is later.
+	lastHeard time.Time
 }
 
 // began records an additional outstanding job.
@@ -33,7 +36,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.jobs == 0 {
-		l.lastReceived = now
+		l.lastHeard = now
 	}
 	l.jobs++
 }
@@ -45,11 +48,11 @@
 	l.jobs--
 }
 
-// received records a message from the peer.
-func (l *liveness) received(now time.Time) {
+// received records that the peer was alive at a time.
+func (l *liveness) received(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastReceived = now
+	l.lastHeard = at
 }
 
 // check reports whether jobs are outstanding and, if so, whether the peer has been silent for timing.SessionCloseTimeout, and when to check
@@ -61,6 +64,6 @@
 	if !isActive {
 		return false, false, pingInterval
 	}
-	remaining := timing.SessionCloseTimeout - now.Sub(l.lastReceived)
+	remaining := timing.SessionCloseTimeout - now.Sub(l.lastHeard)
 	return true, remaining <= 0, min(pingInterval, remaining)
 }
--- a/internal/handover/sender.go
+++ b/internal/handover/sender.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"sailhead/internal/clock"
 	"sailhead/internal/dispatch"
@@ -42,8 +43,14 @@
 	HandOverAccepted(job string, number uint64, entry string)
 	// HandOverEnded is called with the result of a hand-over. It is the last call with its number.
 	HandOverEnded(job string, number uint64, result dispatch.HandOverResult)
+	// PingReceived is called with each ping of another entry. Sender.EchoPing must follow with the same values, after the withdrawals that
+	// follow from what was known when the ping arrived.
+	PingReceived(link LinkID, time int64)
 }
 
+// LinkID identifies a connection of a sender to another entry.
+type LinkID uint64
+
 // Peer is another entry.
 type Peer struct {
 	Name string
@@ -61,6 +68,8 @@
 
 	mu    sync.Mutex
 	links []*link
+	// lastLink is the ID of the most recent link.
+	lastLink LinkID
 	// jobs maps the numbers of outstanding hand-overs to their links.
 	jobs map[uint64]*link
 	// redials maps the names of entries to their reconnect backoff; see redial.go.
@@ -69,6 +78,7 @@
 
 // link is the connection to one entry, or the attempt to open it.
 type link struct {
+	id   LinkID
 	peer Peer
 	// conn is nil until the connection is open.
 	conn  *stream.Connection
@@ -173,7 +183,8 @@
 		if len(s.links) >= limit || isLinked || now.Before(s.redials[peer.Name].at) || s.ctx.Err() != nil {
 			continue
 		}
-		l := &link{peer: peer, jobs: make(map[uint64]string), used: now}
+		s.lastLink++
+		l := &link{id: s.lastLink, peer: peer, jobs: make(map[uint64]string), used: now}
 		s.links = append(s.links, l)
 		s.goroutines.Go(func() { s.serve(l) })
 	}
@@ -194,7 +205,9 @@
 		c.Close(stream.ErrClosed)
 	}
 	s.goroutines.Go(func() {
-		watch(c, &l.alive, &handoverpb.FromSender{Message: &handoverpb.FromSender_Ping{Ping: &handoverpb.Ping{}}})
+		watch(c, &l.alive, func(time.Time) proto.Message {
+			return &handoverpb.FromSender{Message: &handoverpb.FromSender_Ping{Ping: &handoverpb.Ping{}}}
+		})
 	})
 	s.goroutines.Go(func() { s.closeIdle(l, c) })
 	err = stream.Read(c, func(m *handoverpb.FromReceiver) { s.handle(l, m) })
@@ -211,6 +224,20 @@
 		}
 	case *handoverpb.FromReceiver_Answer:
 		s.handleAnswer(l, message.Answer)
+	case *handoverpb.FromReceiver_Ping:
+		if message.Ping.Time != 0 {
+			s.handler.PingReceived(l.id, message.Ping.Time)
+		}
+	}
+}
+
+// EchoPing answers a ping of another entry, which extends the lease of the jobs handed over on that link. It does nothing if the link has ended.
+func (s *Sender) EchoPing(id LinkID, time int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := slices.IndexFunc(s.links, func(l *link) bool { return l.id == id })
+	if at >= 0 && s.links[at].conn != nil {
+		s.links[at].conn.Send(&handoverpb.FromSender{Message: &handoverpb.FromSender_Echo{Echo: &handoverpb.Echo{Time: time}}})
 	}
 }
 
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -129,14 +129,17 @@
 	cancel  map[uint64]context.CancelFunc
 	// isStopping is set once no further jobs are accepted.
 	isStopping bool
-	// hasInvalidMessage is set once an invalid message was received. Only the reading goroutine uses it.
+	// The reading goroutine alone uses the fields below. hasInvalidMessage is set once an invalid message was received.
 	hasInvalidMessage bool
+	// echoes is set if the sender echoes pings, and confirmed is when the latest ping that it has echoed was sent.
+	echoes    bool
+	confirmed time.Time
 }
 
 // serve accepts jobs until the connection ends, and then cancels the outstanding ones.
 func (s *Server) serve(r *inboundConn, address net.Addr) {
 	s.goroutines.Go(func() {
-		watch(r.conn, &r.alive, &handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Ping{Ping: &handoverpb.Ping{}}})
+		watch(r.conn, &r.alive, packPing)
 	})
 	// Connections that ended for other reasons are logged by the sender.
 	if err := stream.Read(r.conn, r.handle); errors.Is(err, errInvalid) {
@@ -184,7 +187,9 @@
 	if r.hasInvalidMessage {
 		return
 	}
-	r.alive.received(clock.Now())
+	if !r.echoes {
+		r.alive.received(clock.Now())
+	}
 	switch message := m.Message.(type) {
 	case *handoverpb.FromSender_Job:
 		if err := r.check(message.Job); err != nil {
@@ -195,6 +200,18 @@
 		r.take(message.Job)
 	case *handoverpb.FromSender_Withdrawal:
 		r.end(message.Withdrawal.Number)
+	case *handoverpb.FromSender_Echo:
+		r.echoed(clock.Now(), message.Echo.Time)
+	}
+}
+
+// echoed extends the lease of the connection's jobs: it counts from the time at which the echoed ping was sent, since the sender wanted them at
+// that time or later. A time at which no ping can have been sent is ignored.
+func (r *inboundConn) echoed(now time.Time, pingTime int64) {
+	sent := pingEpoch.Add(time.Duration(pingTime))
+	if sent.After(r.confirmed) && !sent.After(now) {
+		r.confirmed = sent
+		r.alive.received(sent)
 	}
 }
 
@@ -216,6 +233,7 @@
 		r.conn.Send(packAnswer(packed.Number, dispatch.NotRun{Reason: "the entry stops", RetryAfter: dispatch.RetryAfter, IsLocal: true}))
 		return
 	}
+	r.echoes = r.echoes || packed.EchoesPings
 	r.alive.began(clock.Now())
 	r.conn.Send(&handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Taken{Taken: &handoverpb.Taken{Number: packed.Number}}})
 	job := unpackJob(clock.Now(), packed)
@@ -254,8 +272,17 @@
 	}
 }
 
+// pingEpoch is the origin of the times in pings.
+var pingEpoch = clock.Now()
+
+// packPing returns a ping that is sent at the given time and that the sender of jobs echoes.
+func packPing(now time.Time) proto.Message {
+	ping := &handoverpb.Ping{Time: int64(now.Sub(pingEpoch))}
+	return &handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Ping{Ping: ping}}
+}
+
 // watch sends pings while jobs are outstanding on a connection, closes it if its peer is silent, and returns once it has ended.
-func watch(conn *stream.Connection, alive *liveness, ping proto.Message) {
+func watch(conn *stream.Connection, alive *liveness, ping func(now time.Time) proto.Message) {
 	timer := time.NewTimer(pingInterval)
 	defer timer.Stop()
 	for {
@@ -264,13 +291,14 @@
 			return
 		case <-timer.C:
 		}
-		isActive, isSilent, next := alive.check(clock.Now())
+		now := clock.Now()
+		isActive, isSilent, next := alive.check(now)
 		timer.Reset(next)
 		switch {
 		case isSilent:
 			conn.Close(errSilent)
 		case isActive:
-			conn.Send(ping)
+			conn.Send(ping(now))
 		}
 	}
 }
--- a/internal/overload/cluster_test.go
+++ b/internal/overload/cluster_test.go
@@ -39,6 +39,8 @@
 	// limits are those of all entries.
 	limits      dispatch.Limits
 	lastSession runner.SessionID
+	// lastLink is the number of the latest connection for a job that was handed over.
+	lastLink uint64
 	// begun counts the runs that have begun, and overlaps describes those that began beside another run of their task.
 	begun    int
 	overlaps []string
@@ -403,6 +405,8 @@
 		e.handOver(f)
 	case dispatch.WithdrawHandOver:
 		e.withdrawHandOver(f)
+	case dispatch.EchoHandOverPing:
+		e.echoHandOverPing(f)
 	case dispatch.Reply:
 		e.reply(f)
 	}
--- a/internal/overload/clusterhandover_test.go
+++ b/internal/overload/clusterhandover_test.go
@@ -12,16 +12,17 @@
 )
 
 // clusterHandOver is a job that an entry has handed over to another one, with a connection of its own. As in package handover, both ends send
-// pings, and an end that receives nothing closes the connection.
+// pings, the sender echoes those of the receiver, and an end whose peer is silent closes the connection.
 type clusterHandOver struct {
 	cluster              *cluster
+	link                 uint64
 	sender, receiver     *clusterEntry
 	job                  dispatch.Job
 	number               uint64
 	toReceiver, toSender stream
 	// isAtSender and isAtReceiver are set while the job is outstanding at each end.
 	isAtSender, isAtReceiver bool
-	// lastAtSender and lastAtReceiver are when each end received the latest message.
+	// lastAtSender is when the sender received the latest message, lastAtReceiver when the receiver sent the latest ping that was echoed.
 	lastAtSender, lastAtReceiver time.Time
 	request                      clusterRequest
 }
@@ -44,7 +45,10 @@
 
 func (c *cluster) sendHandOver(from, to *clusterEntry, f dispatch.HandOver) {
 	path := c.peerPath(from, to)
-	h := &clusterHandOver{cluster: c, sender: from, receiver: to, job: f.Job, number: f.Number, isAtSender: true, lastAtSender: c.now}
+	c.lastLink++
+	h := &clusterHandOver{
+		cluster: c, link: c.lastLink, sender: from, receiver: to, job: f.Job, number: f.Number, isAtSender: true, lastAtSender: c.now,
+	}
 	h.toReceiver = stream{clock: c.scheduler, from: &path.forthFrom, extraDelay: &path.forthDelay}
 	h.toSender = stream{clock: c.scheduler, from: &path.backFrom}
 	from.handOvers = append(from.handOvers, h)
@@ -104,7 +108,6 @@
 	h.toReceiver.send(func() {
 		h.receiver.do(func() {
 			if h.isAtReceiver {
-				h.lastAtReceiver = h.cluster.now
 				handle()
 			}
 		})
@@ -170,11 +173,26 @@
 			h.reportToSender(h.lose)
 			h.cancel()
 		default:
-			h.reportToSender(func() {})
+			h.ping()
 		}
 	})
 }
 
+// ping sends a ping to the sender, which echoes it.
+func (h *clusterHandOver) ping() {
+	sent := int64(h.cluster.now.Sub(origin))
+	h.reportToSender(func() { h.sender.handle(dispatch.HandOverPinged{Link: h.link, Time: sent}) })
+}
+
+// echoHandOverPing echoes a ping to the receiver of a job.
+func (e *clusterEntry) echoHandOverPing(f dispatch.EchoHandOverPing) {
+	for _, h := range e.handOvers {
+		if h.sender == e && h.link == f.Link {
+			h.reportToReceiver(func() { h.lastAtReceiver = origin.Add(time.Duration(f.Time)) })
+		}
+	}
+}
+
 // withdrawHandOver tells the receiver that the job is not needed any more.
 func (e *clusterEntry) withdrawHandOver(f dispatch.WithdrawHandOver) {
 	for _, h := range slices.Clone(e.handOvers) {
