handover: a job is submitted once its sender has confirmed it

What callers saw: an entry that stood still wakes, reads requests whose callers left long ago, and hands some of them over on a connection that was idle, before it sees that the callers have left.

Cause: the receiver acted on the arrival of a job. Nothing told how old the message was, or whether its sender knew that the caller was still there. Sessions do not have this fault: an agent takes a start only while the lease of the session is valid, which rests on echoed pings.

A connection in use has recent echoes, so only the first job after a pause waits for a round trip. Idle connections cost nothing. Jobs of earlier builds are submitted as before.

TestAnInvalidJobEndsTheConnection needs a sender that echoes, so that its first job is submitted; what it checks is the same.

--- a/internal/handover/check_test.go
+++ b/internal/handover/check_test.go
@@ -10,7 +10,6 @@
 	"sailhead/internal/clock"
 	"sailhead/internal/durable/durablepb"
 	"sailhead/internal/handover/handoverpb"
-	"sailhead/internal/stream"
 )
 
 func TestAJobThatNoEntryHandsOverIsInvalid(t *testing.T) {
@@ -47,23 +46,14 @@
 // before and accept none after it.
 func TestAnInvalidJobEndsTheConnection(t *testing.T) {
 	local := &fakeEntry{submitted: make(chan *submission, 10)}
-	address, _ := serve(t, local)
-	conn, err := dial(t.Context(), address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := stream.New(conn, uncounted{})
-	good := packJob(clock.Now(), 1, "zone-a", job("a"))
+	sender := newScriptedSender(t, local)
 	invalid := packJob(clock.Now(), 2, "zone-a", job("b"))
 	invalid.GetJob().Job.Steps = nil
-	c.Send(good)
-	c.Send(invalid)
-	c.Send(packJob(clock.Now(), 3, "zone-a", job("c")))
-	ended := make(chan error, 1)
-	go func() { ended <- stream.Read(c, func(*handoverpb.FromReceiver) {}) }()
-	if err := receive(t, ended); err == nil {
-		t.Error("the connection ended without an error")
-	}
+	sender.send(packJob(clock.Now(), 1, "zone-a", job("a")))
+	sender.echo(sender.receivePing())
+	sender.send(invalid)
+	sender.send(packJob(clock.Now(), 3, "zone-a", job("c")))
+	receive(t, sender.conn.Closed())
 	s := receive(t, local.submitted)
 	if s.job.ID != "a" {
 		t.Errorf("got the job %s first", s.job.ID)
--- a/internal/handover/latejob_test.go
+++ b/internal/handover/latejob_test.go
@@ -27,6 +27,11 @@
 // newScriptedSender returns a sender that is connected to the server of an entry.
 func newScriptedSender(t *testing.T, local LocalEntry) *scriptedSender {
 	address, _ := serve(t, local)
+	return connectScriptedSender(t, address)
+}
+
+// connectScriptedSender returns a sender that is connected to the server at an address.
+func connectScriptedSender(t *testing.T, address string) *scriptedSender {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -44,6 +49,117 @@
 
 func (s *scriptedSender) send(message proto.Message) { s.conn.Send(message) }
 
+// receivePing returns the time of the next ping that is to be echoed.
+func (s *scriptedSender) receivePing() int64 {
+	s.t.Helper()
+	for {
+		if ping := receive(s.t, s.received).GetPing(); ping.GetTime() != 0 {
+			return ping.GetTime()
+		}
+	}
+}
+
+// echo answers a ping.
+func (s *scriptedSender) echo(time int64) {
+	s.send(&handoverpb.FromSender{Message: &handoverpb.FromSender_Echo{Echo: &handoverpb.Echo{Time: time}}})
+}
+
+// withdraw withdraws a job.
+func (s *scriptedSender) withdraw(number uint64) {
+	s.send(&handoverpb.FromSender{Message: &handoverpb.FromSender_Withdrawal{Withdrawal: &handoverpb.Withdrawal{Number: number}}})
+}
+
+// checkNotSubmitted fails the test if a job is submitted within quietTime.
+func checkNotSubmitted(t *testing.T, local *fakeEntry) {
+	t.Helper()
+	select {
+	case s := <-local.submitted:
+		t.Fatalf("the job %s was submitted", s.job.ID)
+	case <-time.After(quietTime):
+	}
+}
+
+// quietTime is how long a test looks for something that must not happen.
+const quietTime = 50 * time.Millisecond
+
+func TestAJobIsSubmittedOnceItsSenderHasEchoedAPing(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	s := newScriptedSender(t, local)
+	s.send(packJob(clock.Now(), 1, "zone-a", job("a")))
+	ping := s.receivePing()
+	checkNotSubmitted(t, local)
+	s.echo(ping)
+	if got := receive(t, local.submitted).job.ID; got != "a" {
+		t.Errorf("got the job %s", got)
+	}
+	// The echo is recent, so the next job needs no other one.
+	s.send(packJob(clock.Now(), 2, "zone-a", job("b")))
+	if got := receive(t, local.submitted).job.ID; got != "b" {
+		t.Errorf("got the job %s", got)
+	}
+}
+
+func TestAJobThatIsWithdrawnBeforeTheEchoIsNotSubmitted(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	s := newScriptedSender(t, local)
+	s.send(packJob(clock.Now(), 1, "zone-a", job("a")))
+	s.send(packJob(clock.Now(), 2, "zone-a", job("b")))
+	ping := s.receivePing()
+	s.withdraw(1)
+	s.echo(ping)
+	if got := receive(t, local.submitted).job.ID; got != "b" {
+		t.Errorf("got the job %s, want the one that was not withdrawn", got)
+	}
+	checkNotSubmitted(t, local)
+}
+
+// TestAnEchoOfNoPingConfirmsNothing sends echoes of pings from the future and from long ago.
+func TestAnEchoOfNoPingConfirmsNothing(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	s := newScriptedSender(t, local)
+	s.send(packJob(clock.Now(), 1, "zone-a", job("a")))
+	ping := s.receivePing()
+	s.echo(ping + int64(time.Hour))
+	s.echo(ping - int64(timing.SessionCloseTimeout))
+	checkNotSubmitted(t, local)
+	s.echo(ping)
+	receive(t, local.submitted)
+}
+
+func TestAnEntryThatStopsRefusesUnconfirmedJobs(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	address, _, stop := serveUntilStopped(t, local)
+	s := connectScriptedSender(t, address)
+	s.send(packJob(clock.Now(), 1, "zone-a", job("a")))
+	s.receivePing()
+	stop()
+	for {
+		if answer := receive(t, s.received).GetAnswer(); answer != nil {
+			if answer.Outcome != handoverpb.Outcome_OUTCOME_REFUSED {
+				t.Errorf("got %v, want a refusal", answer)
+			}
+			return
+		}
+	}
+}
+
+// TestAJobOfAnEarlierVersionIsSubmittedAtOnce covers a sender that does not echo pings. Its own pings keep its job.
+func TestAJobOfAnEarlierVersionIsSubmittedAtOnce(t *testing.T) {
+	local := &fakeEntry{submitted: make(chan *submission, 10)}
+	s := newScriptedSender(t, local)
+	packed := packJob(clock.Now(), 1, "zone-a", job("a"))
+	packed.GetJob().EchoesPings = false
+	s.send(packed)
+	submitted := receive(t, local.submitted)
+	for began := time.Now(); time.Since(began) < 2*timing.SessionCloseTimeout; time.Sleep(pingInterval) {
+		s.send(&handoverpb.FromSender{Message: &handoverpb.FromSender_Ping{Ping: &handoverpb.Ping{}}})
+	}
+	if submitted.ctx.Err() != nil {
+		t.Error("the job was cancelled although its sender is alive")
+	}
+	receive(t, submitted.ctx.Done())
+}
+
 // TestAJobOfASenderThatDoesNotAnswerIsNotSubmitted sends a job on a connection that was idle, as a process does that was suspended and hands
 // over what it reads late, and then nothing more.
 //
--- a/internal/handover/liveness.go
+++ b/internal/handover/liveness.go
@@ -31,12 +31,12 @@
 	lastHeard time.Time
 }
 
-// began records an additional outstanding job.
-func (l *liveness) began(now time.Time) {
+// began records an additional outstanding job, whose sender was alive at a time.
+func (l *liveness) began(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.jobs == 0 {
-		l.lastHeard = now
+		l.lastHeard = at
 	}
 	l.jobs++
 }
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -127,13 +127,15 @@
 	submits sync.WaitGroup
 	mu      sync.Mutex
 	cancel  map[uint64]context.CancelFunc
+	// unconfirmed are the jobs that are not submitted yet; see confirmation.go.
+	unconfirmed []unconfirmedJob
 	// isStopping is set once no further jobs are accepted.
 	isStopping bool
 	// The reading goroutine alone uses the fields below. hasInvalidMessage is set once an invalid message was received.
 	hasInvalidMessage bool
-	// echoes is set if the sender echoes pings, and confirmed is when the latest ping that it has echoed was sent.
-	echoes    bool
-	confirmed time.Time
+	// echoes is set if the sender echoes pings, and echoedAt is when the latest ping that it has echoed was sent.
+	echoes   bool
+	echoedAt time.Time
 }
 
 // serve accepts jobs until the connection ends, and then cancels the outstanding ones.
@@ -167,6 +169,7 @@
 	r.mu.Lock()
 	r.isStopping = true
 	r.mu.Unlock()
+	r.refuseUnconfirmed()
 	answered := make(chan struct{})
 	go func() {
 		r.submits.Wait()
@@ -201,17 +204,7 @@
 	case *handoverpb.FromSender_Withdrawal:
 		r.end(message.Withdrawal.Number)
 	case *handoverpb.FromSender_Echo:
-		r.echoed(clock.Now(), message.Echo.Time)
-	}
-}
-
-// echoed extends the lease of the connection's jobs: it counts from the time at which the echoed ping was sent, since the sender wanted them at
-// that time or later. A time at which no ping can have been sent is ignored.
-func (r *inboundConn) echoed(now time.Time, pingTime int64) {
-	sent := pingEpoch.Add(time.Duration(pingTime))
-	if sent.After(r.confirmed) && !sent.After(now) {
-		r.confirmed = sent
-		r.alive.received(sent)
+		r.echoed(message.Echo.Time)
 	}
 }
 
@@ -226,28 +219,53 @@
 	return checkJob(packed)
 }
 
-// take submits a job and sends its answer, unless the job is cancelled first.
+// take submits a job, once its sender has confirmed it.
 func (r *inboundConn) take(packed *handoverpb.Job) {
+	now := clock.Now()
+	r.echoes = r.echoes || packed.EchoesPings
 	ctx, ok := r.begin(packed.Number)
 	if !ok {
-		r.conn.Send(packAnswer(packed.Number, dispatch.NotRun{Reason: "the entry stops", RetryAfter: dispatch.RetryAfter, IsLocal: true}))
+		r.refuse(packed.Number)
 		return
 	}
-	r.echoes = r.echoes || packed.EchoesPings
-	r.alive.began(clock.Now())
-	r.conn.Send(&handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Taken{Taken: &handoverpb.Taken{Number: packed.Number}}})
-	job := unpackJob(clock.Now(), packed)
+	j := unconfirmedJob{number: packed.Number, job: unpackJob(now, packed), ctx: ctx}
+	switch {
+	case !r.echoes:
+		r.alive.began(now)
+		r.submit(j)
+	case r.isConfirmed(now):
+		r.alive.began(r.echoedAt)
+		r.submit(j)
+	default:
+		r.alive.began(now)
+		r.awaitConfirmation(now, j)
+	}
+}
+
+// refuse answers that a job was not run as the entry stops.
+func (r *inboundConn) refuse(number uint64) {
+	r.conn.Send(packAnswer(number, dispatch.NotRun{Reason: "the entry stops", RetryAfter: dispatch.RetryAfter, IsLocal: true}))
+}
+
+// submit submits a job and sends its answer, unless the job is cancelled first.
+func (r *inboundConn) submit(j unconfirmedJob) {
+	if !r.beginSubmit() {
+		r.end(j.number)
+		r.refuse(j.number)
+		return
+	}
+	r.conn.Send(&handoverpb.FromReceiver{Message: &handoverpb.FromReceiver_Taken{Taken: &handoverpb.Taken{Number: j.number}}})
 	go func() {
 		defer r.submits.Done()
-		answer := r.local.Submit(ctx, job)
-		if ctx.Err() == nil {
-			r.conn.Send(packAnswer(packed.Number, answer))
+		answer := r.local.Submit(j.ctx, j.job)
+		if j.ctx.Err() == nil {
+			r.conn.Send(packAnswer(j.number, answer))
 		}
-		r.end(packed.Number)
+		r.end(j.number)
 	}()
 }
 
-// begin records an outstanding job and its call of Submit; ok is false if no further jobs are accepted.
+// begin records an outstanding job; ok is false if no further jobs are accepted.
 func (r *inboundConn) begin(number uint64) (ctx context.Context, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -256,10 +274,20 @@
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.cancel[number] = cancel
-	r.submits.Add(1)
 	return ctx, true
 }
 
+// beginSubmit counts a call of Submit, and returns false if no further jobs are accepted.
+func (r *inboundConn) beginSubmit() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isStopping {
+		return false
+	}
+	r.submits.Add(1)
+	return true
+}
+
 // end cancels the context of a job. It does nothing if the job has ended already.
 func (r *inboundConn) end(number uint64) {
 	r.mu.Lock()
--- a/internal/overload/clusterhandover_test.go
+++ b/internal/overload/clusterhandover_test.go
@@ -20,8 +20,8 @@
 	job                  dispatch.Job
 	number               uint64
 	toReceiver, toSender stream
-	// isAtSender and isAtReceiver are set while the job is outstanding at each end.
-	isAtSender, isAtReceiver bool
+	// isAtSender and isAtReceiver are set while the job is outstanding at each end, and isSubmitted once the receiver has submitted it.
+	isAtSender, isAtReceiver, isSubmitted bool
 	// lastAtSender is when the sender received the latest message, lastAtReceiver when the receiver sent the latest ping that was echoed.
 	lastAtSender, lastAtReceiver time.Time
 	request                      clusterRequest
@@ -64,17 +64,27 @@
 	return time.Duration(h.cluster.random.Int64N(int64(handOverPing)))
 }
 
-// take submits the job at the receiver.
+// take asks the sender to confirm the job.
 func (h *clusterHandOver) take() {
 	h.isAtReceiver, h.lastAtReceiver = true, h.cluster.now
 	h.receiver.handOvers = append(h.receiver.handOvers, h)
+	h.cluster.after(h.randomPhase(), h.watchReceiver)
+	h.ping()
+}
+
+// echoed applies the echo of a ping that was sent at a time. The first one confirms the job, which is submitted at the receiver.
+func (h *clusterHandOver) echoed(sent time.Time) {
+	h.lastAtReceiver = sent
+	if h.isSubmitted || h.cluster.now.Sub(sent) >= timing.SessionCloseTimeout {
+		return
+	}
+	h.isSubmitted = true
 	h.reportToSender(func() {
 		h.sender.handle(dispatch.HandOverAccepted{Job: h.job.ID, Number: h.number, Entry: h.receiver.name})
 	})
 	job := h.job
 	job.IsHandedOver = true
 	job.RemainingTime -= h.cluster.now.Sub(job.Received)
-	h.cluster.after(h.randomPhase(), h.watchReceiver)
 	h.request = h.receiver.submit(job, h.answer)
 }
 
@@ -124,7 +134,9 @@
 func (h *clusterHandOver) cancel() {
 	h.isAtReceiver = false
 	h.cluster.record("%s cancels %s of %s", h.receiver.name, h.job.ID, h.sender.name)
-	h.request.leave(true)
+	if h.isSubmitted {
+		h.request.leave(true)
+	}
 }
 
 // lose ends the hand-over at the sender, whose connection has ended.
@@ -188,7 +200,7 @@
 func (e *clusterEntry) echoHandOverPing(f dispatch.EchoHandOverPing) {
 	for _, h := range e.handOvers {
 		if h.sender == e && h.link == f.Link {
-			h.reportToReceiver(func() { h.lastAtReceiver = origin.Add(time.Duration(f.Time)) })
+			h.reportToReceiver(func() { h.echoed(origin.Add(time.Duration(f.Time))) })
 		}
 	}
 }
