overload tests: random schedules in which messages between entries arrive late

The random schedules had paths that are silent, and so delivered late what was sent meanwhile, but none that is late without a pause. A job that was handed over keeps the caller's remaining time as in the program, which does not know how long the message was under way.

--- a/internal/overload/clusterhandover_test.go
+++ b/internal/overload/clusterhandover_test.go
@@ -14,11 +14,14 @@
 // clusterHandOver is a job that an entry has handed over to another one, with a connection of its own. As in package handover, both ends send
 // pings, the sender echoes those of the receiver, and an end whose peer is silent closes the connection.
 type clusterHandOver struct {
-	cluster              *cluster
-	link                 uint64
-	sender, receiver     *clusterEntry
-	job                  dispatch.Job
-	number               uint64
+	cluster          *cluster
+	link             uint64
+	sender, receiver *clusterEntry
+	job              dispatch.Job
+	number           uint64
+	// age is the age of the job when it was sent, and arrived when the receiver got it. Neither knows how long it was under way.
+	age                  time.Duration
+	arrived              time.Time
 	toReceiver, toSender stream
 	// isAtSender and isAtReceiver are set while the job is outstanding at each end, and isSubmitted once the receiver has submitted it.
 	isAtSender, isAtReceiver, isSubmitted bool
@@ -47,7 +50,8 @@
 	path := c.peerPath(from, to)
 	c.lastLink++
 	h := &clusterHandOver{
-		cluster: c, link: c.lastLink, sender: from, receiver: to, job: f.Job, number: f.Number, isAtSender: true, lastAtSender: c.now,
+		cluster: c, link: c.lastLink, sender: from, receiver: to, job: f.Job, number: f.Number, age: c.now.Sub(f.Job.Received),
+		isAtSender: true, lastAtSender: c.now,
 	}
 	h.toReceiver = stream{clock: c.scheduler, from: &path.forthFrom, extraDelay: &path.forthDelay}
 	h.toSender = stream{clock: c.scheduler, from: &path.backFrom}
@@ -66,7 +70,7 @@
 
 // take asks the sender to confirm the job.
 func (h *clusterHandOver) take() {
-	h.isAtReceiver, h.lastAtReceiver = true, h.cluster.now
+	h.isAtReceiver, h.lastAtReceiver, h.arrived = true, h.cluster.now, h.cluster.now
 	h.receiver.handOvers = append(h.receiver.handOvers, h)
 	h.cluster.after(h.randomPhase(), h.watchReceiver)
 	h.ping()
@@ -84,7 +88,7 @@
 	})
 	job := h.job
 	job.IsHandedOver = true
-	job.RemainingTime -= h.cluster.now.Sub(job.Received)
+	job.RemainingTime -= h.age + h.cluster.now.Sub(h.arrived)
 	h.request = h.receiver.submit(job, h.answer)
 }
 
--- a/internal/overload/schedulefault_test.go
+++ b/internal/overload/schedulefault_test.go
@@ -34,6 +34,8 @@
 	workerCrashes  faultName = "worker crashes"
 	// peerPathSilent is a fault of the paths on which an entry hands jobs over.
 	peerPathSilent faultName = "paths to other entries silent"
+	// peerMessagesLate makes the messages late on which an entry hands jobs over, without a pause between them.
+	peerMessagesLate faultName = "messages to other entries late"
 )
 
 // allFaults are the faults of random schedules.
@@ -46,6 +48,8 @@
 	// longestRequestDelay is how late a request may be carried out, and longestAnswerDelay how late an answer may arrive.
 	longestRequestDelay = 4 * time.Second
 	longestAnswerDelay  = time.Second
+	// longestPeerDelay is how late a message between entries may arrive.
+	longestPeerDelay = 2 * time.Second
 	// longestCallDelay is how late a call leaves a busy agent.
 	longestCallDelay = 100 * time.Millisecond
 	// closeTime is the time from a call until the agent learns that its connection was closed.
@@ -72,6 +76,8 @@
 		for _, other := range c.entries {
 			c.peerPath(e, other).silence(f.span)
 		}
+	case peerMessagesLate:
+		c.delayPeerMessages(e, f)
 	case entryFrozen:
 		e.freeze(f.span)
 	case agentFrozen:
@@ -87,6 +93,16 @@
 	}
 }
 
+// delayPeerMessages makes what an entry sends to other entries late for a time, by up to longestPeerDelay.
+func (c *cluster) delayPeerMessages(e *clusterEntry, f plannedFault) {
+	delay := randomTime(rand.New(rand.NewPCG(f.seed, 0)), 0, longestPeerDelay)
+	for _, other := range c.entries {
+		path := c.peerPath(e, other)
+		path.forthDelay = delay
+		c.after(f.span, func() { path.forthDelay = 0 })
+	}
+}
+
 // addRule applies a fault to the link of an agent to its worker for a time.
 func (a *clusterAgent) addRule(f plannedFault) {
 	rule := &linkRule{decide: f.newRule()}
--- a/internal/overload/scheduleoverlap_test.go
+++ b/internal/overload/scheduleoverlap_test.go
@@ -47,6 +47,25 @@
 	checkSchedules(t, newHandOverSchedule)
 }
 
+// newLateLinkSchedule returns a schedule with messages between entries that arrive late, without a pause between them.
+func newLateLinkSchedule(seed uint64, names []faultName) schedule {
+	return newHandOverSchedule(seed, append(names, peerMessagesLate, peerMessagesLate))
+}
+
+// TestNoHandedOverTaskHasTwoRunsAtATimeOnLateLinks is the same with messages between entries that arrive late.
+func TestNoHandedOverTaskHasTwoRunsAtATimeOnLateLinks(t *testing.T) {
+	t.Parallel()
+	checkSchedules(t, newLateLinkSchedule)
+}
+
+// TestStoredScheduleOnALateLink plays the schedule of a seed in which a job arrives late at the other entry, after its caller has left.
+//
+// The failure: the other entry submitted the job whatever its age, beside the run at the entry to which the caller had turned.
+func TestStoredScheduleOnALateLink(t *testing.T) {
+	t.Parallel()
+	newLateLinkSchedule(722219, allFaults).play().checkNoOverlap(t)
+}
+
 // checkSchedules plays the schedules of -overlap.seeds seeds, once with callers that submit a job again as soon as it has failed, and once
 // without.
 func checkSchedules(t *testing.T, create func(uint64, []faultName) schedule) {
