--- a/internal/handover/latejob_test.go
+++ b/internal/handover/latejob_test.go
@@ -107,6 +107,8 @@
 	ping := s.receivePing()
 	s.withdraw(1)
 	s.echo(ping)
+	// The second job arrived after that ping was sent.
+	s.echo(s.receivePing())
 	if got := receive(t, local.submitted).job.ID; got != "b" {
 		t.Errorf("got the job %s, want the one that was not withdrawn", got)
 	}
--- a/internal/handover/liveness.go
+++ b/internal/handover/liveness.go
@@ -52,7 +52,9 @@
 func (l *liveness) received(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastHeard = at
+	if at.After(l.lastHeard) {
+		l.lastHeard = at
+	}
 }
 
 // check reports whether jobs are outstanding and, if so, whether the peer has been silent for timing.SessionCloseTimeout, and when to check
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -129,6 +129,8 @@
 	cancel  map[uint64]context.CancelFunc
 	// unconfirmed are the jobs that are not submitted yet; see confirmation.go.
 	unconfirmed []unconfirmedJob
+	// pingedAt is when the ping was sent whose echo is to confirm them, zero if none is awaited.
+	pingedAt time.Time
 	// isStopping is set once no further jobs are accepted.
 	isStopping bool
 	// The reading goroutine alone uses the fields below. hasInvalidMessage is set once an invalid message was received.
