--- a/internal/overload/leasedworker_test.go
+++ b/internal/overload/leasedworker_test.go
@@ -53,6 +53,8 @@
 	id     string
 	lives  int
 	isDown bool
+	// isDraining is set once the current incarnation says that it drains.
+	isDraining bool
 	// stopTime returns how long the next stop takes.
 	stopTime func() time.Duration
 	// rate is the rate of the worker's clock: 1, or less if it is slow.
@@ -90,7 +92,7 @@
 func (w *leasedWorker) startLife() {
 	w.lives++
 	w.id = fmt.Sprintf("w%d-%d", w.agent.number, w.lives)
-	w.isDown, w.fence, w.leaseUntil, w.lastEnd = false, 0, 0, 0
+	w.isDown, w.isDraining, w.fence, w.leaseUntil, w.lastEnd = false, false, 0, 0, 0
 	w.runs, w.highest, w.ends, w.polls = make(map[string]*leasedRun), make(map[string]uint32), nil, nil
 }
 
@@ -118,7 +120,7 @@
 func (w *leasedWorker) record() worker.Record {
 	w.heartbeats++
 	capacity := worker.Resources{CPU: workerCPU, Memory: 128 << 10}
-	return worker.Record{ID: w.id, Service: service, Capacity: capacity, Sequence: w.heartbeats, Clock: w.clock()}
+	return worker.Record{ID: w.id, Service: service, Capacity: capacity, Sequence: w.heartbeats, Clock: w.clock(), Draining: w.isDraining}
 }
 
 // reject returns why a call to an incarnation is not carried out, or nil if it is. A call that is carried out raises the fence.
