entry tests: the echo of another entry's ping and the incarnation in an agent's ping

Two mutants passed all tests of the package: an echo of another entry's ping beside the event loop, and a ping whose incarnation is dropped. Each fails one of the new tests.

--- a/internal/entry/lateloop_test.go
+++ b/internal/entry/lateloop_test.go
@@ -68,3 +68,27 @@
 		}
 	}
 }
+
+// TestAPingOfAnotherEntryIsEchoedAfterTheEventsBeforeIt is the same for a ping of an entry to which jobs were handed over. An echo beside the
+// event loop would need the sender, which the entry of this test does not have.
+func TestAPingOfAnotherEntryIsEchoedAfterTheEventsBeforeIt(t *testing.T) {
+	e := &Entry{context: t.Context(), events: make(chan dispatch.Event, 16)}
+	e.post(dispatch.CallerLeft{Job: testJob, Waiter: 1})
+	e.PingReceived(3, 77)
+	d := newDeciderTest()
+	for range 2 {
+		d.decider.handleDispatch(<-e.events)
+	}
+	want := dispatch.EchoHandOverPing{Link: 3, Time: 77}
+	if last := d.performed[len(d.performed)-1].dispatch; last != want {
+		t.Errorf("got %+v, want %+v", last, want)
+	}
+}
+
+func TestAPingTellsTheIncarnationOfTheAgent(t *testing.T) {
+	s := &agentSession{entry: &Entry{context: t.Context(), events: make(chan dispatch.Event, 16)}, id: testAgent}
+	s.Ping(session.Ping{Time: 77, Incarnation: 5})
+	if got := s.incarnation.Load(); got != 5 {
+		t.Errorf("got the incarnation %d, want 5", got)
+	}
+}
