platform, runner: a start that is answered with an unknown status is checked

Cause: the agent took a status that the protocol does not have (404, 500, 502, 504) for proof that a start began no run, so the entry started the task on another worker.

Change: such a start counts as unanswered: the token is raised, and a listing decides. If the run is not listed, the task is reported as not started, as before, so that it runs elsewhere. 400, 409, 421, 429 and 503 are as before, and so are stops and renewals.

--- a/internal/runner/script_test.go
+++ b/internal/runner/script_test.go
@@ -193,7 +193,7 @@
 		"accepted": worker.Accepted{Reply: s.reply()}, "unanswered": worker.NoResponse{}, "outdated": worker.StaleRun{Reply: s.reply()}, "closed": worker.NoResponse{IsClosed: true},
 		"fenced": worker.Fenced{Reply: s.reply()}, "too_late": worker.TooLate{Reply: s.reply()}, "insufficient_resources": worker.InsufficientResources{Reply: s.reply()},
 		"unhealthy": worker.Unhealthy{Reply: s.reply()}, "wrong_incarnation": worker.WrongIncarnation{Reply: s.reply()}, "not_reached": worker.Unreachable{},
-		"invalid": worker.Invalid{Reply: s.reply(), Reason: "x"},
+		"invalid": worker.Invalid{Reply: s.reply(), Reason: "x"}, "unknown_status": worker.NoResponse{IsAnswered: true},
 	}
 	result, ok := results[name]
 	if !ok {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -17,6 +17,8 @@
 // the task is reported as not started, so that the entry places it elsewhere. A start without an answer may have started
 // a run, or may do so later: the runner requests a listing with a higher fencing token, which makes the worker reject the
 // start from then on. If the run is neither listed nor has ended, it never started, and the task is queued again at once.
+// A start that was answered with a status that the protocol does not have is checked in the same way, and the task is then
+// reported as not started.
 // Other pending starts are also rejected for their lower token, and are sent again. The start of a task that is being stopped is fenced in
 // the same way, as its stop may not reach the worker.
 // Reason: two runs of a task must not overlap, and a task of 60 ms cannot wait for the 50 ms that a stop may take.
@@ -36,7 +38,7 @@
 func (r *Runner) start(now time.Time, t *task) {
 	t.state = stateStarting
 	t.isRequeued = false
-	t.hasStarted, t.isOnClock = false, false
+	t.hasStarted, t.isOnClock, t.isRejected = false, false, false
 	t.startEmittedAt, t.sent, t.startTook = now, now, 0
 	r.lastStart++
 	t.startNumber = r.lastStart
@@ -94,6 +96,7 @@
 		r.finish(t, OutcomeNotStarted, "the start was rejected: "+result.Reason)
 	case worker.NoResponse:
 		r.worker.recordClosed(e.Ended, result)
+		t.isRejected = result.IsAnswered
 		r.checkStart(now, t)
 	case worker.Unreachable, worker.WrongIncarnation:
 		r.finish(t, OutcomeNotStarted, "the worker was not reached")
@@ -163,6 +166,10 @@
 		return
 	}
 	r.observeNotBegun(now, t)
+	if t.isRejected {
+		r.finish(t, OutcomeNotStarted, "the start was answered with an unknown status")
+		return
+	}
 	r.requeueWithNewRun(t)
 }
 
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -72,6 +72,8 @@
 	// isRequeued is set for a queued task that is not rejected at once although MaxWait is zero, because its start is
 	// repeated or it has waited for the end of an earlier run.
 	isRequeued bool
+	// isRejected is set if the start was answered with a status that the protocol does not have.
+	isRejected bool
 	// hasOffer is set if the task uses resources that were offered to its entry.
 	hasOffer bool
 	// supersededBy is the same task as requested by a newer session. It is queued when this task has finished.
--- a/internal/worker/result.go
+++ b/internal/worker/result.go
@@ -82,6 +82,8 @@
 	// IsReset is true if the connection was reset. When a process ends, its connections are closed, and reset only if it left received data
 	// unread. A reset of a connection on which a call was waiting is therefore caused by the network.
 	IsReset bool
+	// IsAnswered is true if an answer arrived whose status the protocol does not have, so that it shows nothing about the call.
+	IsAnswered bool
 }
 
 func (Accepted) isResult()              {}
