--- a/internal/overload/clusterhandover_test.go
+++ b/internal/overload/clusterhandover_test.go
@@ -54,7 +54,7 @@
 		isAtSender: true, lastAtSender: c.now,
 	}
 	h.toReceiver = stream{clock: c.scheduler, from: &path.forthFrom, extraDelay: &path.forthDelay}
-	h.toSender = stream{clock: c.scheduler, from: &path.backFrom}
+	h.toSender = stream{clock: c.scheduler, from: &path.backFrom, extraDelay: &path.backDelay}
 	from.handOvers = append(from.handOvers, h)
 	c.record("%s hands %s over to %s", from.name, f.Job.ID, to.name)
 	h.toReceiver.send(to.inLife(h.take))
--- a/internal/overload/schedulefault_test.go
+++ b/internal/overload/schedulefault_test.go
@@ -36,6 +36,8 @@
 	peerPathSilent faultName = "paths to other entries silent"
 	// peerMessagesLate makes the messages late on which an entry hands jobs over, without a pause between them.
 	peerMessagesLate faultName = "messages to other entries late"
+	// sessionMessagesLate makes the messages of a session late in one or both directions, without a pause between them.
+	sessionMessagesLate faultName = "messages of a session late"
 )
 
 // allFaults are the faults of random schedules.
@@ -78,6 +80,8 @@
 		}
 	case peerMessagesLate:
 		c.delayPeerMessages(e, f)
+	case sessionMessagesLate:
+		c.delaySessionMessages(path, f)
 	case entryFrozen:
 		e.freeze(f.span)
 	case agentFrozen:
@@ -103,6 +107,19 @@
 	}
 }
 
+// delaySessionMessages makes the messages between an entry and an agent late for a time, by up to longestPeerDelay.
+func (c *cluster) delaySessionMessages(path *networkPath, f plannedFault) {
+	random := rand.New(rand.NewPCG(f.seed, 0))
+	delay, directions := randomTime(random, 0, longestPeerDelay), random.IntN(3)
+	if directions != 0 {
+		path.forthDelay = delay
+	}
+	if directions != 1 {
+		path.backDelay = delay
+	}
+	c.after(f.span, func() { path.forthDelay, path.backDelay = 0, 0 })
+}
+
 // addRule applies a fault to the link of an agent to its worker for a time.
 func (a *clusterAgent) addRule(f plannedFault) {
 	rule := &linkRule{decide: f.newRule()}
--- a/internal/overload/scheduleoverlap_test.go
+++ b/internal/overload/scheduleoverlap_test.go
@@ -58,6 +58,17 @@
 	checkSchedules(t, newLateLinkSchedule)
 }
 
+// newLateSessionSchedule returns a schedule with messages between entries and agents that arrive late, without a pause between them.
+func newLateSessionSchedule(seed uint64, names []faultName) schedule {
+	return newDenseSchedule(seed, append(names, sessionMessagesLate, sessionMessagesLate, sessionMessagesLate))
+}
+
+// TestNoTaskHasTwoRunsAtATimeOnLateSessions is the same with messages between entries and agents that arrive late.
+func TestNoTaskHasTwoRunsAtATimeOnLateSessions(t *testing.T) {
+	t.Parallel()
+	checkSchedules(t, newLateSessionSchedule)
+}
+
 // TestStoredScheduleOnALateLink plays the schedule of a seed in which a job arrives late at the other entry, after its caller has left.
 //
 // The failure: the other entry submitted the job whatever its age, beside the run at the entry to which the caller had turned.
--- a/internal/overload/sessionlink_test.go
+++ b/internal/overload/sessionlink_test.go
@@ -20,8 +20,8 @@
 	clock *scheduler
 	// forthFrom and backFrom are when each direction carries messages again. Those of an entry to an agent go forth.
 	forthFrom, backFrom time.Time
-	// forthDelay is how much later than usual messages arrive that are sent forth.
-	forthDelay time.Duration
+	// forthDelay and backDelay are how much later than usual messages arrive that are sent in each direction.
+	forthDelay, backDelay time.Duration
 }
 
 // silence makes both directions silent for a time.
@@ -39,7 +39,7 @@
 	clock *scheduler
 	// from is when the direction of the path carries messages again.
 	from *time.Time
-	// extraDelay is how much later than usual messages arrive that are sent now, nil if they do not.
+	// extraDelay is how much later than usual messages arrive that are sent now.
 	extraDelay *time.Duration
 	queue      []streamMessage
 }
@@ -50,10 +50,7 @@
 }
 
 func (s *stream) send(deliver func()) {
-	delay := sessionDelay
-	if s.extraDelay != nil {
-		delay += *s.extraDelay
-	}
+	delay := sessionDelay + *s.extraDelay
 	s.queue = append(s.queue, streamMessage{due: s.clock.now.Add(delay), deliver: deliver})
 	if len(s.queue) == 1 {
 		s.clock.after(delay, s.carry)
@@ -97,7 +94,8 @@
 	}
 	c.lastSession++
 	s := &clusterSession{id: c.lastSession, entry: e, agent: a, isAtEntry: true, lastMessage: c.now}
-	s.toAgent, s.toEntry = stream{clock: c.scheduler, from: &path.forthFrom}, stream{clock: c.scheduler, from: &path.backFrom}
+	s.toAgent = stream{clock: c.scheduler, from: &path.forthFrom, extraDelay: &path.forthDelay}
+	s.toEntry = stream{clock: c.scheduler, from: &path.backFrom, extraDelay: &path.backDelay}
 	e.sessions[a.id] = s
 	c.record("session %d between %s and %s opens", s.id, e.name, a.id)
 	s.toAgent.send(a.inLife(func() {
