--- a/internal/handover/confirmation_test.go
+++ b/internal/handover/confirmation_test.go
@@ -93,7 +93,7 @@
 	// These are the steps of take.
 	now := clock.Now()
 	packed := packJob(now, 1, "zone-a", job("a")).GetJob()
-	r.echoes = true
+	r.senderEchoes = true
 	jobContext, ok := r.begin(packed.Number)
 	if !ok {
 		t.Fatal("the job was not taken")
--- a/internal/handover/liveness.go
+++ b/internal/handover/liveness.go
@@ -31,7 +31,8 @@
 	lastHeard time.Time
 }
 
-// began records an additional outstanding job, whose sender was alive at a time.
+// began records an additional outstanding job, at a time at which its sender is known to have been alive: that of its arrival, or that of the
+// ping whose echo confirms it.
 func (l *liveness) began(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -135,9 +135,9 @@
 	isStopping bool
 	// The reading goroutine alone uses the fields below. hasInvalidMessage is set once an invalid message was received.
 	hasInvalidMessage bool
-	// echoes is set if the sender echoes pings, and echoedAt is when the latest ping that it has echoed was sent.
-	echoes   bool
-	echoedAt time.Time
+	// senderEchoes is set if the sender echoes pings, and echoedAt is when the latest ping that it has echoed was sent.
+	senderEchoes bool
+	echoedAt     time.Time
 }
 
 // serve accepts jobs until the connection ends, and then cancels the outstanding ones.
@@ -192,7 +192,7 @@
 	if r.hasInvalidMessage {
 		return
 	}
-	if !r.echoes {
+	if !r.senderEchoes {
 		r.alive.received(clock.Now())
 	}
 	switch message := m.Message.(type) {
@@ -221,10 +221,10 @@
 	return checkJob(packed)
 }
 
-// take submits a job, once its sender has confirmed it.
+// take submits a job, once its sender has confirmed it. A sender of an earlier version cannot do that.
 func (r *inboundConn) take(packed *handoverpb.Job) {
 	now := clock.Now()
-	r.echoes = r.echoes || packed.EchoesPings
+	r.senderEchoes = r.senderEchoes || packed.EchoesPings
 	ctx, ok := r.begin(packed.Number)
 	if !ok {
 		r.refuse(packed.Number)
@@ -232,7 +232,7 @@
 	}
 	j := unconfirmedJob{number: packed.Number, job: unpackJob(now, packed), ctx: ctx}
 	switch {
-	case !r.echoes:
+	case !r.senderEchoes:
 		r.alive.began(now)
 		r.submit(j)
 	case r.isConfirmed(now):
--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -41,6 +41,7 @@
 		{"live agent stops its runs", SessionLease + MaxStopTime, RerunDelay, true, "a task runs again while its agent stops it"},
 		{"runs of a dead agent end", withDrift(WorkerLease), RerunDelay, false, "a task runs again under the lease of a dead agent"},
 		{"agent dies when its session lease expires", SessionLease + withDrift(WorkerLease), RerunDelay, false, "a task runs again under a lease that was renewed at the last moment"},
+		{"runs of a job that was handed over end before the caller's retry", SessionCloseTimeout + SessionLease + MaxStopTime, CallerRetryDelay, false, "a retried job starts while runs of the entry to which it was handed over continue"},
 		{"rerun before the caller's retry", RerunDelay, CallerRetryDelay, false, "a retried job starts while runs of the first attempt continue"},
 		{"the agent reports a lost run before the entry reruns", withDrift(WorkerLease) + MaxStopTime + DurableLossDelay, DurableRerunDelay, false, "the entry reruns a task that its agent still tracks"},
 		{"an end is stored before the entry reruns", RerunDelay + endStoreTime, DurableRerunDelay, false, "an entry reruns a task whose end its agent is about to store"},
