runner: a refused call from before an answered one does not end the worker's life

Cause: the result of a refused call counted whenever it was handled, also against answers of the same life to calls made after it.

Change: if the life has answered a call that was made after the refused one, a listing is requested at once; if nobody listens, that call is refused and ends the life. The refusal of a stop, whose time is not known, ends the life as before.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -215,6 +215,10 @@
 	}
 	switch result.(type) {
 	case worker.Unreachable:
+		if r.worker.hasAnsweredSince(made) {
+			r.requestListing(now)
+			return
+		}
 		r.worker.refusedAt = made
 		r.endIncarnation(now, endNotListening)
 	case worker.WrongIncarnation:
@@ -226,6 +230,12 @@
 	}
 }
 
+// hasAnsweredSince reports whether the incarnation has answered a call that was made after the given time, zero if that is unknown. It may have
+// begun to listen in between, so a refused call that was made then does not show that it has ended.
+func (i *incarnation) hasAnsweredSince(made time.Time) bool {
+	return !made.IsZero() && made.Before(i.lastAnsweredCall())
+}
+
 // incarnationEnd is how an incarnation ended. The texts are the reasons given in logs and to callers.
 type incarnationEnd string
 
