--- a/internal/handover/confirmation.go
+++ b/internal/handover/confirmation.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// beginPing reports whether a ping is to be sent for the unconfirmed jobs, which is so unless one was sent recently and is not echoed yet. The
-// caller holds mu and sends the ping.
+// beginPing records that the caller sends a ping for the unconfirmed jobs. It returns false if none is needed, as one was sent less than
+// pingInterval ago and its echo is awaited. The caller holds mu.
 func (r *inboundConn) beginPing(now time.Time) bool {
 	if !r.pingedAt.IsZero() && now.Sub(r.pingedAt) < pingInterval {
 		return false
