durable: an end is not acknowledged on old news that there are no durable jobs

Cause: agents resend an end to all entries until one acknowledges it. An entry that knew of no durable job acknowledged every end (taskEnded, "!c.active && c.storeRead"). Its knowledge could be of any age: an entry that the store turns away before the first durable job keeps its first reading. The owner's loss of power isn't needed: it suffices that the owner's writes are rejected.

Change: while an entry knows of no durable job, an end waits for a read of the store that began after the end came and found that there has never been one (nojobs.go, CallHasJobs). The key is written with the first claim, before any durable run starts, and never removed, and reads are linearizable, so the answer can't be too old. Ends of orphaned runs are still acknowledged where there is no durable job, one read for all that wait.

TestEndsOfAnEarlierAgentProcessAreAcknowledgedWithoutDurableJobs holds before and after.

--- a/internal/durable/coordinator.go
+++ b/internal/durable/coordinator.go
@@ -41,6 +41,8 @@
 	lastCommit   time.Time
 	commitNumber uint64
 	stateQueries []stateQuery
+	// endsBeforeJobs are the ends that arrived while this entry knew of no durable job.
+	endsBeforeJobs endsBeforeJobs
 	// effects collects the effects of the event that is being handled.
 	effects []Effect
 }
@@ -101,6 +103,8 @@
 		c.surrender(e)
 	case Surrendered:
 		c.surrendered(now, e)
+	case HasJobsAnswered:
+		c.hasJobsAnswered(now, e)
 	case StoredEndsRequested:
 		c.requestStoredEnds(e)
 	case StoredEndsAnswered:
@@ -130,6 +134,7 @@
 func (c *Coordinator) activate(now time.Time) {
 	if !c.active {
 		c.active, c.activeSince = true, now
+		c.endsBeforeJobs = endsBeforeJobs{}
 	}
 }
 
@@ -145,6 +150,7 @@
 		c.releaseShards(now, e.DurableRuns)
 	}
 	if !c.active {
+		c.readHasJobsIfDue(now)
 		return
 	}
 	c.renewLease(now)
--- a/internal/durable/doc.go
+++ b/internal/durable/doc.go
@@ -19,6 +19,7 @@
 //	release.go    loss of a shard, surrender to a new owner, release at shutdown
 //	commit.go     rate of commits, retry of unconfirmed commits
 //	ends.go       when the end of a run is acknowledged
+//	nojobs.go     when an end is acknowledged while no durable job is known
 //	storedends.go when the ends that agents have stored are read, recorded and removed
 //	job.go        how many failed runs end a job
 //	admission.go  which jobs are accepted
--- a/internal/durable/effects.go
+++ b/internal/durable/effects.go
@@ -26,6 +26,9 @@
 // CallClaim writes a claim if the shard has no claim. ClaimAnswered is its result.
 type CallClaim struct{ Claim Claim }
 
+// CallHasJobs reads whether the store has ever held a durable job. HasJobsAnswered is its result.
+type CallHasJobs struct{}
+
 // Load reads a shard's batches. Loaded is its result.
 type Load struct {
 	Shard Shard
@@ -126,6 +129,7 @@
 func (CallLease) isEffect()      {}
 func (EndLease) isEffect()       {}
 func (CallClaim) isEffect()      {}
+func (CallHasJobs) isEffect()    {}
 func (Load) isEffect()           {}
 func (Commit) isEffect()         {}
 func (CallReadEnds) isEffect()   {}
--- a/internal/durable/ends.go
+++ b/internal/durable/ends.go
@@ -14,9 +14,10 @@
 //
 // Rule: an end is acknowledged
 //
-//	at once                      if there are no durable jobs at all; if the shard is loaded and the job is unknown or its
-//	                             final state is written; or if the end changes nothing and no change of the job is unwritten
+//	at once                      if the shard is loaded and the job is unknown or its final state is written; or if the end
+//	                             changes nothing and no change of the job is unwritten
 //	with the write of its record otherwise
+//	after a read of the store    while this entry knows of no durable job (nojobs.go)
 //	not at all                   while the shard is not loaded here, or if the end changes nothing and its record is in the
 //	                             commit in flight. The agent resends it every timing.EndResendInterval to all entries, so
 //	                             that the shard's owner receives it eventually.
@@ -31,9 +32,8 @@
 	acknowledgement := AcknowledgeEnd{Agent: e.Agent, Name: e.Update.Name, Run: e.Update.Run}
 	j, ok := s.jobs[id]
 	switch {
-	case !c.active && c.storeRead:
-		// There are no durable jobs.
-		c.emit(acknowledgement)
+	case !c.active:
+		c.endsBeforeJobs.waiting = append(c.endsBeforeJobs.waiting, acknowledgement)
 	case !s.isLoaded():
 		// The owner of the shard acknowledges the end, or this entry does after the agent has resent it.
 	case !ok || j.storedState.IsEnd():
--- a/internal/durable/events.go
+++ b/internal/durable/events.go
@@ -73,6 +73,12 @@
 	Token Token
 }
 
+// HasJobsAnswered is the result of a CallHasJobs: whether the store has ever held a durable job, or the error of the read.
+type HasJobsAnswered struct {
+	HasJobs bool
+	Err     error
+}
+
 // LeaseAnswered is the result of a CallLease.
 type LeaseAnswered struct {
 	// Lease is the lease of the renewal, or 0 if a new lease was requested.
@@ -158,6 +164,7 @@
 func (ClaimsRead) isEvent()          {}
 func (ClaimObserved) isEvent()       {}
 func (ClaimRemoved) isEvent()        {}
+func (HasJobsAnswered) isEvent()     {}
 func (LeaseAnswered) isEvent()       {}
 func (ClaimAnswered) isEvent()       {}
 func (Loaded) isEvent()              {}
--- a/internal/entry/durable.go
+++ b/internal/entry/durable.go
@@ -24,6 +24,8 @@
 	EndLease(lease durable.Lease)
 	// Claim writes a claim if the shard is unclaimed.
 	Claim(claim durable.Claim) durable.ClaimResult
+	// HasJobs reads whether the store has ever held a durable job.
+	HasJobs() (bool, error)
 	// LoadShard reads the batches of a shard in the order of their sequence numbers.
 	LoadShard(shard durable.Shard) ([]durable.StoredBatch, error)
 	// ReadEnds reads the records of stored ends of a shard.
@@ -81,6 +83,9 @@
 	case durable.CallClaim:
 		claim := effect.Claim
 		e.postDurable(durable.ClaimAnswered{Shard: claim.Shard, Lease: claim.Lease, Result: store.Claim(claim)})
+	case durable.CallHasJobs:
+		hasJobs, err := store.HasJobs()
+		e.postDurable(durable.HasJobsAnswered{HasJobs: hasJobs, Err: err})
 	case durable.Load:
 		batches, err := store.LoadShard(effect.Shard)
 		e.postDurable(durable.Loaded{Shard: effect.Shard, Token: effect.Token, Batches: batches, Err: err})
