durable, dispatch: a failed run of a durable task is counted once, whichever way its end comes

Cause: the first report of an end goes to the dispatcher, its repeat to the coordinator, by two queues, and both counted failed runs: the coordinator by run and agent, the dispatcher one for each message. With the repeat first the dispatcher counted the run twice and dropped the job, while the coordinator waited for the second run.

Change: the coordinator alone counts. The dispatcher passes a failed run on and starts the task again only when it is told what is recorded, which happens within the handling of the same event; it is told of each failed run that it passed on, new or not. DurableTaskEnded carries the count.

Ends that the owner reads from the store beside the agent's reports had the same fault.

TestDurableTaskRunsAtMostMaxAttempts asked the dispatcher alone to end a job after its attempts, which is now the coordinator's part.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -20,8 +20,7 @@
 // that were stopped, lost or not started do not count.
 //
 // Reason: a failure on a worker where many runs fail is weak evidence against the task. Durable jobs get no extra attempts:
-// package durable counts their failed runs from the store, which does not record the health of the worker, and both must end
-// the job after the same run.
+// package durable counts their failed runs and ends them, and the store does not record the health of the worker.
 func (d *Dispatcher) maxAttempts(j *job, id AgentID) int {
 	attempts := j.Kind.MaxAttempts()
 	if j.isDurable {
--- a/internal/dispatch/durable.go
+++ b/internal/dispatch/durable.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -12,6 +11,9 @@
 // This file applies the decisions of package durable about durable jobs. Package durable records them in the store,
 // counts their failed runs, and answers their callers; the dispatcher runs their tasks like those of other jobs
 // (runs.go). Durable jobs have no waiters and no time limit, and their tasks wait longer for a lost agent (rerun.go).
+//
+// The dispatcher counts no failed runs of durable tasks. The end of a run can be reported to it and to package durable, in
+// any order, and two counts of the same ends could differ.
 
 // acceptDurable adds a durable job and marks the tasks that are already done. A hand-over of a job with the same ID is
 // withdrawn.
@@ -53,17 +55,18 @@
 	}
 }
 
-// endDurableTask applies the end of a run that this dispatcher did not report, for example a run that an earlier owner
-// of the job started. If the task is done, a run of it at this entry is stopped.
+// endDurableTask applies what package durable has recorded of a task after the end of a run. The run may be one that this
+// dispatcher did not report, for example one that an earlier owner of the job started. If the task is done, a run of it at
+// this entry is stopped. Otherwise a run here goes on, and the task runs again if its latest run here has failed.
 func (d *Dispatcher) endDurableTask(now time.Time, e DurableTaskEnded) {
 	j, t := d.find(e.Task)
 	if t == nil || !j.isDurable || t.state == taskDone {
 		return
 	}
 	if e.Failed {
-		t.failures++
-		if t.failures >= j.Kind.MaxAttempts() {
-			d.endJob(now, j, Failed{Reason: fmt.Sprintf("%d runs of task %s failed", t.failures, t.name)})
+		t.failures = e.Failures
+		if t.state == taskFailed {
+			d.rerunAfter(now, j, t, 0)
 		}
 		return
 	}
--- a/internal/dispatch/durable_test.go
+++ b/internal/dispatch/durable_test.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -214,18 +215,34 @@
 	}
 }
 
-func TestDurableTaskRunsAtMostMaxAttempts(t *testing.T) {
+// Package durable alone counts the failed runs. A dispatcher that started the task before it is told could start it once too often.
+func TestAFailedDurableTaskRunsAgainOnlyOnceItsFailureIsRecorded(t *testing.T) {
 	d, now := newDispatcherWithAgents("a", "b")
-	agent := started(d.Handle(now, durableJob("j1", 1)))["j1.0.0.0"]
-	fail := func(agent AgentID, run uint32) map[string]AgentID {
-		return started(d.Handle(now, RunUpdated{Agent: agent, Update: runner.Update{Name: "j1.0.0.0", Run: run, Outcome: runner.OutcomeFailed}}))
+	const task = "j1.0.0.0"
+	agent := started(d.Handle(now, durableJob("j1", 1)))[task]
+	fail := func(agent AgentID, run uint32) {
+		t.Helper()
+		effects := d.Handle(now, RunUpdated{Agent: agent, Update: runner.Update{Name: task, Run: run, Outcome: runner.OutcomeFailed}})
+		if !slices.ContainsFunc(effects, func(e Effect) bool { end, ok := e.(RecordEnd); return ok && end.Update.Run == run }) {
+			t.Errorf("the end of run %d is not passed on to be recorded", run)
+		}
+		effects = append(effects, d.Handle(now, AgentDown{Agent: "c"}, LoadReceived{Agent: agent, Load: runner.Load{Accepts: true}})...)
+		if starts := started(append(effects, d.Handle(now.Add(time.Minute), Ticked{})...)); len(starts) > 0 {
+			t.Errorf("started %v before the failure of run %d is recorded", starts, run)
+		}
+	}
+	fail(agent, 1)
+	next := started(d.Handle(now, DurableTaskEnded{Task: task, Failed: true, Failures: 1}))[task]
+	if next == "" || next == agent {
+		t.Fatalf("the second run is at %q, want it at the agent that is not %q", next, agent)
 	}
-	agent = fail(agent, 1)["j1.0.0.0"]
-	if agent == "" {
-		t.Fatal("no second run after the first failed")
+	if starts := started(d.Handle(now, DurableTaskEnded{Task: task, Failed: true, Failures: 1})); len(starts) > 0 {
+		t.Errorf("started %v beside the second run", starts)
 	}
-	if starts := fail(agent, 2); len(starts) > 0 {
-		t.Fatalf("started a third run %v of a task with 2 attempts", starts)
+	fail(next, 2)
+	d.Handle(now, DurableDropped{Jobs: []string{"j1"}})
+	if starts := started(d.Handle(now, DurableTaskEnded{Task: task, Failed: true, Failures: 2})); len(starts) > 0 {
+		t.Errorf("started %v of a job that has failed", starts)
 	}
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -56,10 +56,14 @@
 // stopped.
 type DurableDropped struct{ Jobs []string }
 
-// DurableTaskEnded reports the end of a run of a durable job that this dispatcher has not passed to package durable.
+// DurableTaskEnded reports what package durable has recorded of a task: after an end that this dispatcher has not passed to it, and after each
+// failed run that it has passed. If the job has failed, DurableDropped is sent in place of it.
 type DurableTaskEnded struct {
-	Task   string
+	Task string
+	// Failed is set if a run has failed and none is done.
 	Failed bool
+	// Failures counts the failed runs of the task.
+	Failures int
 }
 
 // StoredEndsRead answers a ReadStoredEnds: the ends of runs of the job that agents have stored were read after the request, and a
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -13,7 +13,7 @@
 // updateRun applies an agent's report on a run that was sent to it. Reports on other runs are ignored.
 //
 // Durable jobs are handled like others, except that the start of the job and the ends of its completed and failed runs are
-// passed to package durable, which records the ends and answers the callers (see endJob).
+// passed to package durable, which records the ends, counts the failed runs and answers the callers (see endJob).
 func (d *Dispatcher) updateRun(now time.Time, e RunUpdated) {
 	if d.isEndingRun(e) {
 		d.updateEndingRun(e)
@@ -95,10 +95,14 @@
 }
 
 // failTask counts a failed run. The task runs again, on another worker if possible, unless it has used up its attempts and
-// its job fails.
+// its job fails. Whether a durable task runs again is decided by package durable (see endDurableTask).
 func (d *Dispatcher) failTask(now time.Time, j *job, t *task) {
-	t.failures++
 	t.avoidAgent()
+	if j.isDurable {
+		t.state = taskFailed
+		return
+	}
+	t.failures++
 	d.rerunAfter(now, j, t, 0)
 	if t.failures >= d.maxAttempts(j, t.agent) {
 		d.endJob(now, j, Failed{Reason: fmt.Sprintf("%d runs of task %s failed", t.failures, t.name)})
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -19,6 +19,9 @@
 	taskPending taskState = iota
 	// taskSent means that a run of the task was sent to an agent, which has not reported its end yet.
 	taskSent
+	// taskFailed means that the latest run of a durable task has failed, and that package durable has not told yet whether the task may run
+	// again.
+	taskFailed
 	// taskDone means that a run of the task was successful.
 	taskDone
 )
@@ -38,7 +41,7 @@
 	start uint64
 	// rejections counts the starts of the task that agents rejected.
 	rejections int
-	// failures counts the runs that failed.
+	// failures counts the runs that failed. For a durable task it is the count of package durable.
 	failures int
 	// lostRuns counts the runs that were lost with their worker.
 	lostRuns int
--- a/internal/durable/ends.go
+++ b/internal/durable/ends.go
@@ -53,17 +53,32 @@
 		c.emit(acknowledgement)
 		return
 	}
-	if !j.applyEnd(task, e) {
+	isNew := j.applyEnd(task, e)
+	if isNew {
+		s.enqueue(j, j.record(), acknowledgement)
+	} else {
 		c.acknowledgeWithRecord(j, acknowledgement)
-		return
 	}
-	s.enqueue(j, j.record(), acknowledgement)
+	c.tellDispatcher(j, task, e, isNew)
+}
+
+// tellDispatcher passes to the dispatcher what is recorded of a task after the end of a run.
+//
+// Inputs: whether the end is new, and whether the dispatcher reported it.
+//
+// Rule: the dispatcher is told to drop a job that has failed. Otherwise it is told of each new end that it did not report, and of each failed run
+// that it reported, new or not: it starts the task again only then.
+//
+// Reason: an agent reports an end to the dispatcher and repeats it to the coordinator, which may handle the repeat first. If both counted failed
+// runs, they would count such a run twice in all, and one of them would end the job while the other waits for its next run.
+func (c *Coordinator) tellDispatcher(j *job, task uint32, e TaskEnded, isNew bool) {
+	isAwaited := !e.Update.Unacknowledged && e.Update.Outcome == runner.OutcomeFailed
+	isNews := isNew && e.Update.Unacknowledged
 	switch {
 	case j.state == StateFailed:
 		c.emit(ToDispatcher{Event: dispatch.DurableDropped{Jobs: []string{j.id}}})
-	case e.Update.Unacknowledged:
-		// The end was not reported through a run of this dispatcher, so the dispatcher does not know of it.
-		c.emit(ToDispatcher{Event: dispatch.DurableTaskEnded{Task: e.Update.Name, Failed: !j.done[task]}})
+	case isAwaited || isNews:
+		c.emit(ToDispatcher{Event: dispatch.DurableTaskEnded{Task: e.Update.Name, Failed: !j.done[task], Failures: j.failures(task)}})
 	}
 }
 
--- a/internal/entry/decider_test.go
+++ b/internal/entry/decider_test.go
@@ -24,11 +24,13 @@
 
 // deciderTest records all effects of a decider, and answers the coordinator's store calls like a store that never fails.
 type deciderTest struct {
-	decider   *decider
-	now       time.Time
-	revision  durable.Token
-	answers   []durable.Event
-	performed []effect
+	decider  *decider
+	now      time.Time
+	revision durable.Token
+	answers  []durable.Event
+	// storedEnds are the ends that the next reads of stored ends find.
+	storedEnds []durable.StoredEnds
+	performed  []effect
 }
 
 func newDeciderTest() *deciderTest {
@@ -53,12 +55,18 @@
 	case durable.Load:
 		d.answers = append(d.answers, durable.Loaded{Shard: call.Shard, Token: call.Token})
 	case durable.CallReadEnds:
-		d.answers = append(d.answers, durable.StoredEndsAnswered{Shard: call.Shard, Token: call.Token})
+		d.answers = append(d.answers, durable.StoredEndsAnswered{Shard: call.Shard, Token: call.Token, Records: d.endsOf(call.Shard)})
 	case durable.Commit:
 		d.answers = append(d.answers, durable.Committed{Number: call.Number, Result: durable.CommitWritten{}})
 	}
 }
 
+// endsOf returns the stored ends of a shard.
+func (d *deciderTest) endsOf(shard durable.Shard) []durable.StoredEnds {
+	isOther := func(record durable.StoredEnds) bool { return record.Shard != shard }
+	return slices.DeleteFunc(slices.Clone(d.storedEnds), isOther)
+}
+
 // settle advances time and passes the store's answers to the coordinator until none is outstanding.
 func (d *deciderTest) settle() {
 	for range 20 {
