agent, cluster: an agent replaces a record of itself that comes from the future

What callers see: a record under an agent's own key whose process would have started in an hour, at another address, keeps all entries from the agent until then, also after its restart. Another writer may leave it, or an earlier process of the agent on a VM whose clock was ahead.

Cause: of two records the one with the higher incarnation, the start time of the process, is taken for the newer one, whatever the live process says.

Change: an entry to which an agent announces itself answers with the record that supersedes the announced one. Earlier builds ignore the answer, and answer without a record.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -98,7 +98,7 @@
 // New starts an agent. The returned function shuts it down: it rejects new tasks, waits for the running ones until only
 // exitMargin of Settings.StopTimeout is left, and closes the sessions.
 func New(settings Settings, w Worker, store Store, logger log.Logger, metrics *metric.Set) (*Agent, func() error) {
-	now := time.Now()
+	now := timeOfDay()
 	a := &Agent{
 		settings: settings,
 		self: cluster.Member{
@@ -113,7 +113,7 @@
 		shares:       newShareRecorder(metrics),
 		runner:       runner.New(settings.Limits, newFencingToken(now)),
 		events:       make(chan runner.Event, settings.EventQueueSize),
-		registration: newRegistration(),
+		registration: newRegistration(now.UnixNano()),
 		pendingEnds:  newPendingEnds(),
 	}
 	a.rejectionLogger = logging.NewLimited(a.logger, maxRejectionLinesPerSecond)
@@ -138,6 +138,9 @@
 	}
 }
 
+// timeOfDay returns the time of which incarnations and fencing tokens are made: the wall clock, by which the processes of an agent are compared.
+func timeOfDay() time.Time { return time.Now() }
+
 // newFencingToken returns the fencing token of a process that started at the given time: the Unix time in milliseconds,
 // so that a restarted agent has a higher token even if it restarts within a second. The runner handles a clock that was
 // set back.
--- a/internal/agent/registration.go
+++ b/internal/agent/registration.go
@@ -25,12 +25,14 @@
 	mu sync.Mutex
 	// worker is nil until a worker is known. Its Clock and Sequence are zero.
 	worker *worker.Record
+	// incarnation is the one in the record, which is above that of the process if a wrong record had a higher one.
+	incarnation int64
 	// changed has an element while worker may differ from the stored record.
 	changed chan struct{}
 }
 
-func newRegistration() registration {
-	return registration{changed: make(chan struct{}, 1)}
+func newRegistration(incarnation int64) registration {
+	return registration{incarnation: incarnation, changed: make(chan struct{}, 1)}
 }
 
 // setWorker sets the worker, and wakes the goroutine that writes the record if anything but Clock and Sequence changed.
@@ -43,11 +45,27 @@
 		return
 	}
 	r.worker = &record
+	r.wake()
+}
+
+// wake wakes the goroutine that writes the record.
+func (r *registration) wake() {
 	select {
 	case r.changed <- struct{}{}:
 	default:
-		// A wake-up is already pending; it will read the new worker.
+		// A wake-up is already pending; it will read the latest values.
+	}
+}
+
+// raiseIncarnation makes the incarnation higher than another one, and wakes the goroutine that writes the record. It returns the new incarnation.
+func (r *registration) raiseIncarnation(other int64) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if other >= r.incarnation {
+		r.incarnation = other + 1
+		r.wake()
 	}
+	return r.incarnation
 }
 
 // setStored sets the worker that a previous process registered, unless a worker is already known. It does not wake the
@@ -60,11 +78,12 @@
 	}
 }
 
-// latest returns the worker, or nil if none is known.
-func (r *registration) latest() *worker.Record {
+// latest returns the record of a member with the latest worker, nil if none is known, and the latest incarnation.
+func (r *registration) latest(self cluster.Member) cluster.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.worker
+	self.Worker, self.Incarnation = r.worker, r.incarnation
+	return self
 }
 
 // register writes the agent's record to the store now and whenever the worker changes. It first reads the record of the
@@ -72,9 +91,7 @@
 func (a *Agent) register() {
 	a.loadStoredWorker()
 	for {
-		member := a.self
-		member.Worker = a.registration.latest()
-		if !a.putRecord(member) {
+		if !a.putRecord(a.registration.latest(a.self)) {
 			return
 		}
 		if !wait(a.context, a.registration.changed) {
--- a/internal/cluster/directory.go
+++ b/internal/cluster/directory.go
@@ -178,12 +178,18 @@
 }
 
 // AddAnnounced stores a record received from the member itself. As this shows that the member is alive, the record is stored even if its
-// incarnation was removed.
-func (d *Directory) AddAnnounced(m Member) {
+// incarnation was removed. If the directory has a record with a higher incarnation, AddAnnounced returns that.
+func (d *Directory) AddAnnounced(m Member) (superseding Member, isSuperseded bool) {
 	d.mu.Lock()
 	delete(d.removed, m.Name)
 	d.mu.Unlock()
-	d.AddMember(m)
+	if d.AddMember(m) {
+		return Member{}, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.members[m.Name]
+	return known, ok && known.Incarnation > m.Incarnation
 }
 
 // RemoveMember removes a member, unless the directory holds another incarnation of it by now.
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -74,12 +74,16 @@
 	return e.directory.viewFor(view, view.Wants), nil
 }
 
-// Announce adds the calling process to the directory. It implements clusterpb.Cluster and always returns a nil error.
+// Announce adds the calling process to the directory. The answer contains the record that supersedes the one of the calling process, if there is
+// one. It implements clusterpb.Cluster and always returns a nil error.
 func (e *Exchanger) Announce(_ context.Context, view *clusterpb.View) (*clusterpb.View, error) {
+	answer := e.directory.summary()
 	for _, m := range unpackMembers(view) {
-		e.directory.AddAnnounced(m)
+		if superseding, isSuperseded := e.directory.AddAnnounced(m); isSuperseded {
+			answer.Members = append(answer.Members, superseding.pack())
+		}
 	}
-	return e.directory.summary(), nil
+	return answer, nil
 }
 
 // apply adds the evacuations, members, crashes, unended runs, statistics and document of another entry's view to the directory, in this order. Evacuations come
@@ -143,12 +147,19 @@
 	return &Announcer{client: client}, closeIdle
 }
 
-// AnnounceTo sends the record of this process to the entry at an address. Errors include the address.
-func (a *Announcer) AnnounceTo(ctx context.Context, address string, self Member) error {
+// AnnounceTo sends the record of this process to the entry at an address. It returns the incarnation of the record that supersedes it there, or 0 if
+// there is none. Errors include the address.
+func (a *Announcer) AnnounceTo(ctx context.Context, address string, self Member) (superseding int64, err error) {
 	client := clusterpb.NewClusterProtobufClient("http://"+address, a.client)
 	view := &clusterpb.View{Members: []*clusterpb.Member{self.pack()}}
-	if _, err := client.Announce(ctx, view); err != nil {
-		return errors.Wrapf(err, "cluster: unable to announce to %s", address)
+	answer, err := client.Announce(ctx, view)
+	if err != nil {
+		return 0, errors.Wrapf(err, "cluster: unable to announce to %s", address)
 	}
-	return nil
+	for _, m := range unpackMembers(answer) {
+		if m.Name == self.Name && m.Incarnation > self.Incarnation {
+			return m.Incarnation, nil
+		}
+	}
+	return 0, nil
 }
--- a/internal/session/agent.go
+++ b/internal/session/agent.go
@@ -32,7 +32,7 @@
 	post     func(runner.Event)
 	logger   log.Logger
 	// incarnation identifies the agent's process. It is sent to the entries with each ping.
-	incarnation int64
+	incarnation atomic.Int64
 	// started is the reference for the times in pings.
 	started time.Time
 	// lastID is the ID of the most recent session.
@@ -46,12 +46,16 @@
 func NewServer(listener net.Listener, incarnation int64, traffic *Traffic, post func(runner.Event), logger log.Logger) (*Server, func()) {
 	s := &Server{
 		listener: listener, post: post, logger: logging.NewLimited(logger, failuresPerSecond),
-		incarnation: incarnation, traffic: traffic, started: clock.Now(), open: make(map[runner.SessionID]*stream.Connection),
+		traffic: traffic, started: clock.Now(), open: make(map[runner.SessionID]*stream.Connection),
 	}
+	s.incarnation.Store(incarnation)
 	go s.accept()
 	return s, s.close
 }
 
+// SetIncarnation replaces the incarnation that is sent to the entries.
+func (s *Server) SetIncarnation(incarnation int64) { s.incarnation.Store(incarnation) }
+
 // acceptRetryDelay is the delay after a failed Accept, such as one with too many open files. It is shorter than the redial delay of an
 // entry.
 const acceptRetryDelay = 50 * time.Millisecond
@@ -173,6 +177,6 @@
 }
 
 func (s *Server) packPing(sent time.Time) *sessionpb.FromAgent {
-	ping := &sessionpb.Ping{Time: int64(sent.Sub(s.started)), Incarnation: s.incarnation, KnowsRepeats: true}
+	ping := &sessionpb.Ping{Time: int64(sent.Sub(s.started)), Incarnation: s.incarnation.Load(), KnowsRepeats: true}
 	return &sessionpb.FromAgent{Message: &sessionpb.FromAgent_Ping{Ping: ping}}
 }
