--- a/internal/entry/failedruns_test.go
+++ b/internal/entry/failedruns_test.go
@@ -27,6 +27,10 @@
 	storedReport
 )
 
+func (r endReport) String() string {
+	return [...]string{"first report", "repeat", "stored end"}[r]
+}
+
 // failedRunTest is an entry that owns a job of one task, whose runs are at agents of its own.
 type failedRunTest struct {
 	*deciderTest
@@ -89,7 +93,6 @@
 func (f *failedRunTest) state() durable.State {
 	f.t.Helper()
 	f.settle()
-	f.performed = append(f.performed, effect{})
 	asked := len(f.performed)
 	f.decider.handleDurable(durable.StateRequested{Job: testJob, Waiter: 9})
 	f.settle()
